--- /dev/null
+++ b/crates/nickelgw-drill/src/node.rs
@@ -0,0 +1,281 @@
+//! One instance: its router, and which request each handle stands for.
+
+use crate::wire::{flag, index, list, names, num, num_or, text, Bad};
+use nickelgw::decide::Router;
+use nickelgw::interface::*;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+
+pub struct Node {
+    router: Router,
+    routes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<(String, Role, f64)>,
+    by_request: HashMap<u64, Inf>,
+    request_of: Vec<u64>,
+    wake_at: f64,
+}
+
+fn position(names: &[String], line: &Value, field: &str) -> Result<usize, Bad> {
+    let name = text(line, field)?;
+    names.iter().position(|n| n == name).ok_or_else(|| Bad::field(line, field, "a name from the settings"))
+}
+
+fn inner<'a>(line: &'a Value, field: &str) -> Result<&'a Value, Bad> {
+    line.get(field).filter(|v| v.is_object()).ok_or_else(|| Bad::field(line, field, "an object"))
+}
+
+fn route(class: &Value, pace_s: f64, per_1000_us: f64) -> Result<ModelRoute, Bad> {
+    let group = match class.get("group").and_then(Value::as_str) {
+        None | Some("all") => Group::All,
+        Some("zone") => Group::Zone,
+        Some("cell") => Group::Cell,
+        Some(_) => return Err(Bad::field(class, "group", "all, zone or cell")),
+    };
+    let repeat = match text(class, "idempotency")? {
+        "pure" => Repeat::Retriable,
+        "token" => Repeat::Deduped { group, memory_s: num(class, "memory_span_s")? },
+        "side_effect" => Repeat::NonRetriable,
+        _ => return Err(Bad::field(class, "idempotency", "pure, token or side_effect")),
+    };
+    Ok(ModelRoute {
+        first_token_target_s: num(class, "slo_s")?,
+        target_per_token_s: per_1000_us / 1e9,
+        pace_s,
+        value: num(class, "worth")?,
+        repeat,
+    })
+}
+
+fn load(event: &Value) -> Result<Option<Load>, Bad> {
+    let Some(report) = event.get("telemetry") else { return Ok(None) };
+    if !report.is_object() {
+        return Err(Bad::field(event, "telemetry", "an object"));
+    }
+    let value = |name: &str| report.get(name).map(|_| num(report, name)).transpose();
+    Ok(Some(Load {
+        memory_share: value("x0")?,
+        slot_share: value("load_share")?,
+        queue: value("depth")?,
+        inflight: value("concurrent")?,
+        unread_tokens: value("x1")?.map(|k| 1000.0 * k),
+    }))
+}
+
+impl Node {
+    pub fn new(event: &Value) -> Result<Node, Bad> {
+        let o = inner(event, "options")?;
+        let (info, limits, rules) = (inner(o, "family_info")?, inner(o, "limits")?, inner(o, "rules")?);
+        let none = json!({});
+        let charges = o.get("charges").unwrap_or(&none);
+        let reporting = o.get("reporting").unwrap_or(&none);
+        let at = |field: &str, k: usize, absent: f64| -> Result<f64, Bad> {
+            let value = list(info, field)?.get(k).map_or(Some(absent), Value::as_f64);
+            value.ok_or_else(|| Bad::field(info, field, "a list of numbers"))
+        };
+        let mut routes = Vec::new();
+        let mut route_names = Vec::new();
+        for (k, class) in list(o, "classes")?.iter().enumerate() {
+            let pace = at("token_aim_s", k, 0.06)?;
+            routes.push(route(class, pace, at("aim_us_per_1000_prompt_tokens", k, 0.0)?)?);
+            route_names.push(text(class, "name")?.to_string());
+        }
+        let mut tenants = Vec::new();
+        let mut tenant_quotas = Vec::new();
+        for account in list(o, "accounts")? {
+            tenants.push(text(account, "name")?.to_string());
+            tenant_quotas.push(num(account, "quota_per_s")?);
+        }
+        let mut kinds = Vec::new();
+        let roles = names(info, "role_by_kind")?;
+        for (k, name) in names(o, "kinds")?.into_iter().enumerate() {
+            let role = match roles.get(k).map(String::as_str) {
+                Some("read") => Role::Read,
+                Some("write") => Role::Write,
+                Some("both") => Role::Both,
+                _ => return Err(Bad::field(info, "role_by_kind", "read, write or both for each kind")),
+            };
+            kinds.push((name, role, at("kind_memory_tokens", k, 1.0)?));
+        }
+        let zones = names(o, "zones")?;
+        let told = flag(limits, "retry_after")?;
+        let deployment = Deployment {
+            node: index(o, "my_number")? as u32,
+            nodes: index(o, "balancers")? as u32,
+            seed: index(event, "prng")?,
+            zone: position(&zones, o, "az")? as u32,
+            tick_s: num(o, "tick_s")?,
+            routes,
+            tenant_quotas,
+            over_share_value: num_or(o, "over_share_worth", 1.0)?,
+            most_sends: num(limits, "most_tries")? as u32,
+            writers_read: flag(info, "local_read")?,
+            hold_limit_s: num(info, "release_s")?,
+            move_price: num_or(info, "transfer_price", 0.0)?,
+            zone_price: num_or(charges, "cross_zone", 0.0)?,
+            probe_price: num_or(charges, "probe", 0.0)?,
+            cancel: flag(limits, "cancel")?,
+            probes: flag(limits, "probes")?,
+            load_by_probe: reporting.get("how").and_then(Value::as_str) == Some("pull"),
+            must_ask: o.get("registry_mode").and_then(Value::as_str) == Some("subscribe"),
+            longest_come_back_s: if told { Some(num(limits, "max_retry_after_s")?) } else { None },
+            cold_share: num(rules, "cold_from")?,
+            warm_within_s: num(rules, "warm_within_s")?,
+            tip_multiple: num(rules, "tip_multiple")?,
+            tip_window_s: num(rules, "fall_s")?,
+        };
+        Ok(Node {
+            router: Router::new(deployment),
+            routes: route_names,
+            tenants,
+            zones,
+            kinds,
+            by_request: HashMap::new(),
+            request_of: Vec::new(),
+            wake_at: f64::INFINITY,
+        })
+    }
+
+    pub fn membership(&mut self, now: f64, event: &Value, page: &[Value]) -> Result<(), Bad> {
+        let full = match text(event, "how")? {
+            "full" | "cached" => true,
+            "delta" => false,
+            _ => return Err(Bad::field(event, "how", "delta, full, cached or failed")),
+        };
+        let mut lines = Vec::new();
+        for entry in page {
+            let kind = text(entry, "family_type")?;
+            let kind = self.kinds.iter().find(|k| k.0 == kind);
+            let kind = kind.ok_or_else(|| Bad::field(entry, "family_type", "a kind from the settings"))?;
+            let started = num_or(entry, "up_since_s", 0.0)?;
+            lines.push(EngineLine {
+                id: text(entry, "engine")?.to_string(),
+                zone: position(&self.zones, entry, "campus")? as u32,
+                cell: num_or(entry, "unit_group", 0.0)? as u32,
+                role: kind.1,
+                memory_tokens: kind.2,
+                standing: match text(entry, "state")? {
+                    "IN" => Standing::In,
+                    "LAME" => Standing::Draining,
+                    "OUT" => Standing::Gone,
+                    _ => return Err(Bad::field(entry, "state", "IN, LAME or OUT")),
+                },
+                started_at: (started > 0.0).then_some(started),
+            });
+        }
+        self.router.list(now, &lines, full);
+        Ok(())
+    }
+
+    pub fn event(&mut self, now: f64, kind: &str, event: &Value) -> Result<(), Bad> {
+        match kind {
+            "MEMBERSHIP" => self.router.list_failed(now),
+            "REQUEST" => {
+                let org = event.get("org").filter(|v| v.is_string());
+                let tenant = match org {
+                    Some(_) if !self.tenants.is_empty() => Some(position(&self.tenants, event, "org")?),
+                    _ => None,
+                };
+                let prefix = event.get("prefix").map(|_| text(event, "prefix")).transpose()?;
+                let arrival = Arrival {
+                    route: position(&self.routes, event, "cls")?,
+                    tenant,
+                    due_at: num(event, "due_s")?,
+                    prompt_tokens: num_or(event, "prompt_len", 0.0)?,
+                    prefix_tokens: num_or(event, "n_prefix", 0.0)?,
+                    session: event.get("session").map_or(Ok(""), |_| text(event, "session"))?.to_string(),
+                    prefix: prefix.map(str::to_string),
+                };
+                let request = index(event, "req")?;
+                let inf = self.router.take(now, &arrival);
+                let k = inf.0 as usize;
+                self.request_of.resize(self.request_of.len().max(k + 1), 0);
+                self.request_of[k] = request;
+                self.by_request.insert(request, inf);
+            }
+            "SETTLED" => {
+                let outcome = match text(event, "how")? {
+                    "served" => Outcome::Completed,
+                    "prefilled" => Outcome::Read,
+                    "server_error" => Outcome::EngineError,
+                    "turned_away" => Outcome::TurnedAway,
+                    "no_answer" => Outcome::NoAnswer,
+                    "no_connection" => Outcome::NoConnection,
+                    "connection_lost" => Outcome::ConnectionLost,
+                    "called_off" => Outcome::Cancelled,
+                    "not_sent" => Outcome::NotSent,
+                    _ => return Err(Bad::field(event, "how", "a known outcome")),
+                };
+                let ending = Ending {
+                    outcome,
+                    after_s: num_or(event, "delay_seen_s", 0.0)?,
+                    over: flag(event, "over")?,
+                    note: num_or(event, "remark", 0.0)?,
+                };
+                let (send, load) = (index(event, "n")? as u32, load(event)?);
+                if let Some(&inf) = self.by_request.get(&index(event, "req")?) {
+                    self.router.settled(now, inf, send, ending, load);
+                }
+            }
+            "HEAD_RECEIVED" => {
+                let send = index(event, "n")? as u32;
+                if let Some(&inf) = self.by_request.get(&index(event, "req")?) {
+                    self.router.first_token(now, inf, send);
+                }
+            }
+            "HANGUP" => {
+                if let Some(&inf) = self.by_request.get(&index(event, "req")?) {
+                    self.router.left(inf);
+                }
+            }
+            "PROBED" => {
+                let answered = text(event, "how")? == "served";
+                self.router.probed(now, text(event, "engine")?, answered, load(event)?);
+            }
+            "REMINDER" => self.wake_at = f64::INFINITY,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Writes the actions of this batch.
+    pub fn act(&mut self, now: f64, i: u64, reply: &mut String) {
+        let d = self.router.decide(now);
+        let mut say = |action: Value| {
+            reply.push_str(&action.to_string());
+            reply.push('\n');
+        };
+        let req = |inf: Inf| self.request_of[inf.0 as usize];
+        for &(inf, n) in &d.cancelled {
+            say(json!({"kind": "RECALL", "i": i, "req": req(inf), "n": n}));
+        }
+        for s in &d.sends {
+            let engine = self.router.engine_id(s.eng);
+            let (req, patience) = (req(s.inf), s.patience_s);
+            say(json!({"kind": "ATTEMPT", "i": i, "req": req, "engine": engine, "patience_s": patience}));
+        }
+        for &(inf, back) in &d.shed {
+            say(json!({"kind": "DENY", "i": i, "req": req(inf), "not_before_for_s": back}));
+        }
+        for &inf in &d.errored {
+            say(json!({"kind": "ERROR", "i": i, "req": req(inf)}));
+        }
+        for &inf in &d.released {
+            say(json!({"kind": "DROP_STATE", "i": i, "req": req(inf)}));
+        }
+        for &eng in &d.probes {
+            say(json!({"kind": "PROBE", "i": i, "engine": self.router.engine_id(eng)}));
+        }
+        if d.subscribe {
+            say(json!({"kind": "TAIL", "i": i, "enable": true}));
+        }
+        if let Some(at) = d.wake_at.filter(|&at| at < self.wake_at) {
+            say(json!({"kind": "REMIND", "i": i, "wait_s": (at - now).max(0.0), "ref": 0}));
+            self.wake_at = at;
+        }
+        for inf in &d.closed {
+            self.by_request.remove(&self.request_of[inf.0 as usize]);
+        }
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,901 @@
+//! All decisions of a node: which reader reads an inference, which writer answers it, what is shed.
+//!
+//! Callers make a [`Router`] from a [`Deployment`], pass on what happens as calls (`take` gives the handle
+//! on which all later calls for that inference are made) and, after each batch of calls, do what
+//! [`Router::decide`] lists. The types exchanged are in `src/interface.rs`. The ordinary path is the one
+//! function `decide`; it follows docs/design.md. Beside it stand six mechanisms:
+//! 1. engine health: outcomes and own timings move an engine's maturity (`strike`, `praise`, `watch`);
+//! 2. rationing of fresh engines, node by node in turn (`ration`);
+//! 3. sending again, as far as the model route's kind allows (`again`);
+//! 4. fair shares: what a tenant sends beyond its quota waits behind the rest (`take`);
+//! 5. answering and letting go (`give_up`, `close`);
+//! 6. load correction: reported load, own sends since, and probes for it (`note_load`, `load`, `probe`).
+
+use crate::interface::*;
+use nanorand::{Rng, WyRand};
+use std::collections::HashMap;
+
+/// Admission threshold of the first-token chance (DESIGN's start).
+const THETA: f64 = 0.5;
+/// Share of the pace target that a step takes on an empty writer; the rest grows with its load.
+const EMPTY_STEP: f64 = 0.4;
+/// Memory share past which a writer is taken to have no room: reports are late and noisy.
+const ROOM: f64 = 0.9;
+/// Longest hold-off of a struck engine, in tightest first-token targets.
+const LONGEST_HOLD_OFF: f64 = 6.0;
+/// Rough life of a stream before any has been seen, in paces: a few sentences.
+const FIRST_LIFE: f64 = 80.0;
+/// Part of the cold allowance used; the rest is for news that comes late and for chance.
+const COLD_CAUTION: f64 = 0.5;
+/// Entries of an engine's memory of kept texts.
+const KEPT_ENTRIES: usize = 512;
+/// Engines known at most; past that the records of gone ones are used anew.
+const ENGINES_KNOWN: usize = 1024;
+
+/// Fitted cost a + b·t + c·t² of reading t unkept tokens, t in thousands: decayed least squares that
+/// start from, and are drawn to, the starting values.
+#[derive(Clone, Debug)]
+pub struct ReadCost {
+    sums: [f64; 5],
+    seen: [f64; 3],
+    abc: [f64; 3],
+}
+
+impl ReadCost {
+    fn new(a: f64, b: f64) -> Self {
+        let mut fit = ReadCost { sums: [0.0; 5], seen: [0.0; 3], abc: [a, b, 0.0] };
+        for t in [0.0, 1.0, 2.0, 4.0] {
+            fit.add(t * 1000.0, a + b * t);
+        }
+        fit
+    }
+
+    fn add(&mut self, tokens: f64, seconds: f64) {
+        let t = tokens / 1000.0;
+        // Half the weight is gone after some 70 reads: quick enough for a change, slow enough for noise.
+        let mut power = 1.0;
+        for k in 0..5 {
+            self.sums[k] = self.sums[k] * 0.99 + power;
+            if k < 3 {
+                self.seen[k] = self.seen[k] * 0.99 + power * seconds;
+            }
+            power *= t;
+        }
+        let s = &self.sums;
+        let det2 = s[0] * s[2] - s[1] * s[1];
+        let mut m = [
+            [s[0], s[1], s[2], self.seen[0]],
+            [s[1], s[2], s[3], self.seen[1]],
+            [s[2], s[3], s[4], self.seen[2]],
+        ];
+        for i in 0..3 {
+            for j in i + 1..3 {
+                let f = m[j][i] / m[i][i].max(1e-9);
+                for k in i..4 {
+                    m[j][k] -= f * m[i][k];
+                }
+            }
+        }
+        let c = m[2][3] / m[2][2].max(1e-9);
+        let b = (m[1][3] - m[1][2] * c) / m[1][1].max(1e-9);
+        let a = (m[0][3] - m[0][2] * c - m[0][1] * b) / m[0][0].max(1e-9);
+        if a > 0.0 && b > 0.0 && c >= 0.0 {
+            self.abc = [a, b, c];
+        } else if det2 > 1e-9 {
+            let b = ((s[0] * self.seen[1] - s[1] * self.seen[0]) / det2).max(1e-3);
+            self.abc = [((self.seen[0] - b * s[1]) / s[0]).max(1e-3), b, 0.0];
+        }
+    }
+
+    fn of(&self, tokens: f64) -> f64 {
+        let t = tokens / 1000.0;
+        self.abc[0] + self.abc[1] * t + self.abc[2] * t * t
+    }
+}
+
+/// All that is known of an engine.
+#[derive(Clone, Debug)]
+struct Engine {
+    id: String,
+    zone: u32,
+    cell: u32,
+    role: Role,
+    memory: f64,
+    standing: Standing,
+    started: f64,
+    /// When it can safely take more.
+    matures: f64,
+    /// Seconds of reading given to it in this round of decisions, and their tokens.
+    batch_s: f64,
+    batch_tokens: f64,
+    /// Failures in a row, weighed, and its timings against the fleet's.
+    strikes: f64,
+    slow: f64,
+    /// Own sends without an ending, and own prompt tokens there, now and at the last report.
+    out: u32,
+    tokens: f64,
+    tokens_at_report: f64,
+    load: Load,
+    load_at: f64,
+    probe_at: f64,
+    probing: bool,
+    /// Own sends a second, decayed, and in the present turn of a fresh engine.
+    rate: f64,
+    rate_at: f64,
+    turn: f64,
+    turn_sends: f64,
+    /// Texts it is believed to keep: id hash to tokens.
+    kept: HashMap<u64, f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Queued,
+    Reading,
+    Held,
+    Writing,
+    Streaming,
+    Ended,
+    Closed,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    eng: usize,
+    at: f64,
+    ahead: f64,
+    expected: f64,
+    tokens: f64,
+    write: bool,
+    live: bool,
+    late: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Inference {
+    route: usize,
+    stage: Stage,
+    arrived: f64,
+    target: f64,
+    due: f64,
+    prompt: f64,
+    prefix_tokens: f64,
+    session: u64,
+    prefix: u64,
+    over_share: bool,
+    sends: Vec<Sent>,
+    /// The reader that holds its state.
+    state: Option<usize>,
+    held_since: f64,
+    /// The first writer send that may have run, and when it was sent.
+    ran: Option<(usize, f64)>,
+}
+
+struct Route {
+    target: f64,
+    target_per_token: f64,
+    pace: f64,
+    repeat: Repeat,
+}
+
+/// A tenant's allowance at this node: inferences left of it, when last filled, and its rate.
+struct Share {
+    left: f64,
+    at: f64,
+    rate: f64,
+}
+
+pub struct Router {
+    node: f64,
+    nodes: f64,
+    tick: f64,
+    routes: Vec<Route>,
+    shares: Vec<Share>,
+    most_sends: usize,
+    /// How long a state may wait for a writer that may be sent to.
+    hold: f64,
+    writers_read: bool,
+    over_share_value: f64,
+    cancel: bool,
+    probe_gap: f64,
+    come_back: Option<f64>,
+    /// Seconds that a move out of the cell, and out of the zone, must save to be worth their price.
+    cell_worth: f64,
+    zone_worth: f64,
+    cold_share: f64,
+    warm_within: f64,
+    tip_multiple: f64,
+    tip_window: f64,
+    /// Tightest first-token target and pace.
+    target: f64,
+    pace: f64,
+    /// Mean life of a stream at a writer, mean prompt, gap between arrivals.
+    life: f64,
+    arrival_gap: f64,
+    last_arrival: f64,
+    read_cost: ReadCost,
+    must_ask: bool,
+    ask_at: f64,
+    engines: Vec<Engine>,
+    by_id: HashMap<String, usize>,
+    infs: Vec<Inference>,
+    free: Vec<usize>,
+    open: Vec<usize>,
+    chance: WyRand,
+    todo: Decisions,
+}
+
+/// FNV-1a: the same at every node, so that all choose the same reader for a text.
+fn hash(text: &str, salt: u64) -> u64 {
+    let mix = |h: u64, b: u8| (h ^ b as u64).wrapping_mul(0x0000_0100_0000_01b3);
+    let h = text.bytes().fold(0xcbf2_9ce4_8422_2325 ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15), mix);
+    (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ (h >> 32)
+}
+
+impl Router {
+    pub fn new(d: Deployment) -> Self {
+        let least = |f: fn(&ModelRoute) -> f64| d.routes.iter().map(f).fold(f64::INFINITY, f64::min);
+        let (target, pace) = (least(|r| r.first_token_target_s), least(|r| r.pace_s));
+        let (target, pace) = (target.clamp(0.01, 60.0), pace.clamp(0.001, 1.0));
+        // Before the first sample: a read costs a step, and half what the target grants a prompt token.
+        let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
+        let quota = |q: &f64| q / d.nodes.max(1) as f64;
+        let share = |q: &f64| Share { left: 2.0 * quota(q), at: 0.0, rate: quota(q) };
+        let route = |r: &ModelRoute| Route {
+            target: r.first_token_target_s,
+            target_per_token: r.target_per_token_s,
+            pace: r.pace_s,
+            repeat: r.repeat,
+        };
+        Router {
+            node: d.node as f64,
+            nodes: d.nodes.max(1) as f64,
+            tick: d.tick_s,
+            shares: d.tenant_quotas.iter().map(share).collect(),
+            most_sends: d.most_sends as usize,
+            hold: d.hold_limit_s / 2.0,
+            writers_read: d.writers_read,
+            over_share_value: d.over_share_value,
+            cancel: d.cancel,
+            probe_gap: if d.probes { 1.0 } else { f64::INFINITY },
+            come_back: d.longest_come_back_s,
+            cell_worth: d.move_price * target,
+            zone_worth: (d.move_price + d.zone_price) * target,
+            cold_share: d.cold_share,
+            warm_within: d.warm_within_s,
+            tip_multiple: d.tip_multiple,
+            tip_window: d.tip_window_s,
+            target,
+            pace,
+            life: FIRST_LIFE * pace,
+            arrival_gap: target,
+            last_arrival: f64::NEG_INFINITY,
+            read_cost: ReadCost::new(pace / 2.0, per_k),
+            must_ask: d.must_ask,
+            ask_at: 0.0,
+            engines: Vec::new(),
+            by_id: HashMap::new(),
+            infs: Vec::new(),
+            free: Vec::new(),
+            open: Vec::new(),
+            chance: WyRand::new_seed(d.seed),
+            routes: d.routes.iter().map(route).collect(),
+            todo: Decisions::default(),
+        }
+    }
+
+    // ---- What callers tell ----
+
+    /// News of the engines; a full list leaves out those that are gone. Nothing new goes to an engine from
+    /// the moment it is heard to drain or to be gone.
+    pub fn list(&mut self, now: f64, lines: &[EngineLine], full: bool) {
+        if full {
+            for e in &mut self.engines {
+                if !lines.iter().any(|l| l.id == e.id) {
+                    e.standing = Standing::Gone;
+                }
+            }
+        }
+        for l in lines {
+            let started = l.started_at.unwrap_or(f64::NEG_INFINITY);
+            let i = self.index(&l.id);
+            let e = &mut self.engines[i];
+            if started > e.started || e.standing == Standing::Gone {
+                // A new process under an old id: what was known of the old one is void.
+                (e.strikes, e.slow, e.load, e.matures) = (0.0, 1.0, Load::default(), now);
+                e.kept.clear();
+            }
+            (e.zone, e.cell, e.role, e.memory) = (l.zone, l.cell, l.role, l.memory_tokens.max(1.0));
+            (e.standing, e.started) = (l.standing, started);
+        }
+    }
+
+    /// Asking for the list failed: it is asked for again after a while that differs from node to node.
+    pub fn list_failed(&mut self, now: f64) {
+        self.must_ask = true;
+        self.ask_at = now + self.target * (0.5 + self.dice());
+    }
+
+    pub fn take(&mut self, now: f64, a: &Arrival) -> Inf {
+        if self.last_arrival.is_finite() {
+            self.arrival_gap += 0.05 * (now - self.last_arrival - self.arrival_gap);
+        }
+        self.last_arrival = now;
+        let r = &self.routes[a.route];
+        let target = now + r.target + r.target_per_token * a.prompt_tokens;
+        let over_share = a.tenant.is_some_and(|t| {
+            let s = &mut self.shares[t];
+            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 * s.rate);
+            (s.at, s.left) = (now, s.left - 1.0);
+            s.left < 0.0
+        });
+        let inf = Inference {
+            route: a.route,
+            stage: Stage::Queued,
+            arrived: now,
+            target,
+            due: a.due_at,
+            prompt: a.prompt_tokens,
+            prefix_tokens: a.prefix_tokens,
+            session: hash(&a.session, 1),
+            prefix: a.prefix.as_deref().map_or(0, |p| hash(p, 2)),
+            over_share,
+            sends: Vec::new(),
+            state: None,
+            held_since: now,
+            ran: None,
+        };
+        let i = self.free.pop().unwrap_or(self.infs.len());
+        if i == self.infs.len() {
+            self.infs.push(inf);
+        } else {
+            self.infs[i] = inf;
+        }
+        self.open.push(i);
+        Inf(i as u32)
+    }
+
+    /// The client has left: nothing more is owed.
+    pub fn left(&mut self, inf: Inf) {
+        if self.infs[inf.0 as usize].stage != Stage::Closed {
+            self.close(inf.0 as usize);
+        }
+    }
+
+    pub fn first_token(&mut self, now: f64, inf: Inf, send: u32) {
+        let i = inf.0 as usize;
+        let s = self.infs[i].sends[send as usize];
+        if matches!(self.infs[i].stage, Stage::Ended | Stage::Closed) {
+            return;
+        }
+        self.infs[i].stage = Stage::Streaming;
+        self.infs[i].state = None;
+        self.praise(now, s.eng, now - s.at, s.expected);
+    }
+
+    /// A send has ended.
+    pub fn settled(&mut self, now: f64, inf: Inf, send: u32, end: Ending, load: Option<Load>) {
+        let i = inf.0 as usize;
+        let s = self.infs[i].sends[send as usize];
+        self.infs[i].sends[send as usize].live = false;
+        self.engines[s.eng].out -= 1;
+        if s.write {
+            self.engines[s.eng].tokens -= self.infs[i].prompt;
+        }
+        if let Some(l) = load {
+            self.note_load(now, s.eng, l);
+        }
+        self.infs[i].held_since = now;
+        let stage = self.infs[i].stage;
+        match end.outcome {
+            Outcome::Completed => {
+                self.life += 0.02 * (end.after_s - self.life);
+                self.engines[s.eng].strikes = 0.0;
+            }
+            Outcome::Read => {
+                self.infs[i].state = Some(s.eng);
+                self.learn_read(now, i, s, end);
+            }
+            Outcome::TurnedAway if s.write && end.note == 1.0 => self.infs[i].state = None,
+            // No room: the engine matures later, by what one place takes to come free.
+            Outcome::TurnedAway => {
+                let wait = if s.write { self.life / 8.0 } else { self.read_cost.of(self.infs[i].prompt) };
+                let e = &mut self.engines[s.eng];
+                e.matures = e.matures.max(now + wait);
+            }
+            Outcome::Cancelled | Outcome::NotSent => {}
+            _ => self.strike(now, s.eng),
+        }
+        let proven = matches!(
+            end.outcome,
+            Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent | Outcome::Read
+        );
+        if s.write && !proven && self.infs[i].ran.is_none() {
+            self.infs[i].ran = Some((s.eng, s.at));
+        }
+        if end.over || matches!(stage, Stage::Streaming | Stage::Ended) {
+            self.close(i);
+        } else if !self.infs[i].sends.iter().any(|s| s.live) {
+            // Sending again: from the state if it still waits, else from the prompt.
+            self.infs[i].stage = if self.infs[i].state.is_some() { Stage::Held } else { Stage::Queued };
+            if end.outcome == Outcome::NotSent || !self.again(now, i, None) {
+                self.give_up(i);
+            }
+        }
+    }
+
+    pub fn probed(&mut self, now: f64, id: &str, answered: bool, load: Option<Load>) {
+        let Some(&e) = self.by_id.get(id) else { return };
+        self.engines[e].probing = false;
+        if let Some(l) = load {
+            self.note_load(now, e, l);
+        }
+        if !answered {
+            self.strike(now, e);
+        }
+    }
+
+    pub fn engine_id(&self, eng: Eng) -> &str {
+        &self.engines[eng.0 as usize].id
+    }
+
+    // ---- The ordinary path ----
+
+    /// What to do after a batch of calls.
+    pub fn decide(&mut self, now: f64) -> Decisions {
+        self.watch(now);
+        // The Migrator: a state whose read has ended goes at once to the earliest-maturing writer.
+        let open = self.open.clone();
+        for &i in open.iter().filter(|&&i| self.infs[i].stage == Stage::Held).collect::<Vec<_>>() {
+            let Some(w) = self.writer(now, i) else {
+                // Rule 5: a state that no writer may be sent is not kept; with no sends left it never will be.
+                if now >= self.infs[i].held_since + self.hold || !self.again(now, i, None) {
+                    self.give_up(i);
+                }
+                continue;
+            };
+            self.write(now, i, w, 0.0);
+        }
+        // The queue: by pace aim, then arrival; what a tenant sends beyond its share comes last.
+        let mut queue: Vec<usize> =
+            open.iter().copied().filter(|&i| self.infs[i].stage == Stage::Queued).collect();
+        queue.sort_by(|&x, &y| {
+            let key = |i: usize| (self.infs[i].over_share, self.pace_of(i), self.infs[i].arrived);
+            key(x).partial_cmp(&key(y)).unwrap().then(x.cmp(&y))
+        });
+        let writer_wait = self.least_wait(now);
+        let busy = self.fleet_load(now);
+        let readers: Vec<usize> =
+            (0..self.engines.len()).filter(|&e| self.reads(e) && self.ration(now, e)).collect();
+        // The budget: what the tightest target present leaves for reading, the c·t² left out.
+        let tightest = queue.iter().map(|&i| self.infs[i].target - self.infs[i].arrived).fold(60.0, f64::min);
+        let budget = ((tightest - self.read_cost.abc[0]) / self.read_cost.abc[1] * 1000.0).max(0.0);
+        for &i in &queue {
+            let inf = &self.infs[i];
+            // Shed unread: too late to start before its client's time is up.
+            let least = self.read_cost.of(0.0) + writer_wait;
+            if now + least > inf.due {
+                self.give_up(i);
+                continue;
+            }
+            // With no reader to send to, an engine that reads for itself takes the prompt.
+            if readers.is_empty() {
+                if let Some(w) = self.writer(now, i) {
+                    self.write(now, i, w, 4.0 * self.read_cost.of(self.infs[i].prompt));
+                }
+                continue;
+            }
+            // The first-maturing reader; near-ties go to the one that the text's hash prefers.
+            let Some(first) = self.earliest(now, &readers) else { break };
+            let at = self.maturity(now, first);
+            if self.engines[first].matures > now {
+                break;
+            }
+            let near = at + self.read_cost.of(inf.prompt);
+            let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
+            let home = readers.iter().copied().filter(|&e| self.maturity(now, e) <= near);
+            let home = home.max_by_key(|&e| hash(&self.engines[e].id, text)).unwrap_or(first);
+            let tokens = self.unkept(home, i);
+            let e = &self.engines[home];
+            let free = budget.min(e.memory * (1.0 - e.load.memory_share.unwrap_or(0.0)));
+            let idle = e.out == 0;
+            let fits = e.batch_tokens + tokens <= free || (tokens > budget && idle && e.batch_s == 0.0);
+            let ahead = self.maturity(now, home) - now;
+            let read = self.read_cost.of(tokens) * e.slow;
+            // The chance of a first token in time, less sure the busier the writers are.
+            let spare = self.infs[i].target - (now + ahead + read + writer_wait);
+            let spread = self.target * (0.05 + 0.2 * busy);
+            let mut chance = 1.0 / (1.0 + (-spare / spread).exp());
+            if self.infs[i].over_share {
+                chance *= 1.0 - busy * (1.0 - self.over_share_value);
+            }
+            if fits && chance >= THETA {
+                self.read(now, i, home, ahead, read, tokens);
+            }
+        }
+        // A matured reader that admitted nothing takes the oldest held, even below θ.
+        queue.sort_by(|&x, &y| self.infs[x].arrived.total_cmp(&self.infs[y].arrived).then(x.cmp(&y)));
+        for &r in &readers {
+            if self.engines[r].batch_s > 0.0 || self.engines[r].matures > now {
+                continue;
+            }
+            let oldest = |&&i: &&usize| self.infs[i].stage == Stage::Queued && !self.infs[i].over_share;
+            let Some(&i) = queue.iter().find(oldest) else { break };
+            let tokens = self.unkept(r, i);
+            let read = self.read_cost.of(tokens) * self.engines[r].slow;
+            self.read(now, i, r, 0.0, read, tokens);
+        }
+        // A reader next matures when what it was given has been read.
+        for &r in &readers {
+            let e = &mut self.engines[r];
+            e.matures = if e.batch_s > 0.0 { e.matures.max(now) + e.batch_s } else { e.matures };
+            (e.batch_s, e.batch_tokens) = (0.0, 0.0);
+        }
+        self.probe(now);
+        self.todo.subscribe = self.must_ask && now >= self.ask_at;
+        self.must_ask &= !self.todo.subscribe;
+        if self.open.iter().any(|&i| self.infs[i].stage != Stage::Streaming) {
+            self.todo.wake_at = Some(now + (4.0 * self.tick).max(0.01));
+        } else if self.must_ask {
+            self.todo.wake_at = Some(self.ask_at);
+        }
+        self.free.extend(self.todo.closed.iter().map(|c| c.0 as usize));
+        std::mem::take(&mut self.todo)
+    }
+
+    // ---- Parts of the path ----
+
+    fn pace_of(&self, i: usize) -> f64 {
+        self.routes[self.infs[i].route].pace
+    }
+
+    fn reads(&self, e: usize) -> bool {
+        self.engines[e].standing == Standing::In && self.engines[e].role == Role::Read
+    }
+
+    fn writes(&self, e: usize) -> bool {
+        self.engines[e].standing == Standing::In && self.engines[e].role != Role::Read
+    }
+
+    fn maturity(&self, now: f64, e: usize) -> f64 {
+        self.engines[e].matures.max(now) + self.engines[e].batch_s
+    }
+
+    fn earliest(&self, now: f64, among: &[usize]) -> Option<usize> {
+        let by = |&x: &usize, &y: &usize| self.maturity(now, x).total_cmp(&self.maturity(now, y));
+        among.iter().copied().min_by(by)
+    }
+
+    /// Prompt tokens that this reader would have to read, as far as is known.
+    fn unkept(&self, e: usize, i: usize) -> f64 {
+        let inf = &self.infs[i];
+        let kept = &self.engines[e].kept;
+        let session = kept.get(&inf.session).copied().unwrap_or(0.0);
+        let prefix = kept.get(&inf.prefix).map_or(0.0, |_| inf.prefix_tokens);
+        (inf.prompt - session.max(prefix)).max(1.0)
+    }
+
+    fn read(&mut self, now: f64, i: usize, r: usize, ahead: f64, read: f64, tokens: f64) {
+        self.engines[r].batch_s += read;
+        self.engines[r].batch_tokens += tokens;
+        let patience = 3.0 * (ahead + read) + self.target / 2.0;
+        self.send(now, i, Sent::new(r, now, ahead, ahead + read, tokens, false), patience);
+    }
+
+    /// The writer next matures at its next step.
+    fn write(&mut self, now: f64, i: usize, w: usize, read: f64) {
+        let (step, prompt) = (self.step(now, w), self.infs[i].prompt);
+        let wait = step + self.wait(now, w, prompt) + read;
+        self.engines[w].matures = self.engines[w].matures.max(now + step);
+        let patience = 2.0 * wait + self.target / 2.0;
+        self.send(now, i, Sent::new(w, now, 0.0, wait, prompt, true), patience);
+    }
+
+    fn learn_read(&mut self, now: f64, i: usize, s: Sent, end: Ending) {
+        let inf = &self.infs[i];
+        let (prompt, session, prefix, prefix_tokens) =
+            (inf.prompt, inf.session, inf.prefix, inf.prefix_tokens);
+        let unkept = (prompt - end.note).max(1.0);
+        let ahead = if end.after_s > s.ahead { s.ahead } else { 0.0 };
+        self.read_cost.add(unkept, (end.after_s - ahead) / self.engines[s.eng].slow);
+        self.praise(now, s.eng, end.after_s, s.expected);
+        let e = &mut self.engines[s.eng];
+        if unkept > 2.0 * s.tokens + 256.0 || e.kept.len() >= KEPT_ENTRIES {
+            e.kept.clear();
+        }
+        e.kept.insert(session, prompt);
+        if prefix != 0 {
+            e.kept.insert(prefix, prefix_tokens);
+        }
+    }
+
+    /// Step time E_d of a writer: grows with its load; at the pace aim it is full.
+    fn step(&self, now: f64, e: usize) -> f64 {
+        self.pace * (EMPTY_STEP + (1.0 - EMPTY_STEP) * self.load(now, e)) * self.engines[e].slow
+    }
+
+    /// Wait for room at a writer: memory comes free by the mean life of a stream.
+    fn wait(&self, now: f64, e: usize, tokens: f64) -> f64 {
+        let short = self.load(now, e) + tokens / self.engines[e].memory - ROOM;
+        short.max(0.0) * self.life
+    }
+
+    fn least_wait(&self, now: f64) -> f64 {
+        let waits = (0..self.engines.len()).filter(|&e| self.writes(e));
+        waits.map(|e| self.wait(now, e, 0.0) + self.step(now, e)).fold(f64::INFINITY, f64::min).min(60.0)
+    }
+
+    fn fleet_load(&self, now: f64) -> f64 {
+        let loads: Vec<f64> =
+            (0..self.engines.len()).filter(|&e| self.writes(e)).map(|e| self.load(now, e)).collect();
+        (loads.iter().sum::<f64>() / loads.len().max(1) as f64).min(1.0)
+    }
+
+    /// The earliest-maturing writer, a move out of the cell or zone weighed by its price.
+    fn writer(&mut self, now: f64, i: usize) -> Option<usize> {
+        let mut best = (f64::INFINITY, None);
+        for w in 0..self.engines.len() {
+            let fit = self.infs[i].state.is_some() || self.writers_read || self.engines[w].role == Role::Both;
+            if !self.writes(w) || !fit || !self.again(now, i, Some(w)) || !self.ration(now, w) {
+                continue;
+            }
+            let (inf, e) = (&self.infs[i], &self.engines[w]);
+            let tried = inf.sends.iter().filter(|s| s.eng == w).count() as f64 * self.target;
+            let from = inf.state.map(|r| &self.engines[r]);
+            let far = match from {
+                Some(r) if r.zone != e.zone => self.zone_worth,
+                Some(r) if r.cell != e.cell => self.cell_worth,
+                _ => 0.0,
+            };
+            let jitter = 0.1 * self.pace * self.dice();
+            let (inf, e) = (&self.infs[i], &self.engines[w]);
+            let at = e.matures.max(now) + self.step(now, w) + self.wait(now, w, inf.prompt) + far + tried;
+            if at + jitter < best.0 {
+                best = (at + jitter, Some(w));
+            }
+        }
+        best.1
+    }
+
+    fn send(&mut self, now: f64, i: usize, s: Sent, patience: f64) {
+        let inf = &mut self.infs[i];
+        inf.stage = if s.write { Stage::Writing } else { Stage::Reading };
+        inf.sends.push(s);
+        let patience_s = patience.min(inf.due - now).max(self.tick);
+        let prompt = inf.prompt;
+        let e = &mut self.engines[s.eng];
+        e.out += 1;
+        e.tokens += if s.write { prompt } else { 0.0 };
+        e.turn_sends += 1.0;
+        e.rate = e.rate * (-(now - e.rate_at) / 5.0).exp() + 0.2;
+        e.rate_at = now;
+        self.todo.sends.push(SendOrder { inf: Inf(i as u32), eng: Eng(s.eng as u32), patience_s });
+    }
+
+    // ---- Mechanism 1: engine health ----
+
+    /// A failure: the engine matures later, the more so the more failures came in a row. Holds against
+    /// engines that die, go silent or fail quickly; hurts when a lone error was chance, by one hold-off.
+    fn strike(&mut self, now: f64, e: usize) {
+        let e = &mut self.engines[e];
+        e.strikes = (e.strikes + 1.0).min(8.0);
+        let off = self.target * (0.25 * 2f64.powf(e.strikes - 1.0)).min(LONGEST_HOLD_OFF);
+        e.matures = e.matures.max(now + off);
+    }
+
+    /// A success, with the time it took against the time expected.
+    fn praise(&mut self, _now: f64, e: usize, took: f64, expected: f64) {
+        let e = &mut self.engines[e];
+        e.strikes = (e.strikes - 1.0).max(0.0);
+        let ratio = (took / expected.max(1e-3)).clamp(0.25, 4.0);
+        e.slow = (e.slow * ratio.powf(0.1)).clamp(0.5, 12.0);
+    }
+
+    /// A send long overdue speaks against its engine before its outcome comes.
+    fn watch(&mut self, now: f64) {
+        for i in self.open.clone() {
+            if self.infs[i].stage == Stage::Streaming {
+                continue;
+            }
+            // Rule 1: the answer goes out a tick before the client's time is up.
+            if now + self.tick >= self.infs[i].due {
+                self.give_up(i);
+                continue;
+            }
+            for n in 0..self.infs[i].sends.len() {
+                let s = self.infs[i].sends[n];
+                if s.live && !s.late && now - s.at > 2.0 * s.expected + self.target / 4.0 {
+                    self.infs[i].sends[n].late = true;
+                    self.strike(now, s.eng);
+                }
+            }
+        }
+    }
+
+    // ---- Mechanism 2: rationing fresh engines ----
+
+    /// Whether this node may send to the engine now. A fresh one is sent to by one node at a time, in turn
+    /// by number, and in its turn no more than its part of what a warm one gets, scaled to the allowance.
+    fn ration(&mut self, now: f64, e: usize) -> bool {
+        let age = now - self.engines[e].started;
+        if age >= self.warm_within {
+            return true;
+        }
+        let slot = self.tip_window / self.nodes;
+        let turn = (now / slot).floor();
+        let peers: Vec<f64> = self
+            .engines
+            .iter()
+            .filter(|p| p.role == self.engines[e].role && now - p.started >= self.warm_within)
+            .map(|p| p.rate * (-(now - p.rate_at) / 5.0).exp())
+            .collect();
+        let warm_rate = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
+        let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
+        let allowed = (warm_rate * self.tip_window * self.tip_multiple * grown * COLD_CAUTION).max(1.0);
+        let e = &mut self.engines[e];
+        if e.turn != turn {
+            (e.turn, e.turn_sends) = (turn, 0.0);
+        }
+        turn.rem_euclid(self.nodes) == self.node && e.turn_sends + 1.0 <= allowed
+    }
+
+    // ---- Mechanism 3: sending again ----
+
+    /// Whether a further send is allowed: to this writer, or (none named) at all, a read and a write left.
+    fn again(&self, now: f64, i: usize, writer: Option<usize>) -> bool {
+        let inf = &self.infs[i];
+        let need = if inf.state.is_some() || writer.is_some() { 1 } else { 2 };
+        if inf.sends.len() + need > self.most_sends {
+            return false;
+        }
+        match (inf.ran, self.routes[inf.route].repeat) {
+            (None, _) | (_, Repeat::Retriable) => true,
+            (_, Repeat::NonRetriable) => false,
+            // Only inside the group that drops repeats, and while it surely still remembers.
+            (Some((first, at)), Repeat::Deduped { group, memory_s }) => {
+                let same = |w: usize| match group {
+                    Group::All => true,
+                    Group::Zone => self.engines[w].zone == self.engines[first].zone,
+                    Group::Cell => self.engines[w].cell == self.engines[first].cell,
+                };
+                now + self.target < at + memory_s && writer.is_none_or(same)
+            }
+        }
+    }
+
+    // ---- Mechanism 5: answering and letting go ----
+
+    /// Answers at once: shed where a repeat is harmless, else errored; lets go of what is held.
+    fn give_up(&mut self, i: usize) {
+        if matches!(self.infs[i].stage, Stage::Ended | Stage::Closed) {
+            return;
+        }
+        let inf = &self.infs[i];
+        let may_have_run = inf.ran.is_some() || inf.sends.iter().any(|s| s.write && s.live);
+        let harmless = match self.routes[inf.route].repeat {
+            Repeat::Retriable | Repeat::Deduped { group: Group::All, .. } => true,
+            _ => !may_have_run,
+        };
+        if harmless {
+            let back = self.come_back.map(|most| most.min(self.life / 4.0));
+            self.todo.shed.push((Inf(i as u32), back));
+        } else {
+            self.todo.errored.push(Inf(i as u32));
+        }
+        for (n, s) in self.infs[i].sends.iter().enumerate().filter(|(_, s)| s.live) {
+            if self.cancel && s.live {
+                self.todo.cancelled.push((Inf(i as u32), n as u32));
+            }
+        }
+        self.close(i);
+    }
+
+    /// The inference is over; a state that may still wait is let go, and the handle once no send is out.
+    fn close(&mut self, i: usize) {
+        let live = self.infs[i].sends.iter().any(|s| s.live);
+        if self.infs[i].state.take().is_some() {
+            self.todo.released.push(Inf(i as u32));
+        }
+        self.infs[i].stage = if live { Stage::Ended } else { Stage::Closed };
+        self.open.retain(|&o| o != i);
+        if !live {
+            self.todo.closed.push(Inf(i as u32));
+        }
+    }
+
+    // ---- Mechanism 6: load correction ----
+
+    fn note_load(&mut self, now: f64, e: usize, load: Load) {
+        let e = &mut self.engines[e];
+        (e.load, e.load_at, e.tokens_at_report) = (load, now, e.tokens);
+    }
+
+    /// Share of a writer in use: the fuller of memory and slots as reported, with own sends since then;
+    /// with no report, what this node has there, times the nodes.
+    fn load(&self, _now: f64, e: usize) -> f64 {
+        let e = &self.engines[e];
+        let since = (e.tokens - e.tokens_at_report) / e.memory;
+        let reported = match (e.load.memory_share, e.load.slot_share) {
+            (Some(m), Some(s)) => Some(m.max(s)),
+            (m, s) => m.or(s),
+        };
+        reported.map_or(e.tokens * self.nodes / e.memory, |r| (r + since).max(e.tokens / e.memory))
+    }
+
+    /// One probe for an arrival where load comes with probes alone: to the engine unheard longest.
+    fn probe(&mut self, now: f64) {
+        let gap = self.probe_gap * self.arrival_gap.max(self.tick);
+        let stale = (0..self.engines.len())
+            .filter(|&e| self.engines[e].standing == Standing::In && !self.engines[e].probing)
+            .min_by(|&x, &y| {
+                let at = |e: usize| self.engines[e].load_at.max(self.engines[e].probe_at);
+                at(x).total_cmp(&at(y))
+            });
+        let Some(e) = stale else { return };
+        let last = self.engines.iter().map(|e| e.probe_at).fold(f64::NEG_INFINITY, f64::max);
+        if gap.is_finite() && now >= last + gap && now - self.engines[e].load_at > self.target / 8.0 {
+            (self.engines[e].probe_at, self.engines[e].probing) = (now, true);
+            self.todo.probes.push(Eng(e as u32));
+        }
+    }
+
+    // ---- Small parts ----
+
+    fn dice(&mut self) -> f64 {
+        self.chance.generate::<u32>() as f64 / u32::MAX as f64
+    }
+
+    /// The record of an engine, by its id; a gone engine's record with nothing out is used anew when full.
+    fn index(&mut self, id: &str) -> usize {
+        if let Some(&i) = self.by_id.get(id) {
+            return i;
+        }
+        let never = f64::NEG_INFINITY;
+        let e = Engine {
+            id: id.to_string(),
+            zone: 0,
+            cell: 0,
+            role: Role::Both,
+            memory: 1.0,
+            standing: Standing::Gone,
+            started: never,
+            matures: never,
+            batch_s: 0.0,
+            batch_tokens: 0.0,
+            strikes: 0.0,
+            slow: 1.0,
+            out: 0,
+            tokens: 0.0,
+            tokens_at_report: 0.0,
+            load: Load::default(),
+            load_at: never,
+            probe_at: never,
+            probing: false,
+            rate: 0.0,
+            rate_at: 0.0,
+            turn: never,
+            turn_sends: 0.0,
+            kept: HashMap::new(),
+        };
+        let full = self.engines.len() >= ENGINES_KNOWN;
+        let gone = |e: &Engine| e.standing == Standing::Gone && e.out == 0 && !e.probing;
+        let i = match self.engines.iter().position(gone) {
+            Some(i) if full => i,
+            _ => self.engines.len(),
+        };
+        if i == self.engines.len() {
+            self.engines.push(e);
+        } else {
+            self.by_id.remove(&self.engines[i].id);
+            self.engines[i] = e;
+        }
+        self.by_id.insert(id.to_string(), i);
+        i
+    }
+}
+
+impl Sent {
+    fn new(eng: usize, at: f64, ahead: f64, expected: f64, tokens: f64, write: bool) -> Self {
+        Sent { eng, at, ahead, expected, tokens, write, live: true, late: false }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,165 @@
+//! The plain types that callers exchange with the decision module.
+
+/// What an engine can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Read,
+    Write,
+    Both,
+}
+
+/// The engines that drop each other's repeats of a deduped inference.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Whether an inference may run again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    Retriable,
+    Deduped { group: Group, memory_s: f64 },
+    NonRetriable,
+}
+
+#[derive(Clone, Debug)]
+pub struct ModelRoute {
+    pub first_token_target_s: f64,
+    /// What each prompt token adds to the first-token target.
+    pub target_per_token_s: f64,
+    /// The wanted gap between tokens.
+    pub pace_s: f64,
+    pub value: f64,
+    pub repeat: Repeat,
+}
+
+/// What a node is told of its deployment when it starts.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub node: u32,
+    pub nodes: u32,
+    pub seed: u64,
+    pub zone: u32,
+    pub tick_s: f64,
+    pub routes: Vec<ModelRoute>,
+    /// Inferences a second within its share, for each tenant.
+    pub tenant_quotas: Vec<f64>,
+    pub over_share_value: f64,
+    pub most_sends: u32,
+    pub writers_read: bool,
+    pub hold_limit_s: f64,
+    pub move_price: f64,
+    pub zone_price: f64,
+    pub probe_price: f64,
+    pub cancel: bool,
+    pub probes: bool,
+    /// Load comes with probes alone.
+    pub load_by_probe: bool,
+    pub must_ask: bool,
+    /// Longest come-back time that clients heed, where they are told one.
+    pub longest_come_back_s: Option<f64>,
+    pub cold_share: f64,
+    pub warm_within_s: f64,
+    pub tip_multiple: f64,
+    pub tip_window_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    In,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of engines.
+#[derive(Clone, Debug)]
+pub struct EngineLine {
+    pub id: String,
+    pub zone: u32,
+    pub cell: u32,
+    pub role: Role,
+    pub memory_tokens: f64,
+    pub standing: Standing,
+    /// When it last started; `None`: long ago.
+    pub started_at: Option<f64>,
+}
+
+/// Load as an engine reports it; what it leaves out is `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub memory_share: Option<f64>,
+    pub slot_share: Option<f64>,
+    pub queue: Option<f64>,
+    pub inflight: Option<f64>,
+    pub unread_tokens: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Completed,
+    Read,
+    EngineError,
+    TurnedAway,
+    NoAnswer,
+    NoConnection,
+    ConnectionLost,
+    Cancelled,
+    NotSent,
+}
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    pub outcome: Outcome,
+    pub after_s: f64,
+    /// The inference is over, by this or earlier.
+    pub over: bool,
+    /// Prompt tokens found kept, or 1 where a state was missing.
+    pub note: f64,
+}
+
+/// An inference as its client hands it over.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub route: usize,
+    pub tenant: Option<usize>,
+    pub due_at: f64,
+    pub prompt_tokens: f64,
+    pub prefix_tokens: f64,
+    pub session: String,
+    pub prefix: Option<String>,
+}
+
+/// The handle of an inference taken; good until [`Decisions::closed`] names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Inf(pub u32);
+
+/// An engine, as an index good for one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Eng(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendOrder {
+    pub inf: Inf,
+    pub eng: Eng,
+    pub patience_s: f64,
+}
+
+/// What to do, list by list, in this order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Decisions {
+    /// Sends to call off, by their number.
+    pub cancelled: Vec<(Inf, u32)>,
+    pub sends: Vec<SendOrder>,
+    pub shed: Vec<(Inf, Option<f64>)>,
+    pub errored: Vec<Inf>,
+    /// Inferences whose held state is let go.
+    pub released: Vec<Inf>,
+    pub probes: Vec<Eng>,
+    pub subscribe: bool,
+    pub wake_at: Option<f64>,
+    /// Handles that are void from now on.
+    pub closed: Vec<Inf>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! nickelgw pairs prompt readers with answer writers: the decision module and its plain types.
+
+pub mod decide;
+pub mod interface;
