--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
 
 /// Fitted cost a + b·t + c·t² of reading t unkept tokens, t in thousands: decayed least squares that
 /// start from, and are drawn to, the starting values.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ReadCost {
     sums: [f64; 5],
     seen: [f64; 3],
@@ -71,9 +71,8 @@
         for i in 0..3 {
             for j in i + 1..3 {
                 let f = m[j][i] / m[i][i].max(1e-9);
-                for k in i..4 {
-                    m[j][k] -= f * m[i][k];
-                }
+                let above = m[i];
+                m[j].iter_mut().zip(above).for_each(|(x, y)| *x -= f * y);
             }
         }
         let c = m[2][3] / m[2][2].max(1e-9);
@@ -94,7 +93,7 @@
 }
 
 /// All that is known of an engine.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Engine {
     id: String,
     zone: u32,
@@ -171,13 +170,6 @@
     ran: Option<(usize, f64)>,
 }
 
-struct Route {
-    target: f64,
-    target_per_token: f64,
-    pace: f64,
-    repeat: Repeat,
-}
-
 /// A tenant's allowance at this node: inferences left of it, when last filled, and its rate.
 struct Share {
     left: f64,
@@ -185,11 +177,12 @@
     rate: f64,
 }
 
+#[derive(Default)]
 pub struct Router {
     node: f64,
     nodes: f64,
     tick: f64,
-    routes: Vec<Route>,
+    routes: Vec<ModelRoute>,
     shares: Vec<Share>,
     most_sends: usize,
     /// How long a state may wait for a writer that may be sent to.
@@ -241,12 +234,6 @@
         let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
         let quota = |q: &f64| q / d.nodes.max(1) as f64;
         let share = |q: &f64| Share { left: 2.0 * quota(q), at: 0.0, rate: quota(q) };
-        let route = |r: &ModelRoute| Route {
-            target: r.first_token_target_s,
-            target_per_token: r.target_per_token_s,
-            pace: r.pace_s,
-            repeat: r.repeat,
-        };
         Router {
             node: d.node as f64,
             nodes: d.nodes.max(1) as f64,
@@ -272,15 +259,9 @@
             last_arrival: f64::NEG_INFINITY,
             read_cost: ReadCost::new(pace / 2.0, per_k),
             must_ask: d.must_ask,
-            ask_at: 0.0,
-            engines: Vec::new(),
-            by_id: HashMap::new(),
-            infs: Vec::new(),
-            free: Vec::new(),
-            open: Vec::new(),
             chance: WyRand::new_seed(d.seed),
-            routes: d.routes.iter().map(route).collect(),
-            todo: Decisions::default(),
+            routes: d.routes,
+            ..Router::default()
         }
     }
 
@@ -322,7 +303,7 @@
         }
         self.last_arrival = now;
         let r = &self.routes[a.route];
-        let target = now + r.target + r.target_per_token * a.prompt_tokens;
+        let target = now + r.first_token_target_s + r.target_per_token_s * a.prompt_tokens;
         let over_share = a.tenant.is_some_and(|t| {
             let s = &mut self.shares[t];
             s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 * s.rate);
@@ -370,7 +351,7 @@
         }
         self.infs[i].stage = Stage::Streaming;
         self.infs[i].state = None;
-        self.praise(now, s.eng, now - s.at, s.expected);
+        self.praise(s.eng, now - s.at, s.expected);
     }
 
     /// A send has ended.
@@ -394,9 +375,13 @@
             }
             Outcome::Read => {
                 self.infs[i].state = Some(s.eng);
-                self.learn_read(now, i, s, end);
+                self.learn_read(i, s, end);
+            }
+            // The writer found no state; it may still wait at a reader that is cut off: let go of it.
+            Outcome::TurnedAway if s.write && end.note == 1.0 => {
+                self.infs[i].state = None;
+                self.todo.released.push(inf);
             }
-            Outcome::TurnedAway if s.write && end.note == 1.0 => self.infs[i].state = None,
             // No room: the engine matures later, by what one place takes to come free.
             Outcome::TurnedAway => {
                 let wait = if s.write { self.life / 8.0 } else { self.read_cost.of(self.infs[i].prompt) };
@@ -463,8 +448,8 @@
             let key = |i: usize| (self.infs[i].over_share, self.pace_of(i), self.infs[i].arrived);
             key(x).partial_cmp(&key(y)).unwrap().then(x.cmp(&y))
         });
-        let writer_wait = self.least_wait(now);
-        let busy = self.fleet_load(now);
+        let writer_wait = self.least_wait();
+        let busy = self.fleet_load();
         let readers: Vec<usize> =
             (0..self.engines.len()).filter(|&e| self.reads(e) && self.ration(now, e)).collect();
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
@@ -546,7 +531,7 @@
     // ---- Parts of the path ----
 
     fn pace_of(&self, i: usize) -> f64 {
-        self.routes[self.infs[i].route].pace
+        self.routes[self.infs[i].route].pace_s
     }
 
     fn reads(&self, e: usize) -> bool {
@@ -584,21 +569,21 @@
 
     /// The writer next matures at its next step.
     fn write(&mut self, now: f64, i: usize, w: usize, read: f64) {
-        let (step, prompt) = (self.step(now, w), self.infs[i].prompt);
-        let wait = step + self.wait(now, w, prompt) + read;
+        let (step, prompt) = (self.step(w), self.infs[i].prompt);
+        let wait = step + self.wait(w, prompt) + read;
         self.engines[w].matures = self.engines[w].matures.max(now + step);
         let patience = 2.0 * wait + self.target / 2.0;
         self.send(now, i, Sent::new(w, now, 0.0, wait, prompt, true), patience);
     }
 
-    fn learn_read(&mut self, now: f64, i: usize, s: Sent, end: Ending) {
+    fn learn_read(&mut self, i: usize, s: Sent, end: Ending) {
         let inf = &self.infs[i];
         let (prompt, session, prefix, prefix_tokens) =
             (inf.prompt, inf.session, inf.prefix, inf.prefix_tokens);
         let unkept = (prompt - end.note).max(1.0);
         let ahead = if end.after_s > s.ahead { s.ahead } else { 0.0 };
         self.read_cost.add(unkept, (end.after_s - ahead) / self.engines[s.eng].slow);
-        self.praise(now, s.eng, end.after_s, s.expected);
+        self.praise(s.eng, end.after_s, s.expected);
         let e = &mut self.engines[s.eng];
         if unkept > 2.0 * s.tokens + 256.0 || e.kept.len() >= KEPT_ENTRIES {
             e.kept.clear();
@@ -610,24 +595,24 @@
     }
 
     /// Step time E_d of a writer: grows with its load; at the pace aim it is full.
-    fn step(&self, now: f64, e: usize) -> f64 {
-        self.pace * (EMPTY_STEP + (1.0 - EMPTY_STEP) * self.load(now, e)) * self.engines[e].slow
+    fn step(&self, e: usize) -> f64 {
+        self.pace * (EMPTY_STEP + (1.0 - EMPTY_STEP) * self.load(e)) * self.engines[e].slow
     }
 
     /// Wait for room at a writer: memory comes free by the mean life of a stream.
-    fn wait(&self, now: f64, e: usize, tokens: f64) -> f64 {
-        let short = self.load(now, e) + tokens / self.engines[e].memory - ROOM;
+    fn wait(&self, e: usize, tokens: f64) -> f64 {
+        let short = self.load(e) + tokens / self.engines[e].memory - ROOM;
         short.max(0.0) * self.life
     }
 
-    fn least_wait(&self, now: f64) -> f64 {
+    fn least_wait(&self) -> f64 {
         let waits = (0..self.engines.len()).filter(|&e| self.writes(e));
-        waits.map(|e| self.wait(now, e, 0.0) + self.step(now, e)).fold(f64::INFINITY, f64::min).min(60.0)
+        waits.map(|e| self.wait(e, 0.0) + self.step(e)).fold(f64::INFINITY, f64::min).min(60.0)
     }
 
-    fn fleet_load(&self, now: f64) -> f64 {
+    fn fleet_load(&self) -> f64 {
         let loads: Vec<f64> =
-            (0..self.engines.len()).filter(|&e| self.writes(e)).map(|e| self.load(now, e)).collect();
+            (0..self.engines.len()).filter(|&e| self.writes(e)).map(|e| self.load(e)).collect();
         (loads.iter().sum::<f64>() / loads.len().max(1) as f64).min(1.0)
     }
 
@@ -649,7 +634,7 @@
             };
             let jitter = 0.1 * self.pace * self.dice();
             let (inf, e) = (&self.infs[i], &self.engines[w]);
-            let at = e.matures.max(now) + self.step(now, w) + self.wait(now, w, inf.prompt) + far + tried;
+            let at = e.matures.max(now) + self.step(w) + self.wait(w, inf.prompt) + far + tried;
             if at + jitter < best.0 {
                 best = (at + jitter, Some(w));
             }
@@ -684,7 +669,7 @@
     }
 
     /// A success, with the time it took against the time expected.
-    fn praise(&mut self, _now: f64, e: usize, took: f64, expected: f64) {
+    fn praise(&mut self, e: usize, took: f64, expected: f64) {
         let e = &mut self.engines[e];
         e.strikes = (e.strikes - 1.0).max(0.0);
         let ratio = (took / expected.max(1e-3)).clamp(0.25, 4.0);
@@ -793,7 +778,8 @@
     /// The inference is over; a state that may still wait is let go, and the handle once no send is out.
     fn close(&mut self, i: usize) {
         let live = self.infs[i].sends.iter().any(|s| s.live);
-        if self.infs[i].state.take().is_some() {
+        // A send still out keeps the state from being let go: it is said again when the last one ends.
+        if self.infs[i].stage != Stage::Streaming && !self.infs[i].sends.is_empty() {
             self.todo.released.push(Inf(i as u32));
         }
         self.infs[i].stage = if live { Stage::Ended } else { Stage::Closed };
@@ -812,7 +798,7 @@
 
     /// Share of a writer in use: the fuller of memory and slots as reported, with own sends since then;
     /// with no report, what this node has there, times the nodes.
-    fn load(&self, _now: f64, e: usize) -> f64 {
+    fn load(&self, e: usize) -> f64 {
         let e = &self.engines[e];
         let since = (e.tokens - e.tokens_at_report) / e.memory;
         let reported = match (e.load.memory_share, e.load.slot_share) {
@@ -853,29 +839,14 @@
         let never = f64::NEG_INFINITY;
         let e = Engine {
             id: id.to_string(),
-            zone: 0,
-            cell: 0,
-            role: Role::Both,
-            memory: 1.0,
             standing: Standing::Gone,
             started: never,
             matures: never,
-            batch_s: 0.0,
-            batch_tokens: 0.0,
-            strikes: 0.0,
             slow: 1.0,
-            out: 0,
-            tokens: 0.0,
-            tokens_at_report: 0.0,
-            load: Load::default(),
             load_at: never,
             probe_at: never,
-            probing: false,
-            rate: 0.0,
-            rate_at: 0.0,
             turn: never,
-            turn_sends: 0.0,
-            kept: HashMap::new(),
+            ..Engine::default()
         };
         let full = self.engines.len() >= ENGINES_KNOWN;
         let gone = |e: &Engine| e.standing == Standing::Gone && e.out == 0 && !e.probing;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,8 +1,9 @@
 //! The plain types that callers exchange with the decision module.
 
 /// What an engine can do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
+    #[default]
     Read,
     Write,
     Both,
@@ -66,8 +67,9 @@
     pub tip_window_s: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     In,
     Draining,
     Gone,
