--- a/src/decide.rs
+++ b/src/decide.rs
@@ -472,13 +472,15 @@
             }
             // The first-maturing reader; near-ties go to the one that the text's hash prefers.
             let Some(first) = self.earliest(now, &readers) else { break };
-            let at = self.maturity(now, first);
             if self.engines[first].matures > now {
                 break;
             }
-            let near = at + self.read_cost.of(inf.prompt);
+            // The window is the reading that a later-maturing reader saves by what it keeps, and one step.
             let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
-            let home = readers.iter().copied().filter(|&e| self.maturity(now, e) <= near);
+            let done = |e: usize| self.maturity(now, e) + self.read_cost.of(self.unkept(e, i));
+            let soonest = readers.iter().map(|&e| done(e)).fold(f64::INFINITY, f64::min);
+            let near = soonest + self.read_cost.of(0.0) + self.pace;
+            let home = readers.iter().copied().filter(|&e| done(e) <= near);
             let home = home.max_by_key(|&e| hash(&self.engines[e].id, text)).unwrap_or(first);
             let tokens = self.unkept(home, i);
             let e = &self.engines[home];
