--- a/src/decide.rs
+++ b/src/decide.rs
@@ -116,6 +116,8 @@
     tokens_at_report: f64,
     load: Load,
     load_at: f64,
+    /// When it last answered anything.
+    heard: f64,
     probe_at: f64,
     probing: bool,
     /// Own sends a second, decayed, and in the present turn of a fresh engine.
@@ -351,6 +353,7 @@
         }
         self.infs[i].stage = Stage::Streaming;
         self.infs[i].state = None;
+        self.engines[s.eng].heard = now;
         self.praise(s.eng, now - s.at, s.expected);
     }
 
@@ -367,6 +370,12 @@
             self.note_load(now, s.eng, l);
         }
         self.infs[i].held_since = now;
+        if !matches!(
+            end.outcome,
+            Outcome::NoAnswer | Outcome::NoConnection | Outcome::Cancelled | Outcome::NotSent
+        ) {
+            self.engines[s.eng].heard = now;
+        }
         let stage = self.infs[i].stage;
         match end.outcome {
             Outcome::Completed => {
@@ -412,11 +421,15 @@
     pub fn probed(&mut self, now: f64, id: &str, answered: bool, load: Option<Load>) {
         let Some(&e) = self.by_id.get(id) else { return };
         self.engines[e].probing = false;
+        if answered {
+            self.engines[e].heard = now;
+        }
         if let Some(l) = load {
             self.note_load(now, e, l);
         }
         if !answered {
             self.strike(now, e);
+            self.strike(now, e);
         }
     }
 
@@ -565,7 +578,7 @@
     fn read(&mut self, now: f64, i: usize, r: usize, ahead: f64, read: f64, tokens: f64) {
         self.engines[r].batch_s += read;
         self.engines[r].batch_tokens += tokens;
-        let patience = 3.0 * (ahead + read) + self.target / 2.0;
+        let patience = 6.0 * (ahead + read) + self.target;
         self.send(now, i, Sent::new(r, now, ahead, ahead + read, tokens, false), patience);
     }
 
@@ -574,7 +587,7 @@
         let (step, prompt) = (self.step(w), self.infs[i].prompt);
         let wait = step + self.wait(w, prompt) + read;
         self.engines[w].matures = self.engines[w].matures.max(now + step);
-        let patience = 2.0 * wait + self.target / 2.0;
+        let patience = 6.0 * wait + self.target;
         self.send(now, i, Sent::new(w, now, 0.0, wait, prompt, true), patience);
     }
 
@@ -691,9 +704,19 @@
             }
             for n in 0..self.infs[i].sends.len() {
                 let s = self.infs[i].sends[n];
-                if s.live && !s.late && now - s.at > 2.0 * s.expected + self.target / 4.0 {
+                let probes = self.probe_gap.is_finite();
+                let e = &mut self.engines[s.eng];
+                let quiet = now - s.at.max(e.heard);
+                if s.live && quiet > s.expected + self.target / 4.0 && !e.probing && probes {
+                    (e.probe_at, e.probing) = (now, true);
+                    self.todo.probes.push(Eng(s.eng as u32));
+                }
+                // Struck since the send and silent ever since: what waits there is sent elsewhere.
+                if s.live && !s.late && quiet > self.target / 4.0 && e.matures > now && e.strikes >= 2.0 {
                     self.infs[i].sends[n].late = true;
-                    self.strike(now, s.eng);
+                    if self.cancel {
+                        self.todo.cancelled.push((Inf(i as u32), n as u32));
+                    }
                 }
             }
         }
@@ -846,6 +869,7 @@
             matures: never,
             slow: 1.0,
             load_at: never,
+            heard: never,
             probe_at: never,
             turn: never,
             ..Engine::default()
