--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,8 +52,10 @@
 
     fn add(&mut self, tokens: f64, seconds: f64) {
         let t = tokens / 1000.0;
+        // Other nodes' reads ahead of ours only ever add to a timing: what lies above the fit weighs little,
+        // or it would hold idle readers back for queues that were.
+        let mut power = if seconds > self.of(tokens) { 0.1 } else { 1.0 };
         // Half the weight is gone after some 70 reads: quick enough for a change, slow enough for noise.
-        let mut power = 1.0;
         for k in 0..5 {
             self.sums[k] = self.sums[k] * 0.99 + power;
             if k < 3 {
@@ -688,7 +690,8 @@
         let e = &mut self.engines[e];
         e.strikes = (e.strikes - 1.0).max(0.0);
         let ratio = (took / expected.max(1e-3)).clamp(0.25, 4.0);
-        e.slow = (e.slow * ratio.powf(0.1)).clamp(0.5, 12.0);
+        // Queues of others lengthen single timings: up in small steps, down in larger ones.
+        e.slow = (e.slow * ratio.powf(if ratio > 1.0 { 0.1 } else { 0.3 })).clamp(0.7, 12.0);
     }
 
     /// A send long overdue speaks against its engine before its outcome comes.
