--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,6 +27,9 @@
 const FIRST_LIFE: f64 = 80.0;
 /// Part of the cold allowance used; the rest is for news that comes late and for chance.
 const COLD_CAUTION: f64 = 0.5;
+/// What a second of reading saved by kept text is worth, in seconds of waiting: reading anew also takes the
+/// reader from others and displaces what it keeps.
+const KEEPING: f64 = 3.0;
 /// Entries of an engine's memory of kept texts.
 const KEPT_ENTRIES: usize = 512;
 /// Engines known at most; past that the records of gone ones are used anew.
@@ -492,7 +495,7 @@
             }
             // The window is the reading that a later-maturing reader saves by what it keeps, and one step.
             let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
-            let done = |e: usize| self.maturity(now, e) + self.read_cost.of(self.unkept(e, i));
+            let done = |e: usize| self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i));
             let soonest = readers.iter().map(|&e| done(e)).fold(f64::INFINITY, f64::min);
             let near = soonest + self.read_cost.of(0.0) + self.pace;
             let home = readers.iter().copied().filter(|&e| done(e) <= near);
