--- a/src/decide.rs
+++ b/src/decide.rs
@@ -130,8 +130,9 @@
     rate_at: f64,
     turn: f64,
     turn_sends: f64,
-    /// Texts it is believed to keep: id hash to tokens.
-    kept: HashMap<u64, f64>,
+    /// Texts it is believed to keep, newer and older, id hash to tokens; tokens of the newer.
+    kept: [HashMap<u64, f64>; 2],
+    kept_tokens: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -151,7 +152,6 @@
     at: f64,
     ahead: f64,
     expected: f64,
-    tokens: f64,
     write: bool,
     live: bool,
     late: bool,
@@ -291,7 +291,7 @@
             if started > e.started || e.standing == Standing::Gone {
                 // A new process under an old id: what was known of the old one is void.
                 (e.strikes, e.slow, e.load, e.matures) = (0.0, 1.0, Load::default(), now);
-                e.kept.clear();
+                e.kept = Default::default();
             }
             (e.zone, e.cell, e.role, e.memory) = (l.zone, l.cell, l.role, l.memory_tokens.max(1.0));
             (e.standing, e.started) = (l.standing, started);
@@ -574,9 +574,10 @@
     /// Prompt tokens that this reader would have to read, as far as is known.
     fn unkept(&self, e: usize, i: usize) -> f64 {
         let inf = &self.infs[i];
-        let kept = &self.engines[e].kept;
-        let session = kept.get(&inf.session).copied().unwrap_or(0.0);
-        let prefix = kept.get(&inf.prefix).map_or(0.0, |_| inf.prefix_tokens);
+        let [new, old] = &self.engines[e].kept;
+        let kept = |text: u64| new.get(&text).or_else(|| old.get(&text)).copied();
+        let session = kept(inf.session).unwrap_or(0.0);
+        let prefix = kept(inf.prefix).map_or(0.0, |_| inf.prefix_tokens);
         (inf.prompt - session.max(prefix)).max(1.0)
     }
 
@@ -584,7 +585,7 @@
         self.engines[r].batch_s += read;
         self.engines[r].batch_tokens += tokens;
         let patience = 6.0 * (ahead + read) + self.target;
-        self.send(now, i, Sent::new(r, now, ahead, ahead + read, tokens, false), patience);
+        self.send(now, i, Sent::new(r, now, ahead, ahead + read, false), patience);
     }
 
     /// The writer next matures at its next step.
@@ -593,7 +594,7 @@
         let wait = step + self.wait(w, prompt) + read;
         self.engines[w].matures = self.engines[w].matures.max(now + step);
         let patience = 6.0 * wait + self.target;
-        self.send(now, i, Sent::new(w, now, 0.0, wait, prompt, true), patience);
+        self.send(now, i, Sent::new(w, now, 0.0, wait, true), patience);
     }
 
     fn learn_read(&mut self, i: usize, s: Sent, end: Ending) {
@@ -604,13 +605,17 @@
         let ahead = if end.after_s > s.ahead { s.ahead } else { 0.0 };
         self.read_cost.add(unkept, (end.after_s - ahead) / self.engines[s.eng].slow);
         self.praise(s.eng, end.after_s, s.expected);
+        let nodes = self.nodes;
         let e = &mut self.engines[s.eng];
-        if unkept > 2.0 * s.tokens + 256.0 || e.kept.len() >= KEPT_ENTRIES {
-            e.kept.clear();
+        // Its memory holds about so much of what this node sent; older belief is dropped half at a time.
+        e.kept_tokens += unkept;
+        if e.kept_tokens > e.memory / (2.0 * nodes) || e.kept[0].len() >= KEPT_ENTRIES {
+            e.kept[1] = std::mem::take(&mut e.kept[0]);
+            e.kept_tokens = 0.0;
         }
-        e.kept.insert(session, prompt);
+        e.kept[0].insert(session, prompt);
         if prefix != 0 {
-            e.kept.insert(prefix, prefix_tokens);
+            e.kept[0].insert(prefix, prefix_tokens);
         }
     }
 
@@ -898,7 +903,7 @@
 }
 
 impl Sent {
-    fn new(eng: usize, at: f64, ahead: f64, expected: f64, tokens: f64, write: bool) -> Self {
-        Sent { eng, at, ahead, expected, tokens, write, live: true, late: false }
+    fn new(eng: usize, at: f64, ahead: f64, expected: f64, write: bool) -> Self {
+        Sent { eng, at, ahead, expected, write, live: true, late: false }
     }
 }
