--- a/crates/nickelgw-drill/src/node.rs
+++ b/crates/nickelgw-drill/src/node.rs
@@ -108,7 +108,6 @@
             tick_s: num(o, "tick_s")?,
             routes,
             tenant_quotas,
-            over_share_value: num_or(o, "over_share_worth", 1.0)?,
             most_sends: num(limits, "most_tries")? as u32,
             writers_read: flag(info, "local_read")?,
             hold_limit_s: num(info, "release_s")?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -195,7 +195,6 @@
     /// How long a state may wait for a writer that may be sent to.
     hold: f64,
     writers_read: bool,
-    over_share_value: f64,
     cancel: bool,
     probe_gap: f64,
     come_back: Option<f64>,
@@ -249,7 +248,6 @@
             most_sends: d.most_sends as usize,
             hold: d.hold_limit_s / 2.0,
             writers_read: d.writers_read,
-            over_share_value: d.over_share_value,
             cancel: d.cancel,
             probe_gap: if d.probes { 1.0 } else { f64::INFINITY },
             come_back: d.longest_come_back_s,
@@ -510,12 +508,12 @@
             // The chance of a first token in time, less sure the busier the writers are.
             let spare = self.infs[i].target - (now + ahead + read + writer_wait);
             let spread = self.target * (0.05 + 0.2 * busy);
-            let mut chance = 1.0 / (1.0 + (-spare / spread).exp());
-            if self.infs[i].over_share {
-                chance *= 1.0 - busy * (1.0 - self.over_share_value);
-            }
+            let chance = 1.0 / (1.0 + (-spare / spread).exp());
             if fits && chance >= THETA {
                 self.read(now, i, home, ahead, read, tokens);
+            } else if self.infs[i].over_share {
+                // Beyond its tenant's share it does not wait for room that the others need.
+                self.give_up(i);
             }
         }
         // A matured reader that admitted nothing takes the oldest held, even below θ.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -47,7 +47,6 @@
     pub routes: Vec<ModelRoute>,
     /// Inferences a second within its share, for each tenant.
     pub tenant_quotas: Vec<f64>,
-    pub over_share_value: f64,
     pub most_sends: u32,
     pub writers_read: bool,
     pub hold_limit_s: f64,
