Writer load counts what waits there; only proven unreachability cancels a send

Kept for now: the time-outs had been shedding late work by accident; shedding it on purpose is next.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -123,6 +123,8 @@
     load_at: f64,
     /// When it last answered anything.
     heard: f64,
+    /// When it last could not be reached, by probe or send.
+    mute: f64,
     probe_at: f64,
     probing: bool,
     /// Own sends a second, decayed, and in the present turn of a fresh engine.
@@ -210,6 +212,7 @@
     pace: f64,
     /// Mean life of a stream at a writer, mean prompt, gap between arrivals.
     life: f64,
+    prompt: f64,
     arrival_gap: f64,
     last_arrival: f64,
     read_cost: ReadCost,
@@ -307,6 +310,8 @@
             self.arrival_gap += 0.05 * (now - self.last_arrival - self.arrival_gap);
         }
         self.last_arrival = now;
+        let few = if self.prompt == 0.0 { 1.0 } else { 0.02 };
+        self.prompt += few * (a.prompt_tokens - self.prompt);
         let r = &self.routes[a.route];
         let target = now + r.first_token_target_s + r.target_per_token_s * a.prompt_tokens;
         let over_share = a.tenant.is_some_and(|t| {
@@ -401,8 +406,13 @@
                 e.matures = e.matures.max(now + wait);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
+            // A time-out while others were answered is a queue, not a fault.
+            Outcome::NoAnswer if self.engines[s.eng].heard > s.at => {}
             _ => self.strike(now, s.eng),
         }
+        if end.outcome == Outcome::NoConnection {
+            self.engines[s.eng].mute = now;
+        }
         let proven = matches!(
             end.outcome,
             Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent | Outcome::Read
@@ -431,7 +441,7 @@
             self.note_load(now, e, l);
         }
         if !answered {
-            self.strike(now, e);
+            self.engines[e].mute = now;
             self.strike(now, e);
         }
     }
@@ -518,8 +528,10 @@
         }
         // A matured reader that admitted nothing takes the oldest held, even below θ.
         queue.sort_by(|&x, &y| self.infs[x].arrived.total_cmp(&self.infs[y].arrived).then(x.cmp(&y)));
+        // Not so when all writers are full: what is read then only waits, and makes others wait.
+        let full = writer_wait > self.target / 2.0;
         for &r in &readers {
-            if self.engines[r].batch_s > 0.0 || self.engines[r].matures > now {
+            if full || self.engines[r].batch_s > 0.0 || self.engines[r].matures > now {
                 continue;
             }
             let oldest = |&&i: &&usize| self.infs[i].stage == Stage::Queued && !self.infs[i].over_share;
@@ -630,7 +642,7 @@
 
     fn least_wait(&self) -> f64 {
         let waits = (0..self.engines.len()).filter(|&e| self.writes(e));
-        waits.map(|e| self.wait(e, 0.0) + self.step(e)).fold(f64::INFINITY, f64::min).min(60.0)
+        waits.map(|e| self.wait(e, self.prompt) + self.step(e)).fold(f64::INFINITY, f64::min).min(60.0)
     }
 
     fn fleet_load(&self) -> f64 {
@@ -669,6 +681,8 @@
         let inf = &mut self.infs[i];
         inf.stage = if s.write { Stage::Writing } else { Stage::Reading };
         inf.sends.push(s);
+        // Where probes tell a dead engine from a busy one, a place in its queue is not given up for time alone.
+        let patience = if self.probe_gap.is_finite() { f64::INFINITY } else { patience };
         let patience_s = patience.min(inf.due - now).max(self.tick);
         let prompt = inf.prompt;
         let e = &mut self.engines[s.eng];
@@ -720,8 +734,8 @@
                     (e.probe_at, e.probing) = (now, true);
                     self.todo.probes.push(Eng(s.eng as u32));
                 }
-                // Struck since the send and silent ever since: what waits there is sent elsewhere.
-                if s.live && !s.late && quiet > self.target / 4.0 && e.matures > now && e.strikes >= 2.0 {
+                // Unreachable since the send and not heard again: what waits there is sent elsewhere.
+                if s.live && !s.late && e.mute > s.at.max(e.heard) && quiet > self.target / 4.0 {
                     self.infs[i].sends[n].late = true;
                     if self.cancel {
                         self.todo.cancelled.push((Inf(i as u32), n as u32));
@@ -830,16 +844,23 @@
         (e.load, e.load_at, e.tokens_at_report) = (load, now, e.tokens);
     }
 
-    /// Share of a writer in use: the fuller of memory and slots as reported, with own sends since then;
-    /// with no report, what this node has there, times the nodes.
+    /// Share of a writer that is taken or waited for (may pass 1): memory or slots as reported, whichever is
+    /// fuller, what the report says waits there, and own sends since; with no report, own sends times the nodes.
     fn load(&self, e: usize) -> f64 {
         let e = &self.engines[e];
         let since = (e.tokens - e.tokens_at_report) / e.memory;
         let reported = match (e.load.memory_share, e.load.slot_share) {
-            (Some(m), Some(s)) => Some(m.max(s)),
-            (m, s) => m.or(s),
+            (Some(m), Some(s)) => m.max(s),
+            (m, s) => match m.or(s) {
+                Some(r) => r,
+                None => return e.tokens * self.nodes / e.memory,
+            },
         };
-        reported.map_or(e.tokens * self.nodes / e.memory, |r| (r + since).max(e.tokens / e.memory))
+        let queued = e.load.queue.map(|q| q * self.prompt / e.memory);
+        let unread = e.load.unread_tokens.map(|t| t / e.memory);
+        let there = e.load.inflight.map(|n| n * self.prompt / e.memory - reported);
+        let waiting = queued.or(unread).or(there).unwrap_or(0.0).max(0.0);
+        (reported + waiting + since).max(e.tokens / e.memory)
     }
 
     /// One probe for an arrival where load comes with probes alone: to the engine unheard longest.
@@ -879,6 +900,7 @@
             slow: 1.0,
             load_at: never,
             heard: never,
+            mute: never,
             probe_at: never,
             turn: never,
             ..Engine::default()
