--- a/src/decide.rs
+++ b/src/decide.rs
@@ -502,13 +502,14 @@
                 break;
             }
             // The window is the reading that a later-maturing reader saves by what it keeps, and one step.
-            let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
-            let done = |e: usize| self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i));
-            let soonest = readers.iter().map(|&e| done(e)).fold(f64::INFINITY, f64::min);
-            let near = soonest + self.read_cost.of(0.0) + self.pace;
-            let home = readers.iter().copied().filter(|&e| done(e) <= near);
-            let home = home.max_by_key(|&e| hash(&self.engines[e].id, text)).unwrap_or(first);
-            let tokens = self.unkept(home, i);
+            let hashed = self.hashed(i);
+            let done =
+                |e: usize| self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i, hashed));
+            let soonest = readers.iter().copied().min_by(|&x, &y| done(x).total_cmp(&done(y)));
+            let soonest = soonest.unwrap_or(first);
+            let near = done(soonest) + self.read_cost.of(0.0) + self.pace;
+            let home = hashed.filter(|h| readers.contains(h) && done(*h) <= near).unwrap_or(soonest);
+            let tokens = self.unkept(home, i, hashed);
             let e = &self.engines[home];
             let free = budget.min(e.memory * (1.0 - e.load.memory_share.unwrap_or(0.0)));
             let idle = e.out == 0;
@@ -536,7 +537,7 @@
             }
             let oldest = |&&i: &&usize| self.infs[i].stage == Stage::Queued && !self.infs[i].over_share;
             let Some(&i) = queue.iter().find(oldest) else { break };
-            let tokens = self.unkept(r, i);
+            let tokens = self.unkept(r, i, self.hashed(i));
             let read = self.read_cost.of(tokens) * self.engines[r].slow;
             self.read(now, i, r, 0.0, read, tokens);
         }
@@ -581,12 +582,26 @@
         among.iter().copied().min_by(by)
     }
 
-    /// Prompt tokens that this reader would have to read, as far as is known.
-    fn unkept(&self, e: usize, i: usize) -> f64 {
+    /// The reader on which all nodes agree for a text: the shared beginning names two, so that a popular one
+    /// does not overrun its reader, and the session one of these.
+    fn hashed(&self, i: usize) -> Option<usize> {
+        let inf = &self.infs[i];
+        let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
+        let rank = |e: &usize| hash(&self.engines[*e].id, text);
+        let all = || (0..self.engines.len()).filter(|&e| self.reads(e));
+        let first = all().max_by_key(rank)?;
+        let second = all().filter(|&e| e != first).max_by_key(rank).unwrap_or(first);
+        [first, second].into_iter().max_by_key(|&e| hash(&self.engines[e].id, inf.session))
+    }
+
+    /// Prompt tokens that this reader would have to read, as far as is known. Of a session that this node has
+    /// not met, the hashed reader may have kept the part behind the shared beginning: half, for not knowing.
+    fn unkept(&self, e: usize, i: usize, hashed: Option<usize>) -> f64 {
         let inf = &self.infs[i];
         let [new, old] = &self.engines[e].kept;
         let kept = |text: u64| new.get(&text).or_else(|| old.get(&text)).copied();
-        let session = kept(inf.session).unwrap_or(0.0);
+        let guess = if hashed == Some(e) { (inf.prompt + inf.prefix_tokens) / 2.0 } else { 0.0 };
+        let session = kept(inf.session).unwrap_or(guess);
         let prefix = kept(inf.prefix).map_or(0.0, |_| inf.prefix_tokens);
         (inf.prompt - session.max(prefix)).max(1.0)
     }
