--- a/src/decide.rs
+++ b/src/decide.rs
@@ -203,6 +203,8 @@
     /// Seconds that a move out of the cell, and out of the zone, must save to be worth their price.
     cell_worth: f64,
     zone_worth: f64,
+    zone: u32,
+    cross: f64,
     cold_share: f64,
     warm_within: f64,
     tip_multiple: f64,
@@ -255,6 +257,8 @@
             probe_gap: if d.probes { 1.0 } else { f64::INFINITY },
             come_back: d.longest_come_back_s,
             cell_worth: d.move_price * target,
+            zone: d.zone,
+            cross: d.zone_price * target,
             zone_worth: (d.move_price + d.zone_price) * target,
             cold_share: d.cold_share,
             warm_within: d.warm_within_s,
@@ -503,8 +507,10 @@
             }
             // The window is the reading that a later-maturing reader saves by what it keeps, and one step.
             let hashed = self.hashed(i);
-            let done =
-                |e: usize| self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i, hashed));
+            let done = |e: usize| {
+                let cross = if self.engines[e].zone == self.zone { 0.0 } else { self.cross };
+                self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i, hashed)) + cross
+            };
             let soonest = readers.iter().copied().min_by(|&x, &y| done(x).total_cmp(&done(y)));
             let soonest = soonest.unwrap_or(first);
             let near = done(soonest) + self.read_cost.of(0.0) + self.pace;
@@ -588,7 +594,13 @@
         let inf = &self.infs[i];
         let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
         let rank = |e: &usize| hash(&self.engines[*e].id, text);
-        let all = || (0..self.engines.len()).filter(|&e| self.reads(e));
+        let any = |near: bool| {
+            let here = move |e: &usize| !near || self.engines[*e].zone == self.zone;
+            (0..self.engines.len()).filter(move |&e| self.reads(e)).filter(here)
+        };
+        // Readers of the node's own zone, where there are any.
+        let near = any(true).next().is_some();
+        let all = || any(near);
         let first = all().max_by_key(rank)?;
         let second = all().filter(|&e| e != first).max_by_key(rank).unwrap_or(first);
         [first, second].into_iter().max_by_key(|&e| hash(&self.engines[e].id, inf.session))
