Reported backlog moves a reader's maturity; writers' hold-offs count in the wait

Cause: a reader with 74,000 tokens waiting looked mature in 0.3 s, and dead writers looked free, so nothing was held or shed.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -215,6 +215,7 @@
     /// Mean life of a stream at a writer, mean prompt, gap between arrivals.
     life: f64,
     prompt: f64,
+    unread: f64,
     arrival_gap: f64,
     last_arrival: f64,
     read_cost: ReadCost,
@@ -478,8 +479,8 @@
             let key = |i: usize| (self.infs[i].over_share, self.pace_of(i), self.infs[i].arrived);
             key(x).partial_cmp(&key(y)).unwrap().then(x.cmp(&y))
         });
-        let writer_wait = self.least_wait();
-        let busy = self.fleet_load();
+        let writer_wait = self.least_wait(now);
+        let busy = self.fleet_load(now);
         let readers: Vec<usize> =
             (0..self.engines.len()).filter(|&e| self.reads(e) && self.ration(now, e)).collect();
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
@@ -640,6 +641,7 @@
             (inf.prompt, inf.session, inf.prefix, inf.prefix_tokens);
         let unkept = (prompt - end.note).max(1.0);
         let ahead = if end.after_s > s.ahead { s.ahead } else { 0.0 };
+        self.unread += 0.05 * (unkept - self.unread);
         self.read_cost.add(unkept, (end.after_s - ahead) / self.engines[s.eng].slow);
         self.praise(s.eng, end.after_s, s.expected);
         let nodes = self.nodes;
@@ -667,15 +669,21 @@
         short.max(0.0) * self.life
     }
 
-    fn least_wait(&self) -> f64 {
-        let waits = (0..self.engines.len()).filter(|&e| self.writes(e));
-        waits.map(|e| self.wait(e, self.prompt) + self.step(e)).fold(f64::INFINITY, f64::min).min(60.0)
+    /// Least time that a state read now waits for a writer, hold-offs counted.
+    fn least_wait(&self, now: f64) -> f64 {
+        let at =
+            |e: usize| (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
+        let all = (0..self.engines.len()).filter(|&e| self.writes(e));
+        all.map(at).fold(60.0, f64::min)
     }
 
-    fn fleet_load(&self) -> f64 {
-        let loads: Vec<f64> =
-            (0..self.engines.len()).filter(|&e| self.writes(e)).map(|e| self.load(e)).collect();
-        (loads.iter().sum::<f64>() / loads.len().max(1) as f64).min(1.0)
+    fn fleet_load(&self, now: f64) -> f64 {
+        let sound = |&e: &usize| self.writes(e) && self.engines[e].matures < now + self.target;
+        let loads: Vec<f64> = (0..self.engines.len()).filter(sound).map(|e| self.load(e)).collect();
+        if loads.is_empty() {
+            return 1.0;
+        }
+        (loads.iter().sum::<f64>() / loads.len() as f64).min(1.0)
     }
 
     /// The earliest-maturing writer, a move out of the cell or zone weighed by its price.
@@ -867,8 +875,17 @@
     // ---- Mechanism 6: load correction ----
 
     fn note_load(&mut self, now: f64, e: usize, load: Load) {
+        let each = self.read_cost.of(self.unread);
+        let per_token = self.read_cost.abc[1] / 1000.0;
         let e = &mut self.engines[e];
         (e.load, e.load_at, e.tokens_at_report) = (load, now, e.tokens);
+        if e.role == Role::Read {
+            // What other nodes have waiting there is read first.
+            let unread = load.unread_tokens.map(|t| t * per_token);
+            let others = load.inflight.map(|n| (n - e.out as f64).max(0.0) * each);
+            let ahead = unread.or(load.queue.map(|q| q * each)).or(others).unwrap_or(0.0);
+            e.matures = e.matures.max(now + ahead);
+        }
     }
 
     /// Share of a writer that is taken or waited for (may pass 1): memory or slots as reported, whichever is
