--- a/src/decide.rs
+++ b/src/decide.rs
@@ -479,8 +479,7 @@
             let key = |i: usize| (self.infs[i].over_share, self.pace_of(i), self.infs[i].arrived);
             key(x).partial_cmp(&key(y)).unwrap().then(x.cmp(&y))
         });
-        let writer_wait = self.least_wait(now);
-        let busy = self.fleet_load(now);
+        let (writer_wait, busy) = self.writers(now);
         let readers: Vec<usize> =
             (0..self.engines.len()).filter(|&e| self.reads(e) && self.ration(now, e)).collect();
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
@@ -669,21 +668,20 @@
         short.max(0.0) * self.life
     }
 
-    /// Least time that a state read now waits for a writer, hold-offs counted.
-    fn least_wait(&self, now: f64) -> f64 {
-        let at =
-            |e: usize| (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
-        let all = (0..self.engines.len()).filter(|&e| self.writes(e));
-        all.map(at).fold(60.0, f64::min)
-    }
-
-    fn fleet_load(&self, now: f64) -> f64 {
+    /// Time that a state read now is likely to wait for a writer, and the writers' load: means over those not
+    /// held off, since other nodes, too, send to whichever seems free.
+    fn writers(&self, now: f64) -> (f64, f64) {
         let sound = |&e: &usize| self.writes(e) && self.engines[e].matures < now + self.target;
-        let loads: Vec<f64> = (0..self.engines.len()).filter(sound).map(|e| self.load(e)).collect();
-        if loads.is_empty() {
-            return 1.0;
+        let (mut wait, mut load, mut n) = (0.0, 0.0, 0.0);
+        for e in (0..self.engines.len()).filter(sound) {
+            wait += (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
+            load += self.load(e);
+            n += 1.0;
+        }
+        if n == 0.0 {
+            return (self.target, 1.0);
         }
-        (loads.iter().sum::<f64>() / loads.len() as f64).min(1.0)
+        (wait / n, (load / n).min(1.0))
     }
 
     /// The earliest-maturing writer, a move out of the cell or zone weighed by its price.
