--- a/src/decide.rs
+++ b/src/decide.rs
@@ -489,7 +489,9 @@
             let inf = &self.infs[i];
             // Shed unread: too late to start before its client's time is up.
             let least = self.read_cost.of(0.0) + writer_wait;
-            if now + least > inf.due {
+            // With the writers full, the first-token target is the deadline: a late answer would make others late.
+            let deadline = if busy >= ROOM { inf.target.min(inf.due) } else { inf.due };
+            if now + least > deadline {
                 self.give_up(i);
                 continue;
             }
