--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,7 @@
 //! 6. load correction: reported load, own sends since, and probes for it (`note_load`, `load`, `probe`).
 
 use crate::interface::*;
+use crate::state::{hash, Engine, Inference, Sent, Share, Stage};
 use nanorand::{Rng, WyRand};
 use std::collections::HashMap;
 
@@ -35,59 +36,35 @@
 /// Engines known at most; past that the records of gone ones are used anew.
 const ENGINES_KNOWN: usize = 1024;
 
-/// Fitted cost a + b·t + c·t² of reading t unkept tokens, t in thousands: decayed least squares that
-/// start from, and are drawn to, the starting values.
+/// Cost a + b·t + c·t² of reading t unkept tokens (in thousands): least squares, older reads decayed, drawn to
+/// the starting values; no coefficient falls below zero.
 #[derive(Clone, Debug, Default)]
-pub struct ReadCost {
-    sums: [f64; 5],
-    seen: [f64; 3],
+struct ReadCost {
+    sums: [[f64; 4]; 3],
     abc: [f64; 3],
 }
 
 impl ReadCost {
     fn new(a: f64, b: f64) -> Self {
-        let mut fit = ReadCost { sums: [0.0; 5], seen: [0.0; 3], abc: [a, b, 0.0] };
-        for t in [0.0, 1.0, 2.0, 4.0] {
-            fit.add(t * 1000.0, a + b * t);
-        }
+        let mut fit = ReadCost { abc: [a, b, 0.0], ..ReadCost::default() };
+        [0.0, 1.0, 2.0, 4.0].iter().for_each(|t| fit.add(1000.0 * t, a + b * t));
         fit
     }
 
+    /// Other nodes' reads ahead of ours only ever add to a timing: what lies above the fit weighs little, or it
+    /// would hold idle readers back for queues that were. Half the weight is gone after some 70 reads.
     fn add(&mut self, tokens: f64, seconds: f64) {
         let t = tokens / 1000.0;
-        // Other nodes' reads ahead of ours only ever add to a timing: what lies above the fit weighs little,
-        // or it would hold idle readers back for queues that were.
-        let mut power = if seconds > self.of(tokens) { 0.1 } else { 1.0 };
-        // Half the weight is gone after some 70 reads: quick enough for a change, slow enough for noise.
-        for k in 0..5 {
-            self.sums[k] = self.sums[k] * 0.99 + power;
-            if k < 3 {
-                self.seen[k] = self.seen[k] * 0.99 + power * seconds;
-            }
-            power *= t;
-        }
-        let s = &self.sums;
-        let det2 = s[0] * s[2] - s[1] * s[1];
-        let mut m = [
-            [s[0], s[1], s[2], self.seen[0]],
-            [s[1], s[2], s[3], self.seen[1]],
-            [s[2], s[3], s[4], self.seen[2]],
-        ];
-        for i in 0..3 {
-            for j in i + 1..3 {
-                let f = m[j][i] / m[i][i].max(1e-9);
-                let above = m[i];
-                m[j].iter_mut().zip(above).for_each(|(x, y)| *x -= f * y);
-            }
+        let weight = if seconds > self.of(tokens) { 0.1 } else { 1.0 };
+        let x = [1.0, t, t * t, seconds];
+        for (i, row) in self.sums.iter_mut().enumerate() {
+            row.iter_mut().zip(x).for_each(|(sum, y)| *sum = 0.99 * *sum + weight * x[i] * y);
         }
-        let c = m[2][3] / m[2][2].max(1e-9);
-        let b = (m[1][3] - m[1][2] * c) / m[1][1].max(1e-9);
-        let a = (m[0][3] - m[0][2] * c - m[0][1] * b) / m[0][0].max(1e-9);
-        if a > 0.0 && b > 0.0 && c >= 0.0 {
-            self.abc = [a, b, c];
-        } else if det2 > 1e-9 {
-            let b = ((s[0] * self.seen[1] - s[1] * self.seen[0]) / det2).max(1e-3);
-            self.abc = [((self.seen[0] - b * s[1]) / s[0]).max(1e-3), b, 0.0];
+        // Descent along one coefficient after the other: a few rounds keep up with the changing sums.
+        for i in (0..3).cycle().take(12) {
+            let (m, abc) = (self.sums[i], self.abc);
+            let rest = (0..3).map(|j| m[j] * abc[j]).sum::<f64>() - m[i] * abc[i];
+            self.abc[i] = ((m[3] - rest) / m[i].max(1e-9)).max(if i < 2 { 1e-4 } else { 0.0 });
         }
     }
 
@@ -97,95 +74,6 @@
     }
 }
 
-/// All that is known of an engine.
-#[derive(Clone, Debug, Default)]
-struct Engine {
-    id: String,
-    zone: u32,
-    cell: u32,
-    role: Role,
-    memory: f64,
-    standing: Standing,
-    started: f64,
-    /// When it can safely take more.
-    matures: f64,
-    /// Seconds of reading given to it in this round of decisions, and their tokens.
-    batch_s: f64,
-    batch_tokens: f64,
-    /// Failures in a row, weighed, and its timings against the fleet's.
-    strikes: f64,
-    slow: f64,
-    /// Own sends without an ending, and own prompt tokens there, now and at the last report.
-    out: u32,
-    tokens: f64,
-    tokens_at_report: f64,
-    load: Load,
-    load_at: f64,
-    /// When it last answered anything.
-    heard: f64,
-    /// When it last could not be reached, by probe or send.
-    mute: f64,
-    probe_at: f64,
-    probing: bool,
-    /// Own sends a second, decayed, and in the present turn of a fresh engine.
-    rate: f64,
-    rate_at: f64,
-    turn: f64,
-    turn_sends: f64,
-    /// Texts it is believed to keep, newer and older, id hash to tokens; tokens of the newer.
-    kept: [HashMap<u64, f64>; 2],
-    kept_tokens: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    Queued,
-    Reading,
-    Held,
-    Writing,
-    Streaming,
-    Ended,
-    Closed,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Sent {
-    eng: usize,
-    at: f64,
-    ahead: f64,
-    expected: f64,
-    write: bool,
-    live: bool,
-    late: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Inference {
-    route: usize,
-    stage: Stage,
-    arrived: f64,
-    target: f64,
-    due: f64,
-    prompt: f64,
-    prefix_tokens: f64,
-    session: u64,
-    prefix: u64,
-    over_share: bool,
-    sends: Vec<Sent>,
-    /// The reader that holds its state.
-    state: Option<usize>,
-    held_since: f64,
-    /// The first writer send that may have run, and when it was sent.
-    ran: Option<(usize, f64)>,
-}
-
-/// A tenant's allowance at this node: inferences left of it, when last filled, and its rate.
-struct Share {
-    left: f64,
-    at: f64,
-    rate: f64,
-}
-
 #[derive(Default)]
 pub struct Router {
     node: f64,
@@ -198,17 +86,20 @@
     hold: f64,
     writers_read: bool,
     cancel: bool,
-    probe_gap: f64,
+    probes: bool,
+    probed: f64,
     come_back: Option<f64>,
     /// Seconds that a move out of the cell, and out of the zone, must save to be worth their price.
     cell_worth: f64,
     zone_worth: f64,
     zone: u32,
     cross: f64,
+    /// A fresh engine's least share of its capacity, when it is warm, length of a turn, and how much of what
+    /// a warm one takes in a second all nodes may send it in a round of turns.
     cold_share: f64,
     warm_within: f64,
-    tip_multiple: f64,
-    tip_window: f64,
+    turn: f64,
+    cold_seconds: f64,
     /// Tightest first-token target and pace.
     target: f64,
     pace: f64,
@@ -230,13 +121,6 @@
     todo: Decisions,
 }
 
-/// FNV-1a: the same at every node, so that all choose the same reader for a text.
-fn hash(text: &str, salt: u64) -> u64 {
-    let mix = |h: u64, b: u8| (h ^ b as u64).wrapping_mul(0x0000_0100_0000_01b3);
-    let h = text.bytes().fold(0xcbf2_9ce4_8422_2325 ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15), mix);
-    (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ (h >> 32)
-}
-
 impl Router {
     pub fn new(d: Deployment) -> Self {
         let least = |f: fn(&ModelRoute) -> f64| d.routes.iter().map(f).fold(f64::INFINITY, f64::min);
@@ -255,7 +139,7 @@
             hold: d.hold_limit_s / 2.0,
             writers_read: d.writers_read,
             cancel: d.cancel,
-            probe_gap: if d.probes { 1.0 } else { f64::INFINITY },
+            probes: d.probes,
             come_back: d.longest_come_back_s,
             cell_worth: d.move_price * target,
             zone: d.zone,
@@ -263,8 +147,8 @@
             zone_worth: (d.move_price + d.zone_price) * target,
             cold_share: d.cold_share,
             warm_within: d.warm_within_s,
-            tip_multiple: d.tip_multiple,
-            tip_window: d.tip_window_s,
+            turn: d.tip_window_s / d.nodes.max(1) as f64,
+            cold_seconds: d.tip_window_s * d.tip_multiple * COLD_CAUTION,
             target,
             pace,
             life: FIRST_LIFE * pace,
@@ -327,7 +211,6 @@
         });
         let inf = Inference {
             route: a.route,
-            stage: Stage::Queued,
             arrived: now,
             target,
             due: a.due_at,
@@ -336,10 +219,7 @@
             session: hash(&a.session, 1),
             prefix: a.prefix.as_deref().map_or(0, |p| hash(p, 2)),
             over_share,
-            sends: Vec::new(),
-            state: None,
-            held_since: now,
-            ran: None,
+            ..Inference::default()
         };
         let i = self.free.pop().unwrap_or(self.infs.len());
         if i == self.infs.len() {
@@ -372,6 +252,7 @@
 
     /// A send has ended.
     pub fn settled(&mut self, now: f64, inf: Inf, send: u32, end: Ending, load: Option<Load>) {
+        use Outcome::*;
         let i = inf.0 as usize;
         let s = self.infs[i].sends[send as usize];
         self.infs[i].sends[send as usize].live = false;
@@ -383,45 +264,39 @@
             self.note_load(now, s.eng, l);
         }
         self.infs[i].held_since = now;
-        if !matches!(
-            end.outcome,
-            Outcome::NoAnswer | Outcome::NoConnection | Outcome::Cancelled | Outcome::NotSent
-        ) {
+        if !matches!(end.outcome, NoAnswer | NoConnection | Cancelled | NotSent) {
             self.engines[s.eng].heard = now;
         }
         let stage = self.infs[i].stage;
         match end.outcome {
-            Outcome::Completed => {
+            Completed => {
                 self.life += 0.02 * (end.after_s - self.life);
                 self.engines[s.eng].strikes = 0.0;
             }
-            Outcome::Read => {
+            Read => {
                 self.infs[i].state = Some(s.eng);
                 self.learn_read(i, s, end);
             }
             // The writer found no state; it may still wait at a reader that is cut off: let go of it.
-            Outcome::TurnedAway if s.write && end.note == 1.0 => {
+            TurnedAway if s.write && end.note == 1.0 => {
                 self.infs[i].state = None;
                 self.todo.released.push(inf);
             }
             // No room: the engine matures later, by what one place takes to come free.
-            Outcome::TurnedAway => {
+            TurnedAway => {
                 let wait = if s.write { self.life / 8.0 } else { self.read_cost.of(self.infs[i].prompt) };
                 let e = &mut self.engines[s.eng];
                 e.matures = e.matures.max(now + wait);
             }
-            Outcome::Cancelled | Outcome::NotSent => {}
+            Cancelled | NotSent => {}
             // A time-out while others were answered is a queue, not a fault.
-            Outcome::NoAnswer if self.engines[s.eng].heard > s.at => {}
+            NoAnswer if self.engines[s.eng].heard > s.at => {}
             _ => self.strike(now, s.eng),
         }
-        if end.outcome == Outcome::NoConnection {
+        if end.outcome == NoConnection {
             self.engines[s.eng].mute = now;
         }
-        let proven = matches!(
-            end.outcome,
-            Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent | Outcome::Read
-        );
+        let proven = matches!(end.outcome, TurnedAway | NoConnection | NotSent | Read);
         if s.write && !proven && self.infs[i].ran.is_none() {
             self.infs[i].ran = Some((s.eng, s.at));
         }
@@ -430,7 +305,7 @@
         } else if !self.infs[i].sends.iter().any(|s| s.live) {
             // Sending again: from the state if it still waits, else from the prompt.
             self.infs[i].stage = if self.infs[i].state.is_some() { Stage::Held } else { Stage::Queued };
-            if end.outcome == Outcome::NotSent || !self.again(now, i, None) {
+            if end.outcome == NotSent || !self.again(now, i, None) {
                 self.give_up(i);
             }
         }
@@ -438,7 +313,7 @@
 
     pub fn probed(&mut self, now: f64, id: &str, answered: bool, load: Option<Load>) {
         let Some(&e) = self.by_id.get(id) else { return };
-        self.engines[e].probing = false;
+        (self.engines[e].probing, self.engines[e].load_at) = (false, now);
         if answered {
             self.engines[e].heard = now;
         }
@@ -476,7 +351,8 @@
         let mut queue: Vec<usize> =
             open.iter().copied().filter(|&i| self.infs[i].stage == Stage::Queued).collect();
         queue.sort_by(|&x, &y| {
-            let key = |i: usize| (self.infs[i].over_share, self.pace_of(i), self.infs[i].arrived);
+            let pace = |i: usize| self.routes[self.infs[i].route].pace_s;
+            let key = |i: usize| (self.infs[i].over_share, pace(i), self.infs[i].arrived);
             key(x).partial_cmp(&key(y)).unwrap().then(x.cmp(&y))
         });
         let (writer_wait, busy) = self.writers(now);
@@ -503,8 +379,7 @@
                 continue;
             }
             // The first-maturing reader; near-ties go to the one that the text's hash prefers.
-            let Some(first) = self.earliest(now, &readers) else { break };
-            if self.engines[first].matures > now {
+            if readers.iter().all(|&e| self.engines[e].matures > now) {
                 break;
             }
             // The window is the reading that a later-maturing reader saves by what it keeps, and one step.
@@ -514,7 +389,7 @@
                 self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i, hashed)) + cross
             };
             let soonest = readers.iter().copied().min_by(|&x, &y| done(x).total_cmp(&done(y)));
-            let soonest = soonest.unwrap_or(first);
+            let Some(soonest) = soonest else { break };
             let near = done(soonest) + self.read_cost.of(0.0) + self.pace;
             let home = hashed.filter(|h| readers.contains(h) && done(*h) <= near).unwrap_or(soonest);
             let tokens = self.unkept(home, i, hashed);
@@ -569,10 +444,6 @@
 
     // ---- Parts of the path ----
 
-    fn pace_of(&self, i: usize) -> f64 {
-        self.routes[self.infs[i].route].pace_s
-    }
-
     fn reads(&self, e: usize) -> bool {
         self.engines[e].standing == Standing::In && self.engines[e].role == Role::Read
     }
@@ -585,11 +456,6 @@
         self.engines[e].matures.max(now) + self.engines[e].batch_s
     }
 
-    fn earliest(&self, now: f64, among: &[usize]) -> Option<usize> {
-        let by = |&x: &usize, &y: &usize| self.maturity(now, x).total_cmp(&self.maturity(now, y));
-        among.iter().copied().min_by(by)
-    }
-
     /// The reader on which all nodes agree for a text: the shared beginning names two, so that a popular one
     /// does not overrun its reader, and the session one of these.
     fn hashed(&self, i: usize) -> Option<usize> {
@@ -623,40 +489,33 @@
     fn read(&mut self, now: f64, i: usize, r: usize, ahead: f64, read: f64, tokens: f64) {
         self.engines[r].batch_s += read;
         self.engines[r].batch_tokens += tokens;
-        let patience = 6.0 * (ahead + read) + self.target;
-        self.send(now, i, Sent::new(r, now, ahead, ahead + read, false), patience);
+        self.send(now, i, r, ahead, ahead + read);
     }
 
     /// The writer next matures at its next step.
     fn write(&mut self, now: f64, i: usize, w: usize, read: f64) {
-        let (step, prompt) = (self.step(w), self.infs[i].prompt);
-        let wait = step + self.wait(w, prompt) + read;
+        let step = self.step(w);
+        let wait = step + self.wait(w, self.infs[i].prompt) + read;
         self.engines[w].matures = self.engines[w].matures.max(now + step);
-        let patience = 6.0 * wait + self.target;
-        self.send(now, i, Sent::new(w, now, 0.0, wait, true), patience);
+        self.send(now, i, w, 0.0, wait);
     }
 
     fn learn_read(&mut self, i: usize, s: Sent, end: Ending) {
         let inf = &self.infs[i];
-        let (prompt, session, prefix, prefix_tokens) =
-            (inf.prompt, inf.session, inf.prefix, inf.prefix_tokens);
-        let unkept = (prompt - end.note).max(1.0);
+        let unkept = (inf.prompt - end.note).max(1.0);
         let ahead = if end.after_s > s.ahead { s.ahead } else { 0.0 };
         self.unread += 0.05 * (unkept - self.unread);
         self.read_cost.add(unkept, (end.after_s - ahead) / self.engines[s.eng].slow);
         self.praise(s.eng, end.after_s, s.expected);
-        let nodes = self.nodes;
-        let e = &mut self.engines[s.eng];
+        let (inf, e) = (&self.infs[i], &mut self.engines[s.eng]);
         // Its memory holds about so much of what this node sent; older belief is dropped half at a time.
         e.kept_tokens += unkept;
-        if e.kept_tokens > e.memory / (2.0 * nodes) || e.kept[0].len() >= KEPT_ENTRIES {
+        if e.kept_tokens > e.memory / (2.0 * self.nodes) || e.kept[0].len() >= KEPT_ENTRIES {
             e.kept[1] = std::mem::take(&mut e.kept[0]);
             e.kept_tokens = 0.0;
         }
-        e.kept[0].insert(session, prompt);
-        if prefix != 0 {
-            e.kept[0].insert(prefix, prefix_tokens);
-        }
+        e.kept[0].insert(inf.session, inf.prompt);
+        e.kept[0].insert(inf.prefix, inf.prefix_tokens);
     }
 
     /// Step time E_d of a writer: grows with its load; at the pace aim it is full.
@@ -694,6 +553,7 @@
             if !self.writes(w) || !fit || !self.again(now, i, Some(w)) || !self.ration(now, w) {
                 continue;
             }
+            let jitter = 0.1 * self.pace * self.dice();
             let (inf, e) = (&self.infs[i], &self.engines[w]);
             let tried = inf.sends.iter().filter(|s| s.eng == w).count() as f64 * self.target;
             let from = inf.state.map(|r| &self.engines[r]);
@@ -702,31 +562,27 @@
                 Some(r) if r.cell != e.cell => self.cell_worth,
                 _ => 0.0,
             };
-            let jitter = 0.1 * self.pace * self.dice();
-            let (inf, e) = (&self.infs[i], &self.engines[w]);
-            let at = e.matures.max(now) + self.step(w) + self.wait(w, inf.prompt) + far + tried;
-            if at + jitter < best.0 {
-                best = (at + jitter, Some(w));
+            let at = e.matures.max(now) + self.step(w) + self.wait(w, inf.prompt) + far + tried + jitter;
+            if at < best.0 {
+                best = (at, Some(w));
             }
         }
         best.1
     }
 
-    fn send(&mut self, now: f64, i: usize, s: Sent, patience: f64) {
-        let inf = &mut self.infs[i];
-        inf.stage = if s.write { Stage::Writing } else { Stage::Reading };
-        inf.sends.push(s);
+    fn send(&mut self, now: f64, i: usize, eng: usize, ahead: f64, expected: f64) {
+        let (inf, e) = (&mut self.infs[i], &mut self.engines[eng]);
+        let write = e.role != Role::Read;
+        inf.stage = if write { Stage::Writing } else { Stage::Reading };
+        inf.sends.push(Sent { eng, at: now, ahead, expected, write, live: true });
         // Where probes tell a dead engine from a busy one, a place in its queue is not given up for time alone.
-        let patience = if self.probe_gap.is_finite() { f64::INFINITY } else { patience };
+        let sure = self.probes && self.cancel;
+        let patience = if sure { f64::INFINITY } else { 6.0 * expected + self.target };
         let patience_s = patience.min(inf.due - now).max(self.tick);
-        let prompt = inf.prompt;
-        let e = &mut self.engines[s.eng];
         e.out += 1;
-        e.tokens += if s.write { prompt } else { 0.0 };
+        e.tokens += if write { inf.prompt } else { 0.0 };
         e.turn_sends += 1.0;
-        e.rate = e.rate * (-(now - e.rate_at) / 5.0).exp() + 0.2;
-        e.rate_at = now;
-        self.todo.sends.push(SendOrder { inf: Inf(i as u32), eng: Eng(s.eng as u32), patience_s });
+        self.todo.sends.push(SendOrder { inf: Inf(i as u32), eng: Eng(eng as u32), patience_s });
     }
 
     // ---- Mechanism 1: engine health ----
@@ -762,19 +618,15 @@
             }
             for n in 0..self.infs[i].sends.len() {
                 let s = self.infs[i].sends[n];
-                let probes = self.probe_gap.is_finite();
                 let e = &mut self.engines[s.eng];
                 let quiet = now - s.at.max(e.heard);
-                if s.live && quiet > s.expected + self.target / 4.0 && !e.probing && probes {
-                    (e.probe_at, e.probing) = (now, true);
+                if s.live && quiet > s.expected + self.target / 4.0 && !e.probing && self.probes {
+                    e.probing = true;
                     self.todo.probes.push(Eng(s.eng as u32));
                 }
                 // Unreachable since the send and not heard again: what waits there is sent elsewhere.
-                if s.live && !s.late && e.mute > s.at.max(e.heard) && quiet > self.target / 4.0 {
-                    self.infs[i].sends[n].late = true;
-                    if self.cancel {
-                        self.todo.cancelled.push((Inf(i as u32), n as u32));
-                    }
+                if s.live && self.cancel && e.mute > s.at.max(e.heard) && quiet > self.target / 4.0 {
+                    self.todo.cancelled.push((Inf(i as u32), n as u32));
                 }
             }
         }
@@ -789,17 +641,13 @@
         if age >= self.warm_within {
             return true;
         }
-        let slot = self.tip_window / self.nodes;
-        let turn = (now / slot).floor();
-        let peers: Vec<f64> = self
-            .engines
-            .iter()
-            .filter(|p| p.role == self.engines[e].role && now - p.started >= self.warm_within)
-            .map(|p| p.rate * (-(now - p.rate_at) / 5.0).exp())
-            .collect();
-        let warm_rate = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
+        let turn = (now / self.turn).floor();
+        // What a warm engine of the role gets from this node on average.
+        let warm = |p: &&Engine| p.role == self.engines[e].role && now - p.started >= self.warm_within;
+        let peers = self.engines.iter().filter(warm).count().max(1) as f64;
+        let warm_rate = 1.0 / (self.arrival_gap.max(self.tick) * peers);
         let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
-        let allowed = (warm_rate * self.tip_window * self.tip_multiple * grown * COLD_CAUTION).max(1.0);
+        let allowed = (warm_rate * self.cold_seconds * grown).max(1.0);
         let e = &mut self.engines[e];
         if e.turn != turn {
             (e.turn, e.turn_sends) = (turn, 0.0);
@@ -850,11 +698,8 @@
         } else {
             self.todo.errored.push(Inf(i as u32));
         }
-        for (n, s) in self.infs[i].sends.iter().enumerate().filter(|(_, s)| s.live) {
-            if self.cancel && s.live {
-                self.todo.cancelled.push((Inf(i as u32), n as u32));
-            }
-        }
+        let live = inf.sends.iter().enumerate().filter(|(_, s)| s.live && self.cancel);
+        self.todo.cancelled.extend(live.map(|(n, _)| (Inf(i as u32), n as u32)));
         self.close(i);
     }
 
@@ -907,20 +752,18 @@
         (reported + waiting + since).max(e.tokens / e.memory)
     }
 
-    /// One probe for an arrival where load comes with probes alone: to the engine unheard longest.
+    /// One probe for an arrival, to the engine unheard longest: their price follows the traffic.
     fn probe(&mut self, now: f64) {
-        let gap = self.probe_gap * self.arrival_gap.max(self.tick);
-        let stale = (0..self.engines.len())
-            .filter(|&e| self.engines[e].standing == Standing::In && !self.engines[e].probing)
-            .min_by(|&x, &y| {
-                let at = |e: usize| self.engines[e].load_at.max(self.engines[e].probe_at);
-                at(x).total_cmp(&at(y))
-            });
-        let Some(e) = stale else { return };
-        let last = self.engines.iter().map(|e| e.probe_at).fold(f64::NEG_INFINITY, f64::max);
-        if gap.is_finite() && now >= last + gap && now - self.engines[e].load_at > self.target / 8.0 {
-            (self.engines[e].probe_at, self.engines[e].probing) = (now, true);
-            self.todo.probes.push(Eng(e as u32));
+        if !self.probes || now < self.probed + self.arrival_gap.max(self.tick) {
+            return;
+        }
+        let asked = |e: &Engine| e.standing == Standing::In && !e.probing;
+        let all = self.engines.iter_mut().enumerate().filter(|(_, e)| asked(e));
+        let stale = all.min_by(|(_, x), (_, y)| x.load_at.total_cmp(&y.load_at));
+        if let Some((i, e)) = stale.filter(|(_, e)| now - e.load_at > self.target / 8.0) {
+            e.probing = true;
+            self.probed = now;
+            self.todo.probes.push(Eng(i as u32));
         }
     }
 
@@ -935,20 +778,7 @@
         if let Some(&i) = self.by_id.get(id) {
             return i;
         }
-        let never = f64::NEG_INFINITY;
-        let e = Engine {
-            id: id.to_string(),
-            standing: Standing::Gone,
-            started: never,
-            matures: never,
-            slow: 1.0,
-            load_at: never,
-            heard: never,
-            mute: never,
-            probe_at: never,
-            turn: never,
-            ..Engine::default()
-        };
+        let e = Engine::unknown(id);
         let full = self.engines.len() >= ENGINES_KNOWN;
         let gone = |e: &Engine| e.standing == Standing::Gone && e.out == 0 && !e.probing;
         let i = match self.engines.iter().position(gone) {
@@ -965,9 +795,3 @@
         i
     }
 }
-
-impl Sent {
-    fn new(eng: usize, at: f64, ahead: f64, expected: f64, write: bool) -> Self {
-        Sent { eng, at, ahead, expected, write, live: true, late: false }
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod decide;
 pub mod interface;
+mod state;
