--- a/crates/nickelgw-drill/src/node.rs
+++ b/crates/nickelgw-drill/src/node.rs
@@ -43,7 +43,6 @@
         first_token_target_s: num(class, "slo_s")?,
         target_per_token_s: per_1000_us / 1e9,
         pace_s,
-        value: num(class, "worth")?,
         repeat,
     })
 }
@@ -69,7 +68,6 @@
         let (info, limits, rules) = (inner(o, "family_info")?, inner(o, "limits")?, inner(o, "rules")?);
         let none = json!({});
         let charges = o.get("charges").unwrap_or(&none);
-        let reporting = o.get("reporting").unwrap_or(&none);
         let at = |field: &str, k: usize, absent: f64| -> Result<f64, Bad> {
             let value = list(info, field)?.get(k).map_or(Some(absent), Value::as_f64);
             value.ok_or_else(|| Bad::field(info, field, "a list of numbers"))
@@ -113,10 +111,8 @@
             hold_limit_s: num(info, "release_s")?,
             move_price: num_or(info, "transfer_price", 0.0)?,
             zone_price: num_or(charges, "cross_zone", 0.0)?,
-            probe_price: num_or(charges, "probe", 0.0)?,
             cancel: flag(limits, "cancel")?,
             probes: flag(limits, "probes")?,
-            load_by_probe: reporting.get("how").and_then(Value::as_str) == Some("pull"),
             must_ask: o.get("registry_mode").and_then(Value::as_str) == Some("subscribe"),
             longest_come_back_s: if told { Some(num(limits, "max_retry_after_s")?) } else { None },
             cold_share: num(rules, "cold_from")?,
--- a/crates/nickelgw-drill/src/tests.rs
+++ b/crates/nickelgw-drill/src/tests.rs
@@ -1,1 +1,91 @@
+use super::*;
+use test_case::test_case;
 
+const PROVISION: &str = r#"{"kind":"PROVISION","i":1,"prng":5,"options":{"accounts":[],"az":"east","balancers":1,
+"charges":{"cross_zone":0.01},"classes":[{"name":"ask","slo_s":1.0,"idempotency":"pure","worth":1.0}],
+"family_info":{"aim_us_per_1000_prompt_tokens":[40000.0],"kind_memory_tokens":[90000,90000],"local_read":false,
+"release_s":0.5,"role_by_kind":["read","write"],"token_aim_s":[0.06],"transfer_price":0.04},
+"kinds":["pre","dec"],"limits":{"cancel":true,"most_tries":4,"probes":true,"retry_after":false},"my_number":0,
+"rules":{"cold_from":0.3,"fall_s":2.0,"tip_multiple":3.0,"warm_within_s":9.0},"tick_s":0.004,"zones":["east"]}}"#;
+const PAGE: &str = r#"{"kind":"PAGE","list":0,"items":[
+{"engine":"a:1","campus":"east","family_type":"pre","unit_group":0,"state":"IN","capacity_hint":1},
+{"engine":"b:2","campus":"east","family_type":"dec","unit_group":0,"state":"IN","capacity_hint":1}]}"#;
+const MEMBERSHIP: &str = r#"{"kind":"MEMBERSHIP","i":1,"revision":1,"list":0,"how":"cached"}"#;
+const REQUEST: &str = r#"{"kind":"REQUEST","i":1,"req":77,"session":"s","cls":"ask","due_s":9.0,"prompt_len":900,"n_prefix":0}"#;
+
+fn settled(n: u32, engine: &str, how: &str, over: bool) -> String {
+    format!(
+        r#"{{"kind":"SETTLED","i":1,"req":77,"n":{n},"engine":"{engine}","how":"{how}","delay_seen_s":0.1,"over":{over}}}"#
+    )
+}
+
+/// Plays batches, each after a clock of its own; gives what was written.
+fn play(batches: &[&[&str]]) -> Result<String, Bad> {
+    let mut input = String::new();
+    for (k, batch) in batches.iter().enumerate() {
+        input += &format!("{{\"kind\":\"CLOCK\",\"time_s\":{}}}\n", 1.0 + 0.1 * k as f64);
+        for line in *batch {
+            input += &format!("{}\n", line.replace('\n', ""));
+        }
+        input += "{\"kind\":\"OVER_TO_YOU\"}\n";
+    }
+    let mut output = Vec::new();
+    run(input.as_bytes(), &mut output).map(|()| String::from_utf8(output).unwrap())
+}
+
+const START: &[&str] = &[PROVISION, PAGE, MEMBERSHIP];
+
+#[test]
+fn an_inference_is_read_then_written() {
+    let read = settled(0, "a:1", "prefilled", false);
+    let out = play(&[START, &[REQUEST], &[&read]]).unwrap();
+    let attempts: Vec<&str> = out.lines().filter(|l| l.contains("ATTEMPT")).collect();
+    assert!(attempts[0].contains("a:1") && attempts[1].contains("b:2"), "{out}");
+    assert_eq!(out.matches("DONE").count(), 3);
+}
+
+#[test]
+fn a_settled_inference_is_passed_over() {
+    let (read, done) = (settled(0, "a:1", "prefilled", false), settled(1, "b:2", "served", true));
+    let gone = r#"{"kind":"HANGUP","i":1,"req":77}"#;
+    assert!(play(&[START, &[REQUEST], &[&read], &[&done, gone], &[gone]]).is_ok());
+}
+
+#[test]
+fn an_instance_killed_and_provisioned_in_one_batch_starts_empty() {
+    let killed = r#"{"kind":"KILLED","i":1}"#;
+    let read = settled(0, "a:1", "prefilled", false);
+    let out = play(&[START, &[REQUEST], &[killed, PROVISION, PAGE, MEMBERSHIP], &[&read]]).unwrap();
+    assert_eq!(out.matches("ATTEMPT").count(), 1);
+}
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    assert_eq!(play(&[&[]]).unwrap(), "{\"kind\":\"DONE\"}\n");
+}
+
+#[test]
+fn unknown_kinds_are_skipped() {
+    assert!(play(&[&[r#"{"kind":"WEATHER","i":1}"#, r#"{"kind":"TIDE"}"#]]).is_ok());
+}
+
+#[test]
+fn equal_events_give_equal_actions() {
+    let day: &[&[&str]] = &[START, &[REQUEST], &[&settled(0, "a:1", "server_error", false)]];
+    assert_eq!(play(day).unwrap(), play(day).unwrap());
+}
+
+#[test_case("nonsense", "not JSON"; "no json")]
+#[test_case("{}", "kind"; "no kind")]
+#[test_case(r#"{"kind":"CLOCK"}"#, "CLOCK: field time_s"; "no clock")]
+#[test_case(r#"{"kind":"PAGE","list":0,"items":3}"#, "PAGE: field items"; "page without entries")]
+#[test_case(r#"{"kind":"PROVISION","i":2}"#, "PROVISION: field options"; "no settings")]
+#[test_case(r#"{"kind":"PROVISION","i":"x"}"#, "PROVISION: field i"; "instance of the wrong type")]
+#[test_case(r#"{"kind":"MEMBERSHIP","i":1,"list":9,"how":"full"}"#, "MEMBERSHIP: field list"; "unknown list")]
+#[test_case(r#"{"kind":"REQUEST","i":1,"req":5,"cls":"other","due_s":3}"#, "REQUEST: field cls"; "unknown class")]
+#[test_case(r#"{"kind":"REQUEST","i":1,"req":5,"cls":"ask"}"#, "REQUEST: field due_s"; "no due time")]
+#[test_case(r#"{"kind":"SETTLED","i":1,"req":5,"n":0,"how":"vanished"}"#, "SETTLED: field how"; "unknown outcome")]
+fn bad_input_is_named(line: &str, said: &str) {
+    let Bad(why) = play(&[START, &[line]]).unwrap_err();
+    assert!(why.contains(said), "{why}");
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -795,3 +795,6 @@
         i
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/decide/tests.rs
@@ -0,0 +1,428 @@
+use super::*;
+use test_case::test_case;
+
+const NOW: f64 = 100.0;
+
+fn deployment(repeat: Repeat) -> Deployment {
+    let route = |pace_s| ModelRoute { first_token_target_s: 1.0, target_per_token_s: 1e-5, pace_s, repeat };
+    Deployment {
+        node: 0,
+        nodes: 2,
+        seed: 7,
+        zone: 0,
+        tick_s: 0.004,
+        routes: vec![route(0.08), route(0.05)],
+        tenant_quotas: vec![1.0],
+        most_sends: 6,
+        writers_read: false,
+        hold_limit_s: 0.5,
+        move_price: 0.04,
+        zone_price: 0.01,
+        cancel: true,
+        probes: true,
+        must_ask: false,
+        longest_come_back_s: Some(2.0),
+        cold_share: 0.3,
+        warm_within_s: 10.0,
+        tip_multiple: 3.0,
+        tip_window_s: 2.0,
+    }
+}
+
+fn line(id: &str, role: Role, zone: u32, cell: u32) -> EngineLine {
+    EngineLine {
+        id: id.into(),
+        zone,
+        cell,
+        role,
+        memory_tokens: 100_000.0,
+        standing: Standing::In,
+        started_at: None,
+    }
+}
+
+/// Two readers (0 and 1) and three writers: 2 beside reader 0, 3 in its zone, 4 in another.
+fn router(repeat: Repeat) -> Router {
+    let mut r = Router::new(deployment(repeat));
+    let lines = [
+        line("r0", Role::Read, 0, 0),
+        line("r1", Role::Read, 0, 1),
+        line("w2", Role::Write, 0, 0),
+        line("w3", Role::Write, 0, 1),
+        line("w4", Role::Write, 1, 2),
+    ];
+    r.list(NOW, &lines, true);
+    r
+}
+
+fn inference(stage: Stage) -> Inference {
+    Inference {
+        stage,
+        arrived: NOW,
+        target: NOW + 1.0,
+        due: NOW + 5.0,
+        prompt: 2000.0,
+        session: 1,
+        ..Inference::default()
+    }
+}
+
+/// Puts an inference into the router's tables.
+fn hold(r: &mut Router, inf: Inference) -> usize {
+    r.infs.push(inf);
+    r.open.push(r.infs.len() - 1);
+    r.infs.len() - 1
+}
+
+fn sent(r: &mut Router, eng: usize, write: bool) -> Sent {
+    r.engines[eng].out += 1;
+    Sent { eng, at: NOW, ahead: 0.0, expected: 0.1, write, live: true }
+}
+
+fn ending(outcome: Outcome) -> Ending {
+    Ending { outcome, after_s: 0.1, over: false, note: 0.0 }
+}
+
+fn engines_of(todo: &Decisions) -> Vec<u32> {
+    todo.sends.iter().map(|s| s.eng.0).collect()
+}
+
+#[test]
+fn an_arrival_goes_to_a_matured_reader_at_once() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, inference(Stage::Queued));
+    assert!(engines_of(&r.decide(NOW)).iter().all(|&e| e < 2));
+}
+
+#[test]
+fn the_queue_goes_by_pace_then_arrival() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, inference(Stage::Queued));
+    hold(&mut r, Inference { arrived: NOW - 0.1, ..inference(Stage::Queued) });
+    hold(&mut r, Inference { route: 1, ..inference(Stage::Queued) });
+    let order: Vec<u32> = r.decide(NOW).sends.iter().map(|s| s.inf.0).collect();
+    assert_eq!(order, [2, 1, 0]);
+}
+
+#[test]
+fn nothing_is_sent_while_no_reader_has_matured() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, inference(Stage::Queued));
+    r.engines.iter_mut().for_each(|e| e.matures = NOW + 0.3);
+    assert!(r.decide(NOW).sends.is_empty());
+}
+
+#[test]
+fn a_matured_reader_takes_the_oldest_below_theta() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, Inference { target: NOW - 1.0, ..inference(Stage::Queued) });
+    assert_eq!(r.decide(NOW).sends.len(), 1);
+}
+
+#[test_case(0.0, 1; "free memory takes it")]
+#[test_case(0.999, 0; "no free tokens hold it")]
+fn the_budget_is_capped_by_free_tokens(held: f64, sends: usize) {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, Inference { over_share: true, ..inference(Stage::Queued) });
+    for e in &mut r.engines[..2] {
+        e.load.memory_share = Some(held);
+    }
+    assert_eq!(r.decide(NOW).sends.len(), sends);
+}
+
+#[test]
+fn an_oversized_prompt_goes_alone_to_an_idle_reader() {
+    let mut r = router(Repeat::Retriable);
+    let huge = Inference { prompt: 90_000.0, target: NOW + 9.0, due: NOW + 20.0, ..inference(Stage::Queued) };
+    hold(&mut r, huge);
+    assert_eq!(r.decide(NOW).sends.len(), 1);
+}
+
+#[test]
+fn kept_text_outweighs_a_short_wait() {
+    let mut r = router(Repeat::Retriable);
+    let i = hold(&mut r, inference(Stage::Queued));
+    r.read_cost = ReadCost::new(0.001, 0.1);
+    let other = 1 - r.hashed(i).unwrap();
+    r.engines[other].kept[0].insert(1, 1900.0);
+    r.engines[other].matures = NOW + 0.01;
+    assert_eq!(engines_of(&r.decide(NOW)), [other as u32]);
+}
+
+#[test]
+fn all_nodes_agree_on_the_hashed_reader() {
+    let (mut a, mut b) = (router(Repeat::Retriable), router(Repeat::Retriable));
+    (b.node, b.chance) = (1.0, WyRand::new_seed(99));
+    let (i, j) = (hold(&mut a, inference(Stage::Queued)), hold(&mut b, inference(Stage::Queued)));
+    assert_eq!(a.hashed(i), b.hashed(j));
+}
+
+#[test]
+fn what_is_too_late_to_start_is_shed_unread() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, Inference { due: NOW + 0.02, ..inference(Stage::Queued) });
+    let todo = r.decide(NOW);
+    assert_eq!((todo.shed.len(), todo.sends.len()), (1, 0));
+}
+
+/// Overload: late work read for full writers made fresh work late too.
+#[test_case(0.5, 0; "room")]
+#[test_case(1.0, 1; "full")]
+fn with_full_writers_a_missed_target_is_shed(load: f64, shed: usize) {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, Inference { target: NOW - 0.1, ..inference(Stage::Queued) });
+    for e in &mut r.engines[2..] {
+        e.load.memory_share = Some(load);
+    }
+    assert_eq!(r.decide(NOW).shed.len(), shed);
+}
+
+#[test_case(&[], 2; "the reader's cell")]
+#[test_case(&[2], 3; "then its zone")]
+#[test_case(&[2, 3], 4; "then elsewhere")]
+fn the_migrator_sends_at_once_to_the_nearest_free_writer(full: &[usize], eng: u32) {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, Inference { state: Some(0), ..inference(Stage::Held) });
+    full.iter().for_each(|&e| r.engines[e].load.memory_share = Some(1.0));
+    assert_eq!(engines_of(&r.decide(NOW)), [eng]);
+}
+
+/// A day with a cut zone left states pinned at readers that a writer could not reach.
+#[test]
+fn a_state_not_found_is_let_go() {
+    let mut r = router(Repeat::Retriable);
+    let s = sent(&mut r, 2, true);
+    hold(&mut r, Inference { state: Some(0), sends: vec![s], ..inference(Stage::Writing) });
+    r.settled(NOW, Inf(0), 0, Ending { note: 1.0, ..ending(Outcome::TurnedAway) }, None);
+    assert_eq!((r.todo.released.len(), r.infs[0].stage), (1, Stage::Queued));
+}
+
+/// A state given up while a send was out stayed pinned when that send ended.
+#[test]
+fn letting_go_is_said_again_when_the_last_send_ends() {
+    let mut r = router(Repeat::Retriable);
+    let s = sent(&mut r, 2, true);
+    hold(&mut r, Inference { state: Some(0), sends: vec![s], ..inference(Stage::Ended) });
+    r.settled(NOW, Inf(0), 0, ending(Outcome::Cancelled), None);
+    assert_eq!((r.todo.released.len(), r.todo.closed.len()), (1, 1));
+}
+
+#[test]
+fn a_state_with_no_writer_is_not_kept() {
+    let mut r = router(Repeat::Retriable);
+    let read = Sent { live: false, ..sent(&mut r, 0, false) };
+    let held =
+        Inference { state: Some(0), held_since: NOW - 0.3, sends: vec![read], ..inference(Stage::Held) };
+    hold(&mut r, held);
+    r.engines[2..].iter_mut().for_each(|e| e.standing = Standing::Draining);
+    let todo = r.decide(NOW);
+    assert_eq!((todo.shed.len(), todo.released.len()), (1, 1));
+}
+
+const ZONE: Repeat = Repeat::Deduped { group: Group::Zone, memory_s: 5.0 };
+const ALL: Repeat = Repeat::Deduped { group: Group::All, memory_s: 5.0 };
+
+#[test_case(Repeat::Retriable, Outcome::ConnectionLost, true; "retriable may always")]
+#[test_case(Repeat::NonRetriable, Outcome::ConnectionLost, false; "non retriable that may have run")]
+#[test_case(Repeat::NonRetriable, Outcome::NoConnection, true; "non retriable that never ran")]
+#[test_case(Repeat::NonRetriable, Outcome::TurnedAway, true; "non retriable turned away")]
+#[test_case(ZONE, Outcome::EngineError, true; "deduped within its span")]
+fn sending_again_keeps_to_the_kind(repeat: Repeat, outcome: Outcome, again: bool) {
+    let mut r = router(repeat);
+    let s = sent(&mut r, 2, true);
+    hold(&mut r, Inference { state: Some(0), sends: vec![s], ..inference(Stage::Writing) });
+    r.settled(NOW, Inf(0), 0, ending(outcome), None);
+    assert_eq!(r.infs[0].stage == Stage::Held, again);
+    assert_eq!(r.todo.errored.len(), usize::from(!again));
+}
+
+#[test_case(NOW, 3, true; "inside the group")]
+#[test_case(NOW, 4, false; "outside the group")]
+#[test_case(NOW + 4.5, 3, false; "after it forgets")]
+fn deduped_stays_in_its_group_and_span(now: f64, eng: usize, allowed: bool) {
+    let mut r = router(ZONE);
+    hold(&mut r, Inference { state: Some(0), ran: Some((2, NOW)), ..inference(Stage::Held) });
+    assert_eq!(r.again(now, 0, Some(eng)), allowed);
+}
+
+#[test_case(Repeat::Retriable, true)]
+#[test_case(ALL, true)]
+#[test_case(ZONE, false)]
+#[test_case(Repeat::NonRetriable, false)]
+fn giving_up_sheds_only_what_may_be_repeated(repeat: Repeat, shed: bool) {
+    let mut r = router(repeat);
+    let s = sent(&mut r, 2, true);
+    hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Writing) });
+    r.give_up(0);
+    assert_eq!((r.todo.shed.len() == 1, r.todo.errored.len() == 1), (shed, !shed));
+    assert_eq!(r.todo.cancelled, [(Inf(0), 0)]);
+}
+
+#[test]
+fn the_last_answer_comes_before_the_time_is_up() {
+    let mut r = router(Repeat::Retriable);
+    let s = sent(&mut r, 0, false);
+    hold(&mut r, Inference { sends: vec![s], due: NOW + 0.003, ..inference(Stage::Reading) });
+    assert_eq!(r.decide(NOW).shed.len(), 1);
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, inference(Stage::Queued));
+    r.left(Inf(0));
+    assert!(r.decide(NOW).sends.is_empty());
+}
+
+#[test]
+fn a_broken_stream_is_over() {
+    let mut r = router(Repeat::NonRetriable);
+    let s = sent(&mut r, 2, true);
+    hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Streaming) });
+    r.settled(NOW, Inf(0), 0, Ending { over: true, ..ending(Outcome::ConnectionLost) }, None);
+    assert_eq!((r.todo.closed.len(), r.todo.errored.len()), (1, 0));
+}
+
+#[test_case(Standing::Draining)]
+#[test_case(Standing::Gone)]
+fn nothing_new_goes_to_an_engine_that_leaves(standing: Standing) {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, inference(Stage::Queued));
+    r.engines[..2].iter_mut().for_each(|e| e.standing = standing);
+    assert!(r.decide(NOW).sends.is_empty());
+}
+
+#[test]
+fn a_full_list_drops_what_it_leaves_out() {
+    let mut r = router(Repeat::Retriable);
+    r.list(NOW, &[line("r1", Role::Read, 0, 1)], true);
+    assert_eq!(r.engines.iter().filter(|e| e.standing == Standing::In).count(), 1);
+}
+
+#[test]
+fn a_restart_voids_what_was_known() {
+    let mut r = router(Repeat::Retriable);
+    r.engines[0].kept[0].insert(1, 500.0);
+    r.list(NOW, &[EngineLine { started_at: Some(NOW - 1.0), ..line("r0", Role::Read, 0, 0) }], false);
+    assert!(r.engines[0].kept[0].is_empty());
+}
+
+#[test_case(0.0, 0.0, true; "own turn")]
+#[test_case(1.0, 0.0, false; "the other node's turn")]
+#[test_case(0.0, 9.0, false; "its part is spent")]
+fn fresh_engines_are_taken_in_turns(node: f64, spent: f64, allowed: bool) {
+    let mut r = router(Repeat::Retriable);
+    r.node = node;
+    (r.engines[0].started, r.engines[0].turn, r.engines[0].turn_sends) = (NOW - 1.0, NOW, spent);
+    assert_eq!(r.ration(NOW, 0), allowed);
+}
+
+#[test]
+fn strikes_move_maturity_further_each_time() {
+    let mut r = router(Repeat::Retriable);
+    r.strike(NOW, 0);
+    let first = r.engines[0].matures;
+    r.strike(NOW, 0);
+    assert!(first > NOW && r.engines[0].matures > first);
+}
+
+/// Sends were called off and lost their place because their engine was merely busy.
+#[test_case(NOW + 0.5, 0; "heard since")]
+#[test_case(0.0, 1; "unreachable and silent")]
+fn only_silence_calls_a_send_off(heard: f64, cancelled: usize) {
+    let mut r = router(Repeat::Retriable);
+    let s = sent(&mut r, 0, false);
+    hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Reading) });
+    (r.engines[0].heard, r.engines[0].mute) = (heard, NOW + 0.4);
+    r.watch(NOW + 0.6);
+    assert_eq!(r.todo.cancelled.len(), cancelled);
+}
+
+/// A time-out at an engine that answered others meanwhile counted as a fault.
+#[test_case(NOW + 1.0, 0.0; "busy")]
+#[test_case(NOW - 1.0, 1.0; "silent")]
+fn a_timeout_counts_only_in_silence(heard: f64, strikes: f64) {
+    let mut r = router(Repeat::Retriable);
+    let s = sent(&mut r, 0, false);
+    hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Reading) });
+    r.engines[0].heard = heard;
+    r.settled(NOW + 2.0, Inf(0), 0, ending(Outcome::NoAnswer), None);
+    assert_eq!(r.engines[0].strikes, strikes);
+}
+
+/// Readers with long queues of other nodes' reads looked matured.
+#[test]
+fn reported_backlog_moves_a_readers_maturity() {
+    let mut r = router(Repeat::Retriable);
+    r.note_load(NOW, 0, Load { unread_tokens: Some(50_000.0), ..Load::default() });
+    assert!(r.engines[0].matures > NOW + 0.1);
+}
+
+/// Queued inferences at a writer were not counted: it looked free.
+#[test_case(Load { memory_share: Some(0.5), ..Load::default() }, 0.5)]
+#[test_case(Load { memory_share: Some(0.5), queue: Some(25.0), ..Load::default() }, 1.0)]
+#[test_case(Load { memory_share: Some(0.5), unread_tokens: Some(20_000.0), ..Load::default() }, 0.7)]
+#[test_case(Load { memory_share: Some(0.5), inflight: Some(40.0), ..Load::default() }, 0.8)]
+#[test_case(Load { slot_share: Some(0.6), ..Load::default() }, 0.6)]
+fn a_writers_load_counts_what_waits(load: Load, share: f64) {
+    let mut r = router(Repeat::Retriable);
+    r.prompt = 2000.0;
+    r.engines[2].load = load;
+    assert!((r.load(2) - share).abs() < 1e-9);
+}
+
+/// Other nodes' queues were fitted as read cost, and idle readers held back for them.
+#[test]
+fn long_timings_move_the_read_fit_little() {
+    let (mut up, mut down) = (ReadCost::new(0.02, 0.04), ReadCost::new(0.02, 0.04));
+    let was = up.of(2000.0);
+    up.add(2000.0, was + 0.05);
+    down.add(2000.0, was - 0.05);
+    assert!(up.of(2000.0) - was < 0.3 * (was - down.of(2000.0)));
+}
+
+#[test]
+fn the_read_fit_learns_a_cost() {
+    let mut fit = ReadCost::new(0.02, 0.04);
+    for k in 0..900 {
+        let t = (k % 9) as f64;
+        fit.add(1000.0 * t, 0.01 + 0.1 * t);
+    }
+    assert!((fit.of(5000.0) - 0.51).abs() < 0.02);
+}
+
+/// Inferences beyond a share were held until their time was up while readers stood idle.
+#[test]
+fn beyond_its_share_is_admitted_when_there_is_room() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, Inference { over_share: true, ..inference(Stage::Queued) });
+    assert_eq!(r.decide(NOW).sends.len(), 1);
+}
+
+#[test]
+fn beyond_its_share_comes_last() {
+    let mut r = router(Repeat::Retriable);
+    hold(&mut r, Inference { over_share: true, arrived: NOW - 1.0, ..inference(Stage::Queued) });
+    hold(&mut r, inference(Stage::Queued));
+    assert_eq!(r.decide(NOW).sends[0].inf, Inf(1));
+}
+
+#[test_case(false, 0; "writers that cannot read")]
+#[test_case(true, 1; "writers that can")]
+fn with_no_reader_a_writer_reads_where_it_can(writers_read: bool, sends: usize) {
+    let mut r = router(Repeat::Retriable);
+    r.writers_read = writers_read;
+    hold(&mut r, inference(Stage::Queued));
+    r.engines[..2].iter_mut().for_each(|e| e.standing = Standing::Gone);
+    assert_eq!(r.decide(NOW).sends.len(), sends);
+}
+
+#[test]
+fn equal_state_gives_equal_decisions() {
+    let run = || {
+        let mut r = router(Repeat::Retriable);
+        (0..9).for_each(|_| _ = hold(&mut r, inference(Stage::Queued)));
+        r.decide(NOW)
+    };
+    assert_eq!(run(), run());
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -32,7 +32,6 @@
     pub target_per_token_s: f64,
     /// The wanted gap between tokens.
     pub pace_s: f64,
-    pub value: f64,
     pub repeat: Repeat,
 }
 
@@ -52,11 +51,8 @@
     pub hold_limit_s: f64,
     pub move_price: f64,
     pub zone_price: f64,
-    pub probe_price: f64,
     pub cancel: bool,
     pub probes: bool,
-    /// Load comes with probes alone.
-    pub load_by_probe: bool,
     pub must_ask: bool,
     /// Longest come-back time that clients heed, where they are told one.
     pub longest_come_back_s: Option<f64>,
