--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,7 +27,7 @@
 /// Rough life of a stream before any has been seen, in paces: a few sentences.
 const FIRST_LIFE: f64 = 80.0;
 /// Part of the cold allowance used; the rest is for news that comes late and for chance.
-const COLD_CAUTION: f64 = 0.5;
+const COLD_CAUTION: f64 = 0.4;
 /// What a second of reading saved by kept text is worth, in seconds of waiting: reading anew also takes the
 /// reader from others and displaces what it keeps.
 const KEEPING: f64 = 3.0;
@@ -103,12 +103,12 @@
     /// Tightest first-token target and pace.
     target: f64,
     pace: f64,
-    /// Mean life of a stream at a writer, mean prompt, gap between arrivals.
+    /// Mean life of a stream at a writer, mean prompt, mean tokens read, gap between starts.
     life: f64,
     prompt: f64,
     unread: f64,
-    arrival_gap: f64,
-    last_arrival: f64,
+    start_gap: f64,
+    last_start: f64,
     read_cost: ReadCost,
     must_ask: bool,
     ask_at: f64,
@@ -152,8 +152,7 @@
             target,
             pace,
             life: FIRST_LIFE * pace,
-            arrival_gap: target,
-            last_arrival: f64::NEG_INFINITY,
+            start_gap: target,
             read_cost: ReadCost::new(pace / 2.0, per_k),
             must_ask: d.must_ask,
             chance: WyRand::new_seed(d.seed),
@@ -195,10 +194,6 @@
     }
 
     pub fn take(&mut self, now: f64, a: &Arrival) -> Inf {
-        if self.last_arrival.is_finite() {
-            self.arrival_gap += 0.05 * (now - self.last_arrival - self.arrival_gap);
-        }
-        self.last_arrival = now;
         let few = if self.prompt == 0.0 { 1.0 } else { 0.02 };
         self.prompt += few * (a.prompt_tokens - self.prompt);
         let r = &self.routes[a.route];
@@ -574,6 +569,11 @@
         let (inf, e) = (&mut self.infs[i], &mut self.engines[eng]);
         let write = e.role != Role::Read;
         inf.stage = if write { Stage::Writing } else { Stage::Reading };
+        if inf.sends.is_empty() {
+            // Starts, not arrivals: in a rush of retries these run ahead of what engines are sent.
+            self.start_gap += 0.05 * ((now - self.last_start).min(self.target) - self.start_gap);
+            self.last_start = now;
+        }
         inf.sends.push(Sent { eng, at: now, ahead, expected, write, live: true });
         // Where probes tell a dead engine from a busy one, a place in its queue is not given up for time alone.
         let sure = self.probes && self.cancel;
@@ -645,7 +645,7 @@
         // What a warm engine of the role gets from this node on average.
         let warm = |p: &&Engine| p.role == self.engines[e].role && now - p.started >= self.warm_within;
         let peers = self.engines.iter().filter(warm).count().max(1) as f64;
-        let warm_rate = 1.0 / (self.arrival_gap.max(self.tick) * peers);
+        let warm_rate = 1.0 / (self.start_gap.max(self.tick) * peers);
         let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
         let allowed = (warm_rate * self.cold_seconds * grown).max(1.0);
         let e = &mut self.engines[e];
@@ -754,7 +754,7 @@
 
     /// One probe for an arrival, to the engine unheard longest: their price follows the traffic.
     fn probe(&mut self, now: f64) {
-        if !self.probes || now < self.probed + self.arrival_gap.max(self.tick) {
+        if !self.probes || now < self.probed + self.start_gap.max(self.tick) {
             return;
         }
         let asked = |e: &Engine| e.standing == Standing::In && !e.probing;
