--- a/src/decide.rs
+++ b/src/decide.rs
@@ -395,7 +395,9 @@
             let ahead = self.maturity(now, home) - now;
             let read = self.read_cost.of(tokens) * e.slow;
             // The chance of a first token in time, less sure the busier the writers are.
-            let spare = self.infs[i].target - (now + ahead + read + writer_wait);
+            // Nor may a looser target fill the writers until a tighter one can't be met: half the tightest is
+            // left for their queue.
+            let spare = (self.infs[i].target - now - ahead - read).min(self.target / 2.0) - writer_wait;
             let spread = self.target * (0.05 + 0.2 * busy);
             let chance = 1.0 / (1.0 + (-spare / spread).exp());
             if fits && chance >= THETA {
