--- a/src/decide.rs
+++ b/src/decide.rs
@@ -526,20 +526,21 @@
         short.max(0.0) * self.life
     }
 
-    /// Time that a state read now is likely to wait for a writer, and the writers' load: means over those not
-    /// held off, since other nodes, too, send to whichever seems free.
+    /// Time that a state read now is likely to wait for a writer, and the writers' load: over those not held
+    /// off, between the least and the mean, since other nodes, too, send to whichever seems free.
     fn writers(&self, now: f64) -> (f64, f64) {
         let sound = |&e: &usize| self.writes(e) && self.engines[e].matures < now + self.target;
-        let (mut wait, mut load, mut n) = (0.0, 0.0, 0.0);
+        let (mut wait, mut least, mut load, mut n) = (0.0, f64::INFINITY, 0.0, 0.0);
         for e in (0..self.engines.len()).filter(sound) {
-            wait += (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
+            let one = (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
+            (wait, least) = (wait + one, one.min(least));
             load += self.load(e);
             n += 1.0;
         }
         if n == 0.0 {
             return (self.target, 1.0);
         }
-        (wait / n, (load / n).min(1.0))
+        ((wait / n + least) / 2.0, (load / n).min(1.0))
     }
 
     /// The earliest-maturing writer, a move out of the cell or zone weighed by its price.
