--- a/src/decide.rs
+++ b/src/decide.rs
@@ -356,12 +356,16 @@
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
         let tightest = queue.iter().map(|&i| self.infs[i].target - self.infs[i].arrived).fold(60.0, f64::min);
         let budget = ((tightest - self.read_cost.abc[0]) / self.read_cost.abc[1] * 1000.0).max(0.0);
+        let reader_wait =
+            readers.iter().map(|&e| self.engines[e].matures - now).fold(f64::INFINITY, f64::min);
+        let reader_wait = if readers.is_empty() { 0.0 } else { reader_wait.max(0.0) };
         for &i in &queue {
             let inf = &self.infs[i];
             // Shed unread: too late to start before its client's time is up.
-            let least = self.read_cost.of(0.0) + writer_wait;
-            // With the writers full, the first-token target is the deadline: a late answer would make others late.
-            let deadline = if busy >= ROOM { inf.target.min(inf.due) } else { inf.due };
+            let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
+            // With a stage full, the first-token target is the deadline: a late answer would make others late.
+            let pressed = busy >= ROOM || reader_wait > self.target / 4.0;
+            let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
             if now + least > deadline {
                 self.give_up(i);
                 continue;
