Read cost is fitted only from reads that met an idle reader

Cause: service did not come back after a rush; queues were fitted as read cost (a = 0.25 s), readers were held back for seconds while idle, their queues looked longer still.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -504,9 +504,10 @@
     fn learn_read(&mut self, i: usize, s: Sent, end: Ending) {
         let inf = &self.infs[i];
         let unkept = (inf.prompt - end.note).max(1.0);
-        let ahead = if end.after_s > s.ahead { s.ahead } else { 0.0 };
         self.unread += 0.05 * (unkept - self.unread);
-        self.read_cost.add(unkept, (end.after_s - ahead) / self.engines[s.eng].slow);
+        if s.alone {
+            self.read_cost.add(unkept, end.after_s / self.engines[s.eng].slow);
+        }
         self.praise(s.eng, end.after_s, s.expected);
         let (inf, e) = (&self.infs[i], &mut self.engines[s.eng]);
         // Its memory holds about so much of what this node sent; older belief is dropped half at a time.
@@ -581,7 +582,12 @@
             self.start_gap += 0.05 * ((now - self.last_start).min(self.target) - self.start_gap);
             self.last_start = now;
         }
-        inf.sends.push(Sent { eng, at: now, ahead, expected, write, live: true });
+        // Only a read that meets an idle reader tells what reading costs; queues fitted as cost would hold
+        // readers back, whose queues then look longer still.
+        let l = e.load;
+        let there = l.inflight.or(l.queue).or(l.unread_tokens).unwrap_or(0.0);
+        let alone = e.out == 0 && ahead <= 0.0 && there < 1.0;
+        inf.sends.push(Sent { eng, at: now, alone, expected, write, live: true });
         // Where probes tell a dead engine from a busy one, a place in its queue is not given up for time alone.
         let sure = self.probes && self.cancel;
         let patience = if sure { f64::INFINITY } else { 6.0 * expected + self.target };
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -76,7 +76,7 @@
 
 fn sent(r: &mut Router, eng: usize, write: bool) -> Sent {
     r.engines[eng].out += 1;
-    Sent { eng, at: NOW, ahead: 0.0, expected: 0.1, write, live: true }
+    Sent { eng, at: NOW, alone: true, expected: 0.1, write, live: true }
 }
 
 fn ending(outcome: Outcome) -> Ending {
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,7 +57,8 @@
 pub struct Sent {
     pub eng: usize,
     pub at: f64,
-    pub ahead: f64,
+    /// Whether its reader had nothing else, as far as was known.
+    pub alone: bool,
     pub expected: f64,
     pub write: bool,
     pub live: bool,
