An answer ends a hold-off that silence brought; backlog counts whole prompts

Cause: after a cut zone its engines stayed held off up to seven seconds; and a reader's reported waiting tokens include kept ones.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,8 +36,8 @@
 /// Engines known at most; past that the records of gone ones are used anew.
 const ENGINES_KNOWN: usize = 1024;
 
-/// Cost a + b·t + c·t² of reading t unkept tokens (in thousands): least squares, older reads decayed, drawn to
-/// the starting values; no coefficient falls below zero.
+/// Cost a + b·t + c·t² of reading t unkept tokens (in thousands): least squares, older reads decayed,
+/// from the starting values; no coefficient falls below zero.
 #[derive(Clone, Debug, Default)]
 struct ReadCost {
     sums: [[f64; 4]; 3],
@@ -51,8 +51,8 @@
         fit
     }
 
-    /// Other nodes' reads ahead of ours only ever add to a timing: what lies above the fit weighs little, or it
-    /// would hold idle readers back for queues that were. Half the weight is gone after some 70 reads.
+    /// Other nodes' reads ahead of ours only ever add to a timing: what lies above the fit weighs little.
+    /// Half the weight of a read is gone after some 70 more.
     fn add(&mut self, tokens: f64, seconds: f64) {
         let t = tokens / 1000.0;
         let weight = if seconds > self.of(tokens) { 0.1 } else { 1.0 };
@@ -161,8 +161,6 @@
         }
     }
 
-    // ---- What callers tell ----
-
     /// News of the engines; a full list leaves out those that are gone. Nothing new goes to an engine from
     /// the moment it is heard to drain or to be gone.
     pub fn list(&mut self, now: f64, lines: &[EngineLine], full: bool) {
@@ -216,12 +214,10 @@
             over_share,
             ..Inference::default()
         };
-        let i = self.free.pop().unwrap_or(self.infs.len());
-        if i == self.infs.len() {
-            self.infs.push(inf);
-        } else {
-            self.infs[i] = inf;
-        }
+        let new = self.infs.len();
+        let i = self.free.pop().unwrap_or(new);
+        self.infs.resize(new.max(i + 1), inf.clone());
+        self.infs[i] = inf;
         self.open.push(i);
         Inf(i as u32)
     }
@@ -241,7 +237,7 @@
         }
         self.infs[i].stage = Stage::Streaming;
         self.infs[i].state = None;
-        self.engines[s.eng].heard = now;
+        self.hear(now, s.eng);
         self.praise(s.eng, now - s.at, s.expected);
     }
 
@@ -255,12 +251,10 @@
         if s.write {
             self.engines[s.eng].tokens -= self.infs[i].prompt;
         }
-        if let Some(l) = load {
-            self.note_load(now, s.eng, l);
-        }
+        load.into_iter().for_each(|l| self.note_load(now, s.eng, l));
         self.infs[i].held_since = now;
         if !matches!(end.outcome, NoAnswer | NoConnection | Cancelled | NotSent) {
-            self.engines[s.eng].heard = now;
+            self.hear(now, s.eng);
         }
         let stage = self.infs[i].stage;
         match end.outcome {
@@ -310,15 +304,12 @@
         let Some(&e) = self.by_id.get(id) else { return };
         (self.engines[e].probing, self.engines[e].load_at) = (false, now);
         if answered {
-            self.engines[e].heard = now;
-        }
-        if let Some(l) = load {
-            self.note_load(now, e, l);
-        }
-        if !answered {
+            self.hear(now, e);
+        } else {
             self.engines[e].mute = now;
             self.strike(now, e);
         }
+        load.into_iter().for_each(|l| self.note_load(now, e, l));
     }
 
     pub fn engine_id(&self, eng: Eng) -> &str {
@@ -333,14 +324,13 @@
         // The Migrator: a state whose read has ended goes at once to the earliest-maturing writer.
         let open = self.open.clone();
         for &i in open.iter().filter(|&&i| self.infs[i].stage == Stage::Held).collect::<Vec<_>>() {
-            let Some(w) = self.writer(now, i) else {
-                // Rule 5: a state that no writer may be sent is not kept; with no sends left it never will be.
-                if now >= self.infs[i].held_since + self.hold || !self.again(now, i, None) {
-                    self.give_up(i);
-                }
-                continue;
-            };
-            self.write(now, i, w, 0.0);
+            // Rule 5: a state that no writer may be sent is not kept; with no sends left it never will be.
+            let spent = now >= self.infs[i].held_since + self.hold || !self.again(now, i, None);
+            match self.writer(now, i) {
+                Some(w) => self.write(now, i, w, 0.0),
+                None if spent => self.give_up(i),
+                None => {}
+            }
         }
         // The queue: by pace aim, then arrival; what a tenant sends beyond its share comes last.
         let mut queue: Vec<usize> =
@@ -352,18 +342,17 @@
         });
         let (writer_wait, busy) = self.writers(now);
         let readers: Vec<usize> =
-            (0..self.engines.len()).filter(|&e| self.reads(e) && self.ration(now, e)).collect();
+            (0..self.engines.len()).filter(|&e| self.able(e, true) && self.ration(now, e)).collect();
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
         let tightest = queue.iter().map(|&i| self.infs[i].target - self.infs[i].arrived).fold(60.0, f64::min);
         let budget = ((tightest - self.read_cost.abc[0]) / self.read_cost.abc[1] * 1000.0).max(0.0);
-        let reader_wait =
-            readers.iter().map(|&e| self.engines[e].matures - now).fold(f64::INFINITY, f64::min);
-        let reader_wait = if readers.is_empty() { 0.0 } else { reader_wait.max(0.0) };
+        let reader_wait = readers.iter().map(|&e| self.engines[e].matures - now).min_by(f64::total_cmp);
+        let reader_wait = reader_wait.unwrap_or(0.0).max(0.0);
         for &i in &queue {
             let inf = &self.infs[i];
-            // Shed unread: too late to start before its client's time is up.
+            // Shed unread: too late to start before the deadline.
             let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
-            // With a stage full, the first-token target is the deadline: a late answer would make others late.
+            // With a stage full the first-token target is that: a late answer would make others late.
             let pressed = busy >= ROOM || reader_wait > self.target / 4.0;
             let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
             if now + least > deadline {
@@ -394,8 +383,7 @@
             let tokens = self.unkept(home, i, hashed);
             let e = &self.engines[home];
             let free = budget.min(e.memory * (1.0 - e.load.memory_share.unwrap_or(0.0)));
-            let idle = e.out == 0;
-            let fits = e.batch_tokens + tokens <= free || (tokens > budget && idle && e.batch_s == 0.0);
+            let fits = e.batch_tokens + tokens <= free || (tokens > budget && e.out == 0);
             let ahead = self.maturity(now, home) - now;
             let read = self.read_cost.of(tokens) * e.slow;
             // The chance of a first token in time, less sure the busier the writers are.
@@ -443,14 +431,9 @@
         std::mem::take(&mut self.todo)
     }
 
-    // ---- Parts of the path ----
-
-    fn reads(&self, e: usize) -> bool {
-        self.engines[e].standing == Standing::In && self.engines[e].role == Role::Read
-    }
-
-    fn writes(&self, e: usize) -> bool {
-        self.engines[e].standing == Standing::In && self.engines[e].role != Role::Read
+    /// Whether an engine is in and reads, or else writes.
+    fn able(&self, e: usize, reads: bool) -> bool {
+        self.engines[e].standing == Standing::In && (self.engines[e].role == Role::Read) == reads
     }
 
     fn maturity(&self, now: f64, e: usize) -> f64 {
@@ -465,7 +448,7 @@
         let rank = |e: &usize| hash(&self.engines[*e].id, text);
         let any = |near: bool| {
             let here = move |e: &usize| !near || self.engines[*e].zone == self.zone;
-            (0..self.engines.len()).filter(move |&e| self.reads(e)).filter(here)
+            (0..self.engines.len()).filter(move |&e| self.able(e, true)).filter(here)
         };
         // Readers of the node's own zone, where there are any.
         let near = any(true).next().is_some();
@@ -534,7 +517,7 @@
     /// Time that a state read now is likely to wait for a writer, and the writers' load: over those not held
     /// off, between the least and the mean, since other nodes, too, send to whichever seems free.
     fn writers(&self, now: f64) -> (f64, f64) {
-        let sound = |&e: &usize| self.writes(e) && self.engines[e].matures < now + self.target;
+        let sound = |&e: &usize| self.able(e, false) && self.engines[e].matures < now + self.target;
         let (mut wait, mut least, mut load, mut n) = (0.0, f64::INFINITY, 0.0, 0.0);
         for e in (0..self.engines.len()).filter(sound) {
             let one = (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
@@ -553,7 +536,7 @@
         let mut best = (f64::INFINITY, None);
         for w in 0..self.engines.len() {
             let fit = self.infs[i].state.is_some() || self.writers_read || self.engines[w].role == Role::Both;
-            if !self.writes(w) || !fit || !self.again(now, i, Some(w)) || !self.ration(now, w) {
+            if !self.able(w, false) || !fit || !self.again(now, i, Some(w)) || !self.ration(now, w) {
                 continue;
             }
             let jitter = 0.1 * self.pace * self.dice();
@@ -588,7 +571,7 @@
         let there = l.inflight.or(l.queue).or(l.unread_tokens).unwrap_or(0.0);
         let alone = e.out == 0 && ahead <= 0.0 && there < 1.0;
         inf.sends.push(Sent { eng, at: now, alone, expected, write, live: true });
-        // Where probes tell a dead engine from a busy one, a place in its queue is not given up for time alone.
+        // Where probes tell a dead engine from a busy one, no place in a queue is given up for time alone.
         let sure = self.probes && self.cancel;
         let patience = if sure { f64::INFINITY } else { 6.0 * expected + self.target };
         let patience_s = patience.min(inf.due - now).max(self.tick);
@@ -609,6 +592,15 @@
         e.matures = e.matures.max(now + off);
     }
 
+    /// An answer of any kind ends a hold-off that silence brought: a cut that heals is used again at once.
+    fn hear(&mut self, now: f64, e: usize) {
+        let e = &mut self.engines[e];
+        if e.mute > e.heard {
+            (e.strikes, e.matures) = (0.0, e.matures.min(now));
+        }
+        e.heard = now;
+    }
+
     /// A success, with the time it took against the time expected.
     fn praise(&mut self, e: usize, took: f64, expected: f64) {
         let e = &mut self.engines[e];
@@ -734,7 +726,7 @@
 
     fn note_load(&mut self, now: f64, e: usize, load: Load) {
         let each = self.read_cost.of(self.unread);
-        let per_token = self.read_cost.abc[1] / 1000.0;
+        let per_token = each / self.prompt.max(1.0);
         let e = &mut self.engines[e];
         (e.load, e.load_at, e.tokens_at_report) = (load, now, e.tokens);
         if e.role == Role::Read {
@@ -747,7 +739,7 @@
     }
 
     /// Share of a writer that is taken or waited for (may pass 1): memory or slots as reported, whichever is
-    /// fuller, what the report says waits there, and own sends since; with no report, own sends times the nodes.
+    /// fuller, what waits there by the report, and own sends since; unreported, own sends times the nodes.
     fn load(&self, e: usize) -> f64 {
         let e = &self.engines[e];
         let since = (e.tokens - e.tokens_at_report) / e.memory;
@@ -780,8 +772,6 @@
         }
     }
 
-    // ---- Small parts ----
-
     fn dice(&mut self) -> f64 {
         self.chance.generate::<u32>() as f64 / u32::MAX as f64
     }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -381,6 +381,37 @@
     assert!(up.of(2000.0) - was < 0.3 * (was - down.of(2000.0)));
 }
 
+/// After a rush, queues had been fitted as read cost: readers were held back while idle, and it lasted.
+#[test_case(true; "idle reader")]
+#[test_case(false; "reader with a queue")]
+fn only_reads_that_met_an_idle_reader_are_fitted(alone: bool) {
+    let mut r = router(Repeat::Retriable);
+    let (was, s) = (r.read_cost.of(2000.0), Sent { alone, ..sent(&mut r, 0, false) });
+    hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Reading) });
+    r.settled(NOW + 3.0, Inf(0), 0, Ending { after_s: 3.0, ..ending(Outcome::Read) }, None);
+    assert_eq!(r.read_cost.of(2000.0) > was, alone);
+}
+
+/// After a cut zone healed, its engines stayed held off for seconds.
+#[test_case(NOW - 1.0, NOW; "silence has ended")]
+#[test_case(NOW - 9.0, NOW + 5.0; "errors go on")]
+fn an_answer_ends_only_a_silent_hold_off(mute: f64, matures: f64) {
+    let mut r = router(Repeat::Retriable);
+    (r.engines[0].mute, r.engines[0].heard, r.engines[0].matures) = (mute, NOW - 2.0, NOW + 5.0);
+    r.hear(NOW, 0);
+    assert_eq!(r.engines[0].matures, matures);
+}
+
+/// A route with a looser target filled the writers until a tighter one could not be met.
+#[test]
+fn a_loose_target_does_not_fill_the_writers() {
+    let mut r = router(Repeat::Retriable);
+    r.prompt = 2000.0;
+    hold(&mut r, Inference { target: NOW + 4.0, ..inference(Stage::Queued) });
+    r.engines[2..].iter_mut().for_each(|e| e.load.memory_share = Some(1.2));
+    assert!(r.decide(NOW).sends.is_empty());
+}
+
 #[test]
 fn the_read_fit_learns_a_cost() {
     let mut fit = ReadCost::new(0.02, 0.04);
