--- a/src/decide.rs
+++ b/src/decide.rs
@@ -106,7 +106,8 @@
     /// Mean life of a stream at a writer, mean prompt, mean tokens read, gap between starts.
     life: f64,
     prompt: f64,
-    unread: f64,
+    /// Time that each prompt found at a reader adds to a read, as own reads have shown.
+    each: f64,
     start_gap: f64,
     last_start: f64,
     read_cost: ReadCost,
@@ -153,6 +154,7 @@
             pace,
             life: FIRST_LIFE * pace,
             start_gap: target,
+            each: pace / 2.0 + per_k,
             read_cost: ReadCost::new(pace / 2.0, per_k),
             must_ask: d.must_ask,
             chance: WyRand::new_seed(d.seed),
@@ -473,7 +475,7 @@
     fn read(&mut self, now: f64, i: usize, r: usize, ahead: f64, read: f64, tokens: f64) {
         self.engines[r].batch_s += read;
         self.engines[r].batch_tokens += tokens;
-        self.send(now, i, r, ahead, ahead + read);
+        self.send(now, i, r, ahead + read);
     }
 
     /// The writer next matures at its next step.
@@ -481,14 +483,14 @@
         let step = self.step(w);
         let wait = step + self.wait(w, self.infs[i].prompt) + read;
         self.engines[w].matures = self.engines[w].matures.max(now + step);
-        self.send(now, i, w, 0.0, wait);
+        self.send(now, i, w, wait);
     }
 
     fn learn_read(&mut self, i: usize, s: Sent, end: Ending) {
         let inf = &self.infs[i];
         let unkept = (inf.prompt - end.note).max(1.0);
-        self.unread += 0.05 * (unkept - self.unread);
-        if s.alone {
+        self.each += 0.05 * (end.after_s / (s.there + 1.0) - self.each);
+        if s.there < 1.0 {
             self.read_cost.add(unkept, end.after_s / self.engines[s.eng].slow);
         }
         self.praise(s.eng, end.after_s, s.expected);
@@ -556,7 +558,7 @@
         best.1
     }
 
-    fn send(&mut self, now: f64, i: usize, eng: usize, ahead: f64, expected: f64) {
+    fn send(&mut self, now: f64, i: usize, eng: usize, expected: f64) {
         let (inf, e) = (&mut self.infs[i], &mut self.engines[eng]);
         let write = e.role != Role::Read;
         inf.stage = if write { Stage::Writing } else { Stage::Reading };
@@ -567,10 +569,8 @@
         }
         // Only a read that meets an idle reader tells what reading costs; queues fitted as cost would hold
         // readers back, whose queues then look longer still.
-        let l = e.load;
-        let there = l.inflight.or(l.queue).or(l.unread_tokens).unwrap_or(0.0);
-        let alone = e.out == 0 && ahead <= 0.0 && there < 1.0;
-        inf.sends.push(Sent { eng, at: now, alone, expected, write, live: true });
+        let there = e.there(self.prompt).max(e.out as f64);
+        inf.sends.push(Sent { eng, at: now, there, expected, write, live: true });
         // Where probes tell a dead engine from a busy one, no place in a queue is given up for time alone.
         let sure = self.probes && self.cancel;
         let patience = if sure { f64::INFINITY } else { 6.0 * expected + self.target };
@@ -725,16 +725,12 @@
     // ---- Mechanism 6: load correction ----
 
     fn note_load(&mut self, now: f64, e: usize, load: Load) {
-        let each = self.read_cost.of(self.unread);
-        let per_token = each / self.prompt.max(1.0);
         let e = &mut self.engines[e];
         (e.load, e.load_at, e.tokens_at_report) = (load, now, e.tokens);
         if e.role == Role::Read {
-            // What other nodes have waiting there is read first.
-            let unread = load.unread_tokens.map(|t| t * per_token);
-            let others = load.inflight.map(|n| (n - e.out as f64).max(0.0) * each);
-            let ahead = unread.or(load.queue.map(|q| q * each)).or(others).unwrap_or(0.0);
-            e.matures = e.matures.max(now + ahead);
+            // What all nodes have waiting there is read first; with nothing own there, the report is all.
+            let at = now + e.there(self.prompt) * self.each;
+            e.matures = if e.out == 0 && e.strikes == 0.0 { at } else { e.matures.max(at) };
         }
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -76,7 +76,7 @@
 
 fn sent(r: &mut Router, eng: usize, write: bool) -> Sent {
     r.engines[eng].out += 1;
-    Sent { eng, at: NOW, alone: true, expected: 0.1, write, live: true }
+    Sent { eng, at: NOW, there: 0.0, expected: 0.1, write, live: true }
 }
 
 fn ending(outcome: Outcome) -> Ending {
@@ -382,14 +382,14 @@
 }
 
 /// After a rush, queues had been fitted as read cost: readers were held back while idle, and it lasted.
-#[test_case(true; "idle reader")]
-#[test_case(false; "reader with a queue")]
-fn only_reads_that_met_an_idle_reader_are_fitted(alone: bool) {
+#[test_case(0.0; "idle reader")]
+#[test_case(5.0; "reader with a queue")]
+fn only_reads_that_met_an_idle_reader_are_fitted(there: f64) {
     let mut r = router(Repeat::Retriable);
-    let (was, s) = (r.read_cost.of(2000.0), Sent { alone, ..sent(&mut r, 0, false) });
+    let (was, s) = (r.read_cost.of(2000.0), Sent { there, ..sent(&mut r, 0, false) });
     hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Reading) });
     r.settled(NOW + 3.0, Inf(0), 0, Ending { after_s: 3.0, ..ending(Outcome::Read) }, None);
-    assert_eq!(r.read_cost.of(2000.0) > was, alone);
+    assert_eq!(r.read_cost.of(2000.0) > was, there == 0.0);
 }
 
 /// After a cut zone healed, its engines stayed held off for seconds.
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,8 +57,8 @@
 pub struct Sent {
     pub eng: usize,
     pub at: f64,
-    /// Whether its reader had nothing else, as far as was known.
-    pub alone: bool,
+    /// Inferences at the engine before it, as far as was known.
+    pub there: f64,
     pub expected: f64,
     pub write: bool,
     pub live: bool,
@@ -109,4 +109,10 @@
             ..Engine::default()
         }
     }
+
+    /// Prompts that wait or are read here by the last report, of this mean length.
+    pub fn there(&self, prompt: f64) -> f64 {
+        let by_tokens = self.load.unread_tokens.map(|t| t / prompt.max(1.0));
+        self.load.inflight.or(self.load.queue).or(by_tokens).unwrap_or(0.0)
+    }
 }
