Readers count as full by their mean wait; pressed, reading anew counts threefold

Cause: on incidents nearly all readers had queues but one was always matured, so nothing was shed and late work went on.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -348,14 +348,15 @@
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
         let tightest = queue.iter().map(|&i| self.infs[i].target - self.infs[i].arrived).fold(60.0, f64::min);
         let budget = ((tightest - self.read_cost.abc[0]) / self.read_cost.abc[1] * 1000.0).max(0.0);
-        let reader_wait = readers.iter().map(|&e| self.engines[e].matures - now).min_by(f64::total_cmp);
-        let reader_wait = reader_wait.unwrap_or(0.0).max(0.0);
+        let waits = || readers.iter().map(|&e| (self.engines[e].matures - now).max(0.0));
+        let reader_wait = waits().min_by(f64::total_cmp).unwrap_or(0.0);
+        // With a stage full the first-token target is the deadline: a late answer would make others late.
+        let mean_wait = waits().sum::<f64>() / readers.len().max(1) as f64;
+        let pressed = busy >= ROOM || mean_wait > self.target / 4.0;
         for &i in &queue {
             let inf = &self.infs[i];
             // Shed unread: too late to start before the deadline.
             let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
-            // With a stage full the first-token target is that: a late answer would make others late.
-            let pressed = busy >= ROOM || reader_wait > self.target / 4.0;
             let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
             if now + least > deadline {
                 self.give_up(i);
@@ -391,7 +392,9 @@
             // The chance of a first token in time, less sure the busier the writers are.
             // Nor may a looser target fill the writers until a tighter one can't be met: half the tightest is
             // left for their queue.
-            let spare = (self.infs[i].target - now - ahead - read).min(self.target / 2.0) - writer_wait;
+            // Pressed, reading much anew for one takes the reader from several whose text is kept.
+            let cost = if pressed { KEEPING * read } else { read };
+            let spare = (self.infs[i].target - now - ahead - cost).min(self.target / 2.0) - writer_wait;
             let spread = self.target * (0.05 + 0.2 * busy);
             let chance = 1.0 / (1.0 + (-spare / spread).exp());
             if fits && chance >= THETA {
