--- a/src/decide.rs
+++ b/src/decide.rs
@@ -496,7 +496,8 @@
         if s.there < 1.0 {
             self.read_cost.add(unkept, end.after_s / self.engines[s.eng].slow);
         }
-        self.praise(s.eng, end.after_s, s.expected);
+        // Slow is what took longer than both the estimate and the queue found there explain.
+        self.praise(s.eng, end.after_s, s.expected.max(self.each * (s.there + 1.0)));
         let (inf, e) = (&self.infs[i], &mut self.engines[s.eng]);
         // Its memory holds about so much of what this node sent; older belief is dropped half at a time.
         e.kept_tokens += unkept;
@@ -651,7 +652,9 @@
         }
         let turn = (now / self.turn).floor();
         // What a warm engine of the role gets from this node on average.
-        let warm = |p: &&Engine| p.role == self.engines[e].role && now - p.started >= self.warm_within;
+        let role = self.engines[e].role;
+        let warm =
+            |p: &&Engine| p.role == role && p.standing == Standing::In && now - p.started >= self.warm_within;
         let peers = self.engines.iter().filter(warm).count().max(1) as f64;
         let warm_rate = 1.0 / (self.start_gap.max(self.tick) * peers);
         let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
