--- a/src/decide.rs
+++ b/src/decide.rs
@@ -358,7 +358,7 @@
             // Shed unread: too late to start before the deadline.
             let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
             let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
-            if now + least > deadline {
+            if now + least > deadline || !self.again(now, i, None) {
                 self.give_up(i);
                 continue;
             }
@@ -685,7 +685,9 @@
                     Group::Zone => self.engines[w].zone == self.engines[first].zone,
                     Group::Cell => self.engines[w].cell == self.engines[first].cell,
                 };
-                now + self.target < at + memory_s && writer.is_none_or(same)
+                // A prompt is not read again for it outside the group either: that, too, counts as a send.
+                let inside = writer.map_or(need == 1 || group == Group::All, same);
+                now + self.target < at + memory_s && inside
             }
         }
     }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -245,6 +245,15 @@
     assert_eq!(r.again(now, 0, Some(eng)), allowed);
 }
 
+/// A hunt found a deduped inference read again in another cell after its state was lost.
+#[test_case(ZONE, false; "readers may lie outside the group")]
+#[test_case(ALL, true; "every engine is in the group")]
+fn a_deduped_prompt_is_read_again_only_inside_its_group(repeat: Repeat, allowed: bool) {
+    let mut r = router(repeat);
+    hold(&mut r, Inference { ran: Some((2, NOW)), ..inference(Stage::Queued) });
+    assert_eq!(r.decide(NOW).sends.len() == 1, allowed);
+}
+
 #[test_case(Repeat::Retriable, true)]
 #[test_case(ALL, true)]
 #[test_case(ZONE, false)]
