--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,8 @@
 /// What a second of reading saved by kept text is worth, in seconds of waiting: reading anew also takes the
 /// reader from others and displaces what it keeps.
 const KEEPING: f64 = 3.0;
+/// Inferences started for one probe: more probes cost more than their fresher news gains.
+const STARTS_A_PROBE: f64 = 2.0;
 /// Entries of an engine's memory of kept texts.
 const KEPT_ENTRIES: usize = 512;
 /// Engines known at most; past that the records of gone ones are used anew.
@@ -761,9 +763,9 @@
         (reported + waiting + since).max(e.tokens / e.memory)
     }
 
-    /// One probe for an arrival, to the engine unheard longest: their price follows the traffic.
+    /// A probe to the engine unheard longest; their price follows the traffic.
     fn probe(&mut self, now: f64) {
-        if !self.probes || now < self.probed + self.start_gap.max(self.tick) {
+        if !self.probes || now < self.probed + STARTS_A_PROBE * self.start_gap.max(self.tick) {
             return;
         }
         let asked = |e: &Engine| e.standing == Standing::In && !e.probing;
