--- a/src/decide.rs
+++ b/src/decide.rs
@@ -401,8 +401,8 @@
             let chance = 1.0 / (1.0 + (-spare / spread).exp());
             if fits && chance >= THETA {
                 self.read(now, i, home, ahead, read, tokens);
-            } else if self.infs[i].over_share {
-                // Beyond its tenant's share it does not wait for room that the others need.
+            } else if self.infs[i].over_share || pressed {
+                // Beyond its tenant's share none waits for room that others need, nor, pressed, any at all.
                 self.give_up(i);
             }
         }
