--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,8 +53,7 @@
         fit
     }
 
-    /// Other nodes' reads ahead of ours only ever add to a timing: what lies above the fit weighs little.
-    /// Half the weight of a read is gone after some 70 more.
+    /// Others' reads ahead only ever add to a timing: what lies above the fit weighs little.
     fn add(&mut self, tokens: f64, seconds: f64) {
         let t = tokens / 1000.0;
         let weight = if seconds > self.of(tokens) { 0.1 } else { 1.0 };
@@ -112,6 +111,7 @@
     each: f64,
     start_gap: f64,
     last_start: f64,
+    now: f64,
     read_cost: ReadCost,
     must_ask: bool,
     ask_at: f64,
@@ -226,7 +226,6 @@
         Inf(i as u32)
     }
 
-    /// The client has left: nothing more is owed.
     pub fn left(&mut self, inf: Inf) {
         if self.infs[inf.0 as usize].stage != Stage::Closed {
             self.close(inf.0 as usize);
@@ -245,7 +244,6 @@
         self.praise(s.eng, now - s.at, s.expected);
     }
 
-    /// A send has ended.
     pub fn settled(&mut self, now: f64, inf: Inf, send: u32, end: Ending, load: Option<Load>) {
         use Outcome::*;
         let i = inf.0 as usize;
@@ -320,10 +318,9 @@
         &self.engines[eng.0 as usize].id
     }
 
-    // ---- The ordinary path ----
-
     /// What to do after a batch of calls.
     pub fn decide(&mut self, now: f64) -> Decisions {
+        self.now = now;
         self.watch(now);
         // The Migrator: a state whose read has ended goes at once to the earliest-maturing writer.
         let open = self.open.clone();
@@ -438,7 +435,6 @@
         std::mem::take(&mut self.todo)
     }
 
-    /// Whether an engine is in and reads, or else writes.
     fn able(&self, e: usize, reads: bool) -> bool {
         self.engines[e].standing == Standing::In && (self.engines[e].role == Role::Read) == reads
     }
@@ -760,7 +756,10 @@
         let unread = e.load.unread_tokens.map(|t| t / e.memory);
         let there = e.load.inflight.map(|n| n * self.prompt / e.memory - reported);
         let waiting = queued.or(unread).or(there).unwrap_or(0.0).max(0.0);
-        (reported + waiting + since).max(e.tokens / e.memory)
+        // An old report of more than fits: it has been draining by one share a life since.
+        let full = reported + waiting;
+        let drained = full.min(ROOM.max(full - (self.now - e.load_at) / self.life));
+        (drained + since).max(e.tokens / e.memory)
     }
 
     /// A probe to the engine unheard longest; their price follows the traffic.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -380,6 +380,17 @@
     assert!((r.load(2) - share).abs() < 1e-9);
 }
 
+/// A writer last heard of when it was over-full was avoided for seconds, and inferences shed meanwhile.
+#[test_case(0.0, 1.3; "fresh")]
+#[test_case(1.0, 1.1; "draining")]
+#[test_case(60.0, ROOM; "old")]
+fn an_old_report_of_a_full_writer_drains(age: f64, share: f64) {
+    let mut r = router(Repeat::Retriable);
+    (r.now, r.life) = (NOW + age, 5.0);
+    (r.engines[2].load.memory_share, r.engines[2].load_at) = (Some(1.3), NOW);
+    assert!((r.load(2) - share).abs() < 1e-9);
+}
+
 /// Other nodes' queues were fitted as read cost, and idle readers held back for them.
 #[test]
 fn long_timings_move_the_read_fit_little() {
@@ -417,7 +428,7 @@
     let mut r = router(Repeat::Retriable);
     r.prompt = 2000.0;
     hold(&mut r, Inference { target: NOW + 4.0, ..inference(Stage::Queued) });
-    r.engines[2..].iter_mut().for_each(|e| e.load.memory_share = Some(1.2));
+    r.engines[2..].iter_mut().for_each(|e| (e.load.memory_share, e.load_at) = (Some(1.2), NOW));
     assert_eq!(r.decide(NOW).shed.len(), 1);
 }
 
@@ -427,7 +438,7 @@
     let mut r = router(Repeat::Retriable);
     r.prompt = 2000.0;
     hold(&mut r, Inference { target: NOW + 4.0, ..inference(Stage::Queued) });
-    r.engines[2..].iter_mut().for_each(|e| e.load.memory_share = Some(1.2));
+    r.engines[2..].iter_mut().for_each(|e| (e.load.memory_share, e.load_at) = (Some(1.2), NOW));
     assert!(r.decide(NOW).sends.is_empty());
 }
 
