--- a/crates/nickelgw-drill/src/node.rs
+++ b/crates/nickelgw-drill/src/node.rs
@@ -14,6 +14,8 @@
     kinds: Vec<(String, Role, f64)>,
     by_request: HashMap<u64, Inf>,
     request_of: Vec<u64>,
+    /// How many sends each handle has had.
+    sent: Vec<u64>,
     wake_at: f64,
 }
 
@@ -128,6 +130,7 @@
             kinds,
             by_request: HashMap::new(),
             request_of: Vec::new(),
+            sent: Vec::new(),
             wake_at: f64::INFINITY,
         })
     }
@@ -187,6 +190,8 @@
                 let k = inf.0 as usize;
                 self.request_of.resize(self.request_of.len().max(k + 1), 0);
                 self.request_of[k] = request;
+                self.sent.resize(self.request_of.len(), 0);
+                self.sent[k] = 0;
                 self.by_request.insert(request, inf);
             }
             "SETTLED" => {
@@ -208,14 +213,13 @@
                     over: flag(event, "over")?,
                     note: num_or(event, "remark", 0.0)?,
                 };
-                let (send, load) = (index(event, "n")? as u32, load(event)?);
-                if let Some(&inf) = self.by_request.get(&index(event, "req")?) {
+                let load = load(event)?;
+                if let Some((inf, send)) = self.send_of(event)? {
                     self.router.settled(now, inf, send, ending, load);
                 }
             }
             "HEAD_RECEIVED" => {
-                let send = index(event, "n")? as u32;
-                if let Some(&inf) = self.by_request.get(&index(event, "req")?) {
+                if let Some((inf, send)) = self.send_of(event)? {
                     self.router.first_token(now, inf, send);
                 }
             }
@@ -234,6 +238,16 @@
         Ok(())
     }
 
+    /// The handle and send that an event speaks of; none where the inference is long over.
+    fn send_of(&self, event: &Value) -> Result<Option<(Inf, u32)>, Bad> {
+        let (request, n) = (index(event, "req")?, index(event, "n")?);
+        let Some(&inf) = self.by_request.get(&request) else { return Ok(None) };
+        if n >= self.sent[inf.0 as usize] {
+            return Err(Bad::field(event, "n", "the number of a send"));
+        }
+        Ok(Some((inf, n as u32)))
+    }
+
     /// Writes the actions of this batch.
     pub fn act(&mut self, now: f64, i: u64, reply: &mut String) {
         let d = self.router.decide(now);
@@ -246,6 +260,7 @@
             say(json!({"kind": "RECALL", "i": i, "req": req(inf), "n": n}));
         }
         for s in &d.sends {
+            self.sent[s.inf.0 as usize] += 1;
             let engine = self.router.engine_id(s.eng);
             let (req, patience) = (req(s.inf), s.patience_s);
             say(json!({"kind": "ATTEMPT", "i": i, "req": req, "engine": engine, "patience_s": patience}));
--- a/crates/nickelgw-drill/src/tests.rs
+++ b/crates/nickelgw-drill/src/tests.rs
@@ -75,6 +75,12 @@
     assert_eq!(play(day).unwrap(), play(day).unwrap());
 }
 
+#[test]
+fn an_outcome_of_a_send_never_made_is_named() {
+    let Bad(why) = play(&[START, &[REQUEST], &[&settled(4, "a:1", "prefilled", false)]]).unwrap_err();
+    assert!(why.contains("SETTLED: field n"), "{why}");
+}
+
 #[test_case("nonsense", "not JSON"; "no json")]
 #[test_case("{}", "kind"; "no kind")]
 #[test_case(r#"{"kind":"CLOCK"}"#, "CLOCK: field time_s"; "no clock")]
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,7 +4,7 @@
 //! on which all later calls for that inference are made) and, after each batch of calls, do what
 //! [`Router::decide`] lists. The types exchanged are in `src/interface.rs`. The ordinary path is the one
 //! function `decide`; it follows docs/design.md. Beside it stand six mechanisms:
-//! 1. engine health: outcomes and own timings move an engine's maturity (`strike`, `praise`, `watch`);
+//! 1. engine health: outcomes and own timings move an engine's maturity (`strike`, `hear`, `praise`, `watch`);
 //! 2. rationing of fresh engines, node by node in turn (`ration`);
 //! 3. sending again, as far as the model route's kind allows (`again`);
 //! 4. fair shares: what a tenant sends beyond its quota waits behind the rest (`take`);
@@ -168,12 +168,8 @@
     /// News of the engines; a full list leaves out those that are gone. Nothing new goes to an engine from
     /// the moment it is heard to drain or to be gone.
     pub fn list(&mut self, now: f64, lines: &[EngineLine], full: bool) {
-        if full {
-            for e in &mut self.engines {
-                if !lines.iter().any(|l| l.id == e.id) {
-                    e.standing = Standing::Gone;
-                }
-            }
+        for e in self.engines.iter_mut().filter(|e| full && lines.iter().all(|l| l.id != e.id)) {
+            e.standing = Standing::Gone;
         }
         for l in lines {
             let started = l.started_at.unwrap_or(f64::NEG_INFINITY);
