A prefix names two readers only in zones of four or more

Cause: in zones of two or three readers, two for each prefix meant all or most of them, so each kept everything and little of it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -439,8 +439,8 @@
         self.engines[e].matures.max(now) + self.engines[e].batch_s
     }
 
-    /// The reader on which all nodes agree for a text: the shared beginning names two, so that a popular one
-    /// does not overrun its reader, and the session one of these.
+    /// The reader on which all nodes agree for a text: the shared beginning names one or, of many, two, so that
+    /// a popular one does not overrun its reader, and the session chooses of these.
     fn hashed(&self, i: usize) -> Option<usize> {
         let inf = &self.infs[i];
         let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
@@ -453,7 +453,8 @@
         let near = any(true).next().is_some();
         let all = || any(near);
         let first = all().max_by_key(rank)?;
-        let second = all().filter(|&e| e != first).max_by_key(rank).unwrap_or(first);
+        // Two of two or three would scatter the prefix over the zone: at most half its readers.
+        let second = all().filter(|&e| e != first && all().count() >= 4).max_by_key(rank).unwrap_or(first);
         [first, second].into_iter().max_by_key(|&e| hash(&self.engines[e].id, inf.session))
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -157,6 +157,24 @@
     assert_eq!(a.hashed(i), b.hashed(j));
 }
 
+/// In zones of two or three readers, two for a prefix scattered it over the zone, and little was kept.
+#[test_case(2, 1; "a small zone keeps a prefix at one reader")]
+#[test_case(6, 2; "a large one at two")]
+fn a_prefix_is_at_half_the_readers_at_most(readers: usize, named: usize) {
+    let mut r = router(Repeat::Retriable);
+    for k in 2..readers {
+        r.list(NOW, &[line(&format!("more{k}"), Role::Read, 0, 0)], false);
+    }
+    let mut seen: Vec<usize> = Vec::new();
+    for session in (1..40).map(|k| hash("s", k)) {
+        let i = hold(&mut r, Inference { session, prefix: 9, ..inference(Stage::Queued) });
+        seen.extend(r.hashed(i));
+    }
+    seen.sort();
+    seen.dedup();
+    assert_eq!(seen.len(), named);
+}
+
 #[test]
 fn what_is_too_late_to_start_is_shed_unread() {
     let mut r = router(Repeat::Retriable);
