--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,7 +4,7 @@
 //! on which all later calls for that inference are made) and, after each batch of calls, do what
 //! [`Router::decide`] lists. The types exchanged are in `src/interface.rs`. The ordinary path is the one
 //! function `decide`; it follows docs/design.md. Beside it stand six mechanisms:
-//! 1. engine health: outcomes and own timings move an engine's maturity (`strike`, `hear`, `praise`, `watch`);
+//! 1. engine health: outcomes and own timings move maturity (`strike`, `hear`, `praise`, `watch`);
 //! 2. rationing of fresh engines, node by node in turn (`ration`);
 //! 3. sending again, as far as the model route's kind allows (`again`);
 //! 4. fair shares: what a tenant sends beyond its quota waits behind the rest (`take`);
@@ -439,8 +439,8 @@
         self.engines[e].matures.max(now) + self.engines[e].batch_s
     }
 
-    /// The reader on which all nodes agree for a text: the shared beginning names one or, of many, two, so that
-    /// a popular one does not overrun its reader, and the session chooses of these.
+    /// The reader on which all nodes agree for a text: the shared beginning names one or, of many, two, so
+    /// that a popular one does not overrun its reader, and the session chooses of these.
     fn hashed(&self, i: usize) -> Option<usize> {
         let inf = &self.infs[i];
         let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
