Clean-up after reading the whole change again: no action differs

The queue loop's fixed waits are worked out once and its no-reader-matured test is the wait already at hand; the hashed reader ranks one list instead of scanning four times with nested filters; an engine not reached by probe or connection is one function, not two copies; a new inference is no longer cloned to fill the table; the Migrator's loop needs no second list; the adapter keeps one table by handle instead of two side by side; two tests share their state. Three comments that had gone stale or stood in the wrong place are mended.

--- a/crates/nickelgw-drill/src/node.rs
+++ b/crates/nickelgw-drill/src/node.rs
@@ -13,9 +13,8 @@
     zones: Vec<String>,
     kinds: Vec<(String, Role, f64)>,
     by_request: HashMap<u64, Inf>,
-    request_of: Vec<u64>,
-    /// How many sends each handle has had.
-    sent: Vec<u64>,
+    /// By handle: the request it stands for, and how many sends it has had.
+    taken: Vec<(u64, u64)>,
     wake_at: f64,
 }
 
@@ -129,8 +128,7 @@
             zones,
             kinds,
             by_request: HashMap::new(),
-            request_of: Vec::new(),
-            sent: Vec::new(),
+            taken: Vec::new(),
             wake_at: f64::INFINITY,
         })
     }
@@ -188,10 +186,8 @@
                 let request = index(event, "req")?;
                 let inf = self.router.take(now, &arrival);
                 let k = inf.0 as usize;
-                self.request_of.resize(self.request_of.len().max(k + 1), 0);
-                self.request_of[k] = request;
-                self.sent.resize(self.request_of.len(), 0);
-                self.sent[k] = 0;
+                self.taken.resize(self.taken.len().max(k + 1), (0, 0));
+                self.taken[k] = (request, 0);
                 self.by_request.insert(request, inf);
             }
             "SETTLED" => {
@@ -242,7 +238,7 @@
     fn send_of(&self, event: &Value) -> Result<Option<(Inf, u32)>, Bad> {
         let (request, n) = (index(event, "req")?, index(event, "n")?);
         let Some(&inf) = self.by_request.get(&request) else { return Ok(None) };
-        if n >= self.sent[inf.0 as usize] {
+        if n >= self.taken[inf.0 as usize].1 {
             return Err(Bad::field(event, "n", "the number of a send"));
         }
         Ok(Some((inf, n as u32)))
@@ -255,12 +251,12 @@
             reply.push_str(&action.to_string());
             reply.push('\n');
         };
-        let req = |inf: Inf| self.request_of[inf.0 as usize];
+        d.sends.iter().for_each(|s| self.taken[s.inf.0 as usize].1 += 1);
+        let req = |inf: Inf| self.taken[inf.0 as usize].0;
         for &(inf, n) in &d.cancelled {
             say(json!({"kind": "RECALL", "i": i, "req": req(inf), "n": n}));
         }
         for s in &d.sends {
-            self.sent[s.inf.0 as usize] += 1;
             let engine = self.router.engine_id(s.eng);
             let (req, patience) = (req(s.inf), s.patience_s);
             say(json!({"kind": "ATTEMPT", "i": i, "req": req, "engine": engine, "patience_s": patience}));
@@ -285,7 +281,7 @@
             self.wake_at = at;
         }
         for inf in &d.closed {
-            self.by_request.remove(&self.request_of[inf.0 as usize]);
+            self.by_request.remove(&self.taken[inf.0 as usize].0);
         }
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,6 +14,7 @@
 use crate::interface::*;
 use crate::state::{hash, Engine, Inference, Sent, Share, Stage};
 use nanorand::{Rng, WyRand};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 /// Admission threshold of the first-token chance (DESIGN's start).
@@ -104,11 +105,12 @@
     /// Tightest first-token target and pace.
     target: f64,
     pace: f64,
-    /// Mean life of a stream at a writer, mean prompt, mean tokens read, gap between starts.
+    /// Mean life of a stream at a writer, mean prompt.
     life: f64,
     prompt: f64,
     /// Time that each prompt found at a reader adds to a read, as own reads have shown.
     each: f64,
+    /// Mean gap between inferences started, and when the last one was.
     start_gap: f64,
     last_start: f64,
     now: f64,
@@ -129,7 +131,7 @@
         let least = |f: fn(&ModelRoute) -> f64| d.routes.iter().map(f).fold(f64::INFINITY, f64::min);
         let (target, pace) = (least(|r| r.first_token_target_s), least(|r| r.pace_s));
         let (target, pace) = (target.clamp(0.01, 60.0), pace.clamp(0.001, 1.0));
-        // Before the first sample: a read costs a step, and half what the target grants a prompt token.
+        // Before the first sample: a read costs half a pace, and what the target grants a prompt token.
         let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
         let quota = |q: &f64| q / d.nodes.max(1) as f64;
         let share = |q: &f64| Share { left: 2.0 * quota(q), at: 0.0, rate: quota(q) };
@@ -214,9 +216,10 @@
             over_share,
             ..Inference::default()
         };
-        let new = self.infs.len();
-        let i = self.free.pop().unwrap_or(new);
-        self.infs.resize(new.max(i + 1), inf.clone());
+        let i = self.free.pop().unwrap_or_else(|| {
+            self.infs.push(Inference::default());
+            self.infs.len() - 1
+        });
         self.infs[i] = inf;
         self.open.push(i);
         Inf(i as u32)
@@ -276,13 +279,11 @@
                 e.matures = e.matures.max(now + wait);
             }
             Cancelled | NotSent => {}
+            NoConnection => self.unreached(now, s.eng),
             // A time-out while others were answered is a queue, not a fault.
             NoAnswer if self.engines[s.eng].heard > s.at => {}
             _ => self.strike(now, s.eng),
         }
-        if end.outcome == NoConnection {
-            self.engines[s.eng].mute = now;
-        }
         let proven = matches!(end.outcome, TurnedAway | NoConnection | NotSent | Read);
         if s.write && !proven && self.infs[i].ran.is_none() {
             self.infs[i].ran = Some((s.eng, s.at));
@@ -304,8 +305,7 @@
         if answered {
             self.hear(now, e);
         } else {
-            self.engines[e].mute = now;
-            self.strike(now, e);
+            self.unreached(now, e);
         }
         load.into_iter().for_each(|l| self.note_load(now, e, l));
     }
@@ -320,7 +320,10 @@
         self.watch(now);
         // The Migrator: a state whose read has ended goes at once to the earliest-maturing writer.
         let open = self.open.clone();
-        for &i in open.iter().filter(|&&i| self.infs[i].stage == Stage::Held).collect::<Vec<_>>() {
+        for &i in &open {
+            if self.infs[i].stage != Stage::Held {
+                continue;
+            }
             // Rule 5: a state that no writer may be sent is not kept; with no sends left it never will be.
             let spent = now >= self.infs[i].held_since + self.hold || !self.again(now, i, None);
             match self.writer(now, i) {
@@ -348,10 +351,10 @@
         // With a stage full the first-token target is the deadline: a late answer would make others late.
         let mean_wait = waits().sum::<f64>() / readers.len().max(1) as f64;
         let pressed = busy >= ROOM || mean_wait > self.target / 4.0;
+        let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
         for &i in &queue {
             let inf = &self.infs[i];
             // Shed unread: too late to start before the deadline.
-            let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
             let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
             if now + least > deadline || !self.again(now, i, None) {
                 self.give_up(i);
@@ -365,7 +368,7 @@
                 continue;
             }
             // The first-maturing reader; near-ties go to the one that the text's hash prefers.
-            if readers.iter().all(|&e| self.engines[e].matures > now) {
+            if reader_wait > 0.0 {
                 break;
             }
             // The window is the reading that a later-maturing reader saves by what it keeps, and one step.
@@ -444,18 +447,14 @@
     fn hashed(&self, i: usize) -> Option<usize> {
         let inf = &self.infs[i];
         let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
-        let rank = |e: &usize| hash(&self.engines[*e].id, text);
-        let any = |near: bool| {
-            let here = move |e: &usize| !near || self.engines[*e].zone == self.zone;
-            (0..self.engines.len()).filter(move |&e| self.able(e, true)).filter(here)
-        };
+        let all: Vec<usize> = (0..self.engines.len()).filter(|&e| self.able(e, true)).collect();
+        let here = all.iter().copied().filter(|&e| self.engines[e].zone == self.zone).collect::<Vec<_>>();
         // Readers of the node's own zone, where there are any.
-        let near = any(true).next().is_some();
-        let all = || any(near);
-        let first = all().max_by_key(rank)?;
+        let mut ranked = if here.is_empty() { all } else { here };
+        ranked.sort_by_cached_key(|&e| Reverse(hash(&self.engines[e].id, text)));
         // Two of two or three would scatter the prefix over the zone: at most half its readers.
-        let second = all().filter(|&e| e != first && all().count() >= 4).max_by_key(rank).unwrap_or(first);
-        [first, second].into_iter().max_by_key(|&e| hash(&self.engines[e].id, inf.session))
+        ranked.truncate(if ranked.len() >= 4 { 2 } else { 1 });
+        ranked.into_iter().max_by_key(|&e| hash(&self.engines[e].id, inf.session))
     }
 
     /// Prompt tokens that this reader would have to read, as far as is known. Of a session that this node has
@@ -488,6 +487,8 @@
         let inf = &self.infs[i];
         let unkept = (inf.prompt - end.note).max(1.0);
         self.each += 0.05 * (end.after_s / (s.there + 1.0) - self.each);
+        // Only a read that met an idle reader tells what reading costs; queues fitted as cost would hold
+        // readers back, whose queues then look longer still.
         if s.there < 1.0 {
             self.read_cost.add(unkept, end.after_s / self.engines[s.eng].slow);
         }
@@ -566,8 +567,6 @@
             self.start_gap += 0.05 * ((now - self.last_start).min(self.target) - self.start_gap);
             self.last_start = now;
         }
-        // Only a read that meets an idle reader tells what reading costs; queues fitted as cost would hold
-        // readers back, whose queues then look longer still.
         let there = e.there(self.prompt).max(e.out as f64);
         inf.sends.push(Sent { eng, at: now, there, expected, write, live: true });
         // Where probes tell a dead engine from a busy one, no place in a queue is given up for time alone.
@@ -591,6 +590,12 @@
         e.matures = e.matures.max(now + off);
     }
 
+    /// No probe or connection got through: struck, and silent until it is heard.
+    fn unreached(&mut self, now: f64, e: usize) {
+        self.engines[e].mute = now;
+        self.strike(now, e);
+    }
+
     /// An answer of any kind ends a hold-off that silence brought: a cut that heals is used again at once.
     fn hear(&mut self, now: f64, e: usize) {
         let e = &mut self.engines[e];
@@ -784,17 +789,15 @@
             return i;
         }
         let e = Engine::unknown(id);
-        let full = self.engines.len() >= ENGINES_KNOWN;
         let gone = |e: &Engine| e.standing == Standing::Gone && e.out == 0 && !e.probing;
-        let i = match self.engines.iter().position(gone) {
-            Some(i) if full => i,
-            _ => self.engines.len(),
-        };
-        if i == self.engines.len() {
-            self.engines.push(e);
-        } else {
+        let full = self.engines.len() >= ENGINES_KNOWN;
+        let reused = if full { self.engines.iter().position(gone) } else { None };
+        let i = reused.unwrap_or(self.engines.len());
+        if reused.is_some() {
             self.by_id.remove(&self.engines[i].id);
             self.engines[i] = e;
+        } else {
+            self.engines.push(e);
         }
         self.by_id.insert(id.to_string(), i);
         i
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -440,23 +440,26 @@
     assert_eq!(r.engines[0].matures, matures);
 }
 
-/// In a rush, held inferences were admitted ever later: the time they had waited was lost for them all.
-#[test]
-fn pressed_what_is_not_admitted_is_shed_at_once() {
+/// A queued inference with a loose target, and writers that are over-full.
+fn loose_target_in_a_rush() -> Router {
     let mut r = router(Repeat::Retriable);
     r.prompt = 2000.0;
     hold(&mut r, Inference { target: NOW + 4.0, ..inference(Stage::Queued) });
     r.engines[2..].iter_mut().for_each(|e| (e.load.memory_share, e.load_at) = (Some(1.2), NOW));
+    r
+}
+
+/// In a rush, held inferences were admitted ever later: the time they had waited was lost for them all.
+#[test]
+fn pressed_what_is_not_admitted_is_shed_at_once() {
+    let mut r = loose_target_in_a_rush();
     assert_eq!(r.decide(NOW).shed.len(), 1);
 }
 
 /// A route with a looser target filled the writers until a tighter one could not be met.
 #[test]
 fn a_loose_target_does_not_fill_the_writers() {
-    let mut r = router(Repeat::Retriable);
-    r.prompt = 2000.0;
-    hold(&mut r, Inference { target: NOW + 4.0, ..inference(Stage::Queued) });
-    r.engines[2..].iter_mut().for_each(|e| (e.load.memory_share, e.load_at) = (Some(1.2), NOW));
+    let mut r = loose_target_in_a_rush();
     assert!(r.decide(NOW).sends.is_empty());
 }
 
