--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,6 +34,8 @@
 const KEEPING: f64 = 3.0;
 /// Inferences started for one probe: more probes cost more than their fresher news gains.
 const STARTS_A_PROBE: f64 = 2.0;
+/// Arrivals that chance alone brings together at a node, beyond its part of a tenant's quota.
+const CHANCE_ARRIVALS: f64 = 2.0;
 /// Entries of an engine's memory of kept texts.
 const KEPT_ENTRIES: usize = 512;
 /// Engines known at most; past that the records of gone ones are used anew.
@@ -134,7 +136,7 @@
         // Before the first sample: a read costs half a pace, and what the target grants a prompt token.
         let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
         let quota = |q: &f64| q / d.nodes.max(1) as f64;
-        let share = |q: &f64| Share { left: 2.0 * quota(q), at: 0.0, rate: quota(q) };
+        let share = |q: &f64| Share { left: 2.0 * quota(q) + CHANCE_ARRIVALS, at: 0.0, rate: quota(q) };
         Router {
             node: d.node as f64,
             nodes: d.nodes.max(1) as f64,
@@ -200,7 +202,7 @@
         let target = now + r.first_token_target_s + r.target_per_token_s * a.prompt_tokens;
         let over_share = a.tenant.is_some_and(|t| {
             let s = &mut self.shares[t];
-            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 * s.rate);
+            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 * s.rate + CHANCE_ARRIVALS);
             (s.at, s.left) = (now, s.left - 1.0);
             s.left < 0.0
         });
