Load asked for when an inference needs it; failures bar no engine; busy is not silent

Cause: with many nodes one node's news of an engine is tens of seconds old, so writers and readers were chosen blindly, one inference of its own counted as a full writer, and idle-looking readers were overrun. Types of the router moved to the state file.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,13 +9,13 @@
 //! 3. sending again, as far as the model route's kind allows (`again`);
 //! 4. fair shares: what a tenant sends beyond its quota waits behind the rest (`take`);
 //! 5. answering and letting go (`give_up`, `close`);
-//! 6. load correction: reported load, own sends since, and probes for it (`note_load`, `load`, `probe`).
+//! 6. load correction: reported load, own sends since, and probes for it (`note_load`, `load`, `asking`, `scout`).
 
 use crate::interface::*;
-use crate::state::{hash, Engine, Inference, Sent, Share, Stage};
+pub use crate::state::Router;
+use crate::state::{hash, Engine, Inference, ReadCost, Sent, Share, Stage};
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
-use std::collections::HashMap;
 
 /// Admission threshold of the first-token chance (DESIGN's start).
 const THETA: f64 = 0.5;
@@ -23,6 +23,8 @@
 const EMPTY_STEP: f64 = 0.4;
 /// Memory share past which a writer is taken to have no room: reports are late and noisy.
 const ROOM: f64 = 0.9;
+/// How far a writer's load lies from what fresh news says.
+const UNSURE: f64 = 0.05;
 /// Longest hold-off of a struck engine, in tightest first-token targets.
 const LONGEST_HOLD_OFF: f64 = 6.0;
 /// Rough life of a stream before any has been seen, in paces: a few sentences.
@@ -31,24 +33,15 @@
 const COLD_CAUTION: f64 = 0.4;
 /// What a second of reading saved by kept text is worth, in seconds of waiting: reading anew also takes the
 /// reader from others and displaces what it keeps.
-const KEEPING: f64 = 3.0;
-/// Inferences started for one probe: more probes cost more than their fresher news gains.
-const STARTS_A_PROBE: f64 = 2.0;
-/// Arrivals that chance alone brings together at a node, beyond its part of a tenant's quota.
-const CHANCE_ARRIVALS: f64 = 2.0;
-/// Entries of an engine's memory of kept texts.
-const KEPT_ENTRIES: usize = 512;
+const KEEPING: f64 = 4.0;
+/// Writers of which fresh news is wanted when a read starts: the best of a few found by chance is nearly the
+/// best of all, and no two nodes look at the same few.
+const SCOUTED: usize = 3;
+/// Share of what is behind the shared beginning that the hashed reader is taken to keep.
+const HOME_KEEPS: f64 = 0.5;
 /// Engines known at most; past that the records of gone ones are used anew.
 const ENGINES_KNOWN: usize = 1024;
 
-/// Cost a + b·t + c·t² of reading t unkept tokens (in thousands): least squares, older reads decayed,
-/// from the starting values; no coefficient falls below zero.
-#[derive(Clone, Debug, Default)]
-struct ReadCost {
-    sums: [[f64; 4]; 3],
-    abc: [f64; 3],
-}
-
 impl ReadCost {
     fn new(a: f64, b: f64) -> Self {
         let mut fit = ReadCost { abc: [a, b, 0.0], ..ReadCost::default() };
@@ -56,9 +49,9 @@
         fit
     }
 
-    /// Others' reads ahead only ever add to a timing: what lies above the fit weighs little.
     fn add(&mut self, tokens: f64, seconds: f64) {
         let t = tokens / 1000.0;
+        // Others' reads ahead only ever add to a timing: what lies above the fit weighs little.
         let weight = if seconds > self.of(tokens) { 0.1 } else { 1.0 };
         let x = [1.0, t, t * t, seconds];
         for (i, row) in self.sums.iter_mut().enumerate() {
@@ -78,56 +71,6 @@
     }
 }
 
-#[derive(Default)]
-pub struct Router {
-    node: f64,
-    nodes: f64,
-    tick: f64,
-    routes: Vec<ModelRoute>,
-    shares: Vec<Share>,
-    most_sends: usize,
-    /// How long a state may wait for a writer that may be sent to.
-    hold: f64,
-    writers_read: bool,
-    cancel: bool,
-    probes: bool,
-    probed: f64,
-    come_back: Option<f64>,
-    /// Seconds that a move out of the cell, and out of the zone, must save to be worth their price.
-    cell_worth: f64,
-    zone_worth: f64,
-    zone: u32,
-    cross: f64,
-    /// A fresh engine's least share of its capacity, when it is warm, length of a turn, and how much of what
-    /// a warm one takes in a second all nodes may send it in a round of turns.
-    cold_share: f64,
-    warm_within: f64,
-    turn: f64,
-    cold_seconds: f64,
-    /// Tightest first-token target and pace.
-    target: f64,
-    pace: f64,
-    /// Mean life of a stream at a writer, mean prompt.
-    life: f64,
-    prompt: f64,
-    /// Time that each prompt found at a reader adds to a read, as own reads have shown.
-    each: f64,
-    /// Mean gap between inferences started, and when the last one was.
-    start_gap: f64,
-    last_start: f64,
-    now: f64,
-    read_cost: ReadCost,
-    must_ask: bool,
-    ask_at: f64,
-    engines: Vec<Engine>,
-    by_id: HashMap<String, usize>,
-    infs: Vec<Inference>,
-    free: Vec<usize>,
-    open: Vec<usize>,
-    chance: WyRand,
-    todo: Decisions,
-}
-
 impl Router {
     pub fn new(d: Deployment) -> Self {
         let least = |f: fn(&ModelRoute) -> f64| d.routes.iter().map(f).fold(f64::INFINITY, f64::min);
@@ -136,7 +79,7 @@
         // Before the first sample: a read costs half a pace, and what the target grants a prompt token.
         let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
         let quota = |q: &f64| q / d.nodes.max(1) as f64;
-        let share = |q: &f64| Share { left: 2.0 * quota(q) + CHANCE_ARRIVALS, at: 0.0, rate: quota(q) };
+        let share = |q: &f64| Share { left: 2.0 * quota(q), at: 0.0, rate: quota(q) };
         Router {
             node: d.node as f64,
             nodes: d.nodes.max(1) as f64,
@@ -151,7 +94,6 @@
             cell_worth: d.move_price * target,
             zone: d.zone,
             cross: d.zone_price * target,
-            zone_worth: (d.move_price + d.zone_price) * target,
             cold_share: d.cold_share,
             warm_within: d.warm_within_s,
             turn: d.tip_window_s / d.nodes.max(1) as f64,
@@ -177,12 +119,12 @@
         }
         for l in lines {
             let started = l.started_at.unwrap_or(f64::NEG_INFINITY);
-            let i = self.index(&l.id);
+            let i = self.record(&l.id, ENGINES_KNOWN);
             let e = &mut self.engines[i];
             if started > e.started || e.standing == Standing::Gone {
                 // A new process under an old id: what was known of the old one is void.
-                (e.strikes, e.slow, e.load, e.matures) = (0.0, 1.0, Load::default(), now);
-                e.kept = Default::default();
+                (e.strikes, e.faults, e.slow, e.load, e.matures) = (0.0, 0.0, 1.0, Load::default(), now);
+                e.load_at = f64::NEG_INFINITY;
             }
             (e.zone, e.cell, e.role, e.memory) = (l.zone, l.cell, l.role, l.memory_tokens.max(1.0));
             (e.standing, e.started) = (l.standing, started);
@@ -202,11 +144,11 @@
         let target = now + r.first_token_target_s + r.target_per_token_s * a.prompt_tokens;
         let over_share = a.tenant.is_some_and(|t| {
             let s = &mut self.shares[t];
-            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 * s.rate + CHANCE_ARRIVALS);
+            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 * s.rate);
             (s.at, s.left) = (now, s.left - 1.0);
             s.left < 0.0
         });
-        let inf = Inference {
+        let mut inf = Inference {
             route: a.route,
             arrived: now,
             target,
@@ -218,13 +160,8 @@
             over_share,
             ..Inference::default()
         };
-        let i = self.free.pop().unwrap_or_else(|| {
-            self.infs.push(Inference::default());
-            self.infs.len() - 1
-        });
-        self.infs[i] = inf;
-        self.open.push(i);
-        Inf(i as u32)
+        inf.homes = self.homes(&inf);
+        self.keep(inf)
     }
 
     pub fn left(&mut self, inf: Inf) {
@@ -263,7 +200,7 @@
         match end.outcome {
             Completed => {
                 self.life += 0.02 * (end.after_s - self.life);
-                self.engines[s.eng].strikes = 0.0;
+                self.engines[s.eng].faults /= 2.0;
             }
             Read => {
                 self.infs[i].state = Some(s.eng);
@@ -301,11 +238,19 @@
         }
     }
 
-    pub fn probed(&mut self, now: f64, id: &str, answered: bool, load: Option<Load>) {
+    pub fn probed(&mut self, now: f64, id: &str, outcome: Outcome, load: Option<Load>) {
         let Some(&e) = self.by_id.get(id) else { return };
-        (self.engines[e].probing, self.engines[e].load_at) = (false, now);
-        if answered {
+        self.engines[e].probing = false;
+        // Turned away it is full, and gets room by a share of the target.
+        let full = outcome == Outcome::TurnedAway;
+        let waited = if full { self.target / 2.0 } else { now - self.engines[e].asked };
+        if outcome == Outcome::Completed {
             self.hear(now, e);
+        } else if full || self.engines[e].told_wait.max(self.usual[0]) > waited / 2.0 {
+            // Where probes wait their turn like work, a queue explains it: the wait is at least so long.
+            let eng = &mut self.engines[e];
+            eng.told_wait = eng.told_wait.max(waited);
+            (eng.load_at, eng.matures) = (now, eng.matures.max(now + eng.told_wait));
         } else {
             self.unreached(now, e);
         }
@@ -318,7 +263,7 @@
 
     /// What to do after a batch of calls.
     pub fn decide(&mut self, now: f64) -> Decisions {
-        self.now = now;
+        self.survey(now);
         self.watch(now);
         // The Migrator: a state whose read has ended goes at once to the earliest-maturing writer.
         let open = self.open.clone();
@@ -343,18 +288,22 @@
             key(x).partial_cmp(&key(y)).unwrap().then(x.cmp(&y))
         });
         let (writer_wait, busy) = self.writers(now);
-        let readers: Vec<usize> =
-            (0..self.engines.len()).filter(|&e| self.able(e, true) && self.ration(now, e)).collect();
+        let mut readers = self.stage(true);
+        readers.retain(|&e| self.ration(now, e));
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
         let tightest = queue.iter().map(|&i| self.infs[i].target - self.infs[i].arrived).fold(60.0, f64::min);
         let budget = ((tightest - self.read_cost.abc[0]) / self.read_cost.abc[1] * 1000.0).max(0.0);
-        let waits = || readers.iter().map(|&e| (self.engines[e].matures - now).max(0.0));
-        let reader_wait = waits().min_by(f64::total_cmp).unwrap_or(0.0);
+        let matured = |e: &usize| (self.engines[*e].matures - now).max(0.0);
+        let reader_wait = readers.iter().map(matured).min_by(f64::total_cmp).unwrap_or(0.0);
         // With a stage full the first-token target is the deadline: a late answer would make others late.
-        let mean_wait = waits().sum::<f64>() / readers.len().max(1) as f64;
+        let waits = readers.iter().map(|&e| self.maturity(now, e) - now);
+        let mean_wait = waits.sum::<f64>() / readers.len().max(1) as f64;
         let pressed = busy >= ROOM || mean_wait > self.target / 4.0;
         let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
         for &i in &queue {
+            if self.asking(now, i) {
+                continue;
+            }
             let inf = &self.infs[i];
             // Shed unread: too late to start before the deadline.
             let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
@@ -369,54 +318,43 @@
                 }
                 continue;
             }
-            // The first-maturing reader; near-ties go to the one that the text's hash prefers.
             if reader_wait > 0.0 {
                 break;
             }
-            // The window is the reading that a later-maturing reader saves by what it keeps, and one step.
-            let hashed = self.hashed(i);
-            let done = |e: usize| {
-                let cross = if self.engines[e].zone == self.zone { 0.0 } else { self.cross };
-                self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i, hashed)) + cross
-            };
-            let soonest = readers.iter().copied().min_by(|&x, &y| done(x).total_cmp(&done(y)));
-            let Some(soonest) = soonest else { break };
-            let near = done(soonest) + self.read_cost.of(0.0) + self.pace;
-            let home = hashed.filter(|h| readers.contains(h) && done(*h) <= near).unwrap_or(soonest);
-            let tokens = self.unkept(home, i, hashed);
+            let Some(home) = self.reader(now, i, &readers) else { break };
+            let tokens = self.unkept(home, i);
             let e = &self.engines[home];
             let free = budget.min(e.memory * (1.0 - e.load.memory_share.unwrap_or(0.0)));
             let fits = e.batch_tokens + tokens <= free || (tokens > budget && e.out == 0);
             let ahead = self.maturity(now, home) - now;
             let read = self.read_cost.of(tokens) * e.slow;
-            // The chance of a first token in time, less sure the busier the writers are.
-            // Nor may a looser target fill the writers until a tighter one can't be met: half the tightest is
-            // left for their queue.
+            // The chance of a first token in time, less sure the busier the writers are; nor may a looser
+            // target fill the writers until a tighter one can't be met: half the tightest is left for them.
             // Pressed, reading much anew for one takes the reader from several whose text is kept.
             let cost = if pressed { KEEPING * read } else { read };
-            let spare = (self.infs[i].target - now - ahead - cost).min(self.target / 2.0) - writer_wait;
+            let by = self.infs[i].target.min(self.infs[i].due);
+            let spare = (by - now - ahead - cost).min(self.target / 2.0) - writer_wait;
             let spread = self.target * (0.05 + 0.2 * busy);
             let chance = 1.0 / (1.0 + (-spare / spread).exp());
             if fits && chance >= THETA {
-                self.read(now, i, home, ahead, read, tokens);
+                self.read(now, i, home);
             } else if self.infs[i].over_share || pressed {
                 // Beyond its tenant's share none waits for room that others need, nor, pressed, any at all.
                 self.give_up(i);
             }
         }
-        // A matured reader that admitted nothing takes the oldest held, even below θ.
+        // A matured reader that admitted nothing takes the oldest held, even below θ. Not so when all writers
+        // are full: what is read then only waits, and makes others wait.
         queue.sort_by(|&x, &y| self.infs[x].arrived.total_cmp(&self.infs[y].arrived).then(x.cmp(&y)));
-        // Not so when all writers are full: what is read then only waits, and makes others wait.
-        let full = writer_wait > self.target / 2.0;
-        for &r in &readers {
-            if full || self.engines[r].batch_s > 0.0 || self.engines[r].matures > now {
+        queue.retain(|&i| writer_wait <= self.target / 2.0 && self.infs[i].stage == Stage::Queued);
+        for &i in &queue {
+            if self.infs[i].over_share || self.asking(now, i) {
                 continue;
             }
-            let oldest = |&&i: &&usize| self.infs[i].stage == Stage::Queued && !self.infs[i].over_share;
-            let Some(&i) = queue.iter().find(oldest) else { break };
-            let tokens = self.unkept(r, i, self.hashed(i));
-            let read = self.read_cost.of(tokens) * self.engines[r].slow;
-            self.read(now, i, r, 0.0, read, tokens);
+            let idle = |e: &usize| self.engines[*e].batch_s == 0.0 && self.engines[*e].matures <= now;
+            let idle: Vec<usize> = readers.iter().copied().filter(idle).collect();
+            let Some(r) = self.reader(now, i, &idle) else { break };
+            self.read(now, i, r);
         }
         // A reader next matures when what it was given has been read.
         for &r in &readers {
@@ -424,7 +362,6 @@
             e.matures = if e.batch_s > 0.0 { e.matures.max(now) + e.batch_s } else { e.matures };
             (e.batch_s, e.batch_tokens) = (0.0, 0.0);
         }
-        self.probe(now);
         self.todo.subscribe = self.must_ask && now >= self.ask_at;
         self.must_ask &= !self.todo.subscribe;
         if self.open.iter().any(|&i| self.infs[i].stage != Stage::Streaming) {
@@ -436,42 +373,133 @@
         std::mem::take(&mut self.todo)
     }
 
+    /// The engines of a stage that are in.
+    fn stage(&self, reads: bool) -> Vec<usize> {
+        (0..self.engines.len()).filter(|&e| self.able(e, reads)).collect()
+    }
+
     fn able(&self, e: usize, reads: bool) -> bool {
         self.engines[e].standing == Standing::In && (self.engines[e].role == Role::Read) == reads
     }
 
+    /// When the engine can safely take more: as told and sent to, the more like the usual the older the news,
+    /// and no sooner than an answer that it still owes a probe.
     fn maturity(&self, now: f64, e: usize) -> f64 {
-        self.engines[e].matures.max(now) + self.engines[e].batch_s
+        let eng = &self.engines[e];
+        let owed = if eng.probing { now - eng.asked } else { 0.0 };
+        let guessed = self.usual[0] * (1.0 - self.trust(e)) + owed;
+        eng.matures.max(now + guessed) + eng.batch_s
     }
 
-    /// The reader on which all nodes agree for a text: the shared beginning names one or, of many, two, so
-    /// that a popular one does not overrun its reader, and the session chooses of these.
-    fn hashed(&self, i: usize) -> Option<usize> {
-        let inf = &self.infs[i];
+    /// How far the last report still tells of the engine: it ages as fast as the work there ends.
+    fn trust(&self, e: usize) -> f64 {
+        let e = &self.engines[e];
+        let ages = if e.role == Role::Read { self.target } else { self.life };
+        (-(self.now - e.load_at) / ages).exp()
+    }
+
+    /// The usual wait of readers and load of writers, against which single engines are judged.
+    fn survey(&mut self, now: f64) {
+        self.now = now;
+        for (k, reads) in [(0, true), (1, false)] {
+            let (mut sum, mut weight) = (0.0, 0.0);
+            for e in self.stage(reads) {
+                // By age, but gently: hashed readers of popular texts are asked the most.
+                let trust = 1.0 / (1.0 + (now - self.engines[e].load_at) / self.target);
+                let told = if reads { Some(self.engines[e].told_wait) } else { self.told(e) };
+                (sum, weight) = (sum + trust * told.unwrap_or(0.0), weight + trust);
+            }
+            self.usual[k] = if weight > 0.0 { sum / weight } else { 0.0 };
+        }
+    }
+
+    /// The first-maturing reader; near-ties go to the one that the text's hash prefers. The window is the
+    /// reading that a later-maturing reader saves by what it keeps, and one step.
+    fn reader(&self, now: f64, i: usize, readers: &[usize]) -> Option<usize> {
+        let done = |e: usize| {
+            let cross = if self.engines[e].zone == self.zone { 0.0 } else { self.cross };
+            self.maturity(now, e) + KEEPING * self.read_cost.of(self.unkept(e, i)) + cross + self.risk(now, e)
+        };
+        let soonest = readers.iter().copied().min_by(|&x, &y| done(x).total_cmp(&done(y)))?;
+        let near = done(soonest) + self.read_cost.of(0.0) + self.pace;
+        let hashed = self.infs[i].homes.iter().copied().find(|&e| self.able(e, true));
+        Some(hashed.filter(|h| readers.contains(h) && done(*h) <= near).unwrap_or(soonest))
+    }
+
+    /// The readers on which all nodes agree for a text, best first: the shared beginning names one or, of
+    /// many, two, so that a popular one does not overrun its reader, and the session chooses of these.
+    fn homes(&self, inf: &Inference) -> Vec<usize> {
         let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
-        let all: Vec<usize> = (0..self.engines.len()).filter(|&e| self.able(e, true)).collect();
-        let here = all.iter().copied().filter(|&e| self.engines[e].zone == self.zone).collect::<Vec<_>>();
+        let mut ranked = self.stage(true);
         // Readers of the node's own zone, where there are any.
-        let mut ranked = if here.is_empty() { all } else { here };
+        if ranked.iter().any(|&e| self.engines[e].zone == self.zone) {
+            ranked.retain(|&e| self.engines[e].zone == self.zone);
+        }
         ranked.sort_by_cached_key(|&e| Reverse(hash(&self.engines[e].id, text)));
         // Two of two or three would scatter the prefix over the zone: at most half its readers.
-        ranked.truncate(if ranked.len() >= 4 { 2 } else { 1 });
-        ranked.into_iter().max_by_key(|&e| hash(&self.engines[e].id, inf.session))
+        ranked.truncate((ranked.len() / 2).clamp(1, 8));
+        ranked.sort_by_cached_key(|&e| Reverse(hash(&self.engines[e].id, inf.session)));
+        ranked
     }
 
-    /// Prompt tokens that this reader would have to read, as far as is known. Of a session that this node has
-    /// not met, the hashed reader may have kept the part behind the shared beginning: half, for not knowing.
-    fn unkept(&self, e: usize, i: usize, hashed: Option<usize>) -> f64 {
+    /// Prompt tokens that this reader would have to read: the hashed one is taken to keep the shared beginning
+    /// and, for not knowing, half of the rest; others nothing, so that texts stay together.
+    fn unkept(&self, e: usize, i: usize) -> f64 {
         let inf = &self.infs[i];
-        let [new, old] = &self.engines[e].kept;
-        let kept = |text: u64| new.get(&text).or_else(|| old.get(&text)).copied();
-        let guess = if hashed == Some(e) { (inf.prompt + inf.prefix_tokens) / 2.0 } else { 0.0 };
-        let session = kept(inf.session).unwrap_or(guess);
-        let prefix = kept(inf.prefix).map_or(0.0, |_| inf.prefix_tokens);
-        (inf.prompt - session.max(prefix)).max(1.0)
+        let mut homes = inf.homes.iter().copied().filter(|&h| self.able(h, true));
+        let kept = match homes.position(|h| h == e) {
+            Some(0) => HOME_KEEPS * (inf.prompt + inf.prefix_tokens),
+            Some(1) => inf.prefix_tokens,
+            _ => 0.0,
+        };
+        (inf.prompt - kept).max(1.0)
+    }
+
+    /// Asks for load where news is old: the first two hashed readers, and at arrival one reader and some
+    /// writers by chance, those beside the reader first. True while a hashed reader's answer may come.
+    fn asking(&mut self, now: f64, i: usize) -> bool {
+        let mut homes = self.infs[i].homes.clone();
+        homes.truncate(2);
+        homes.retain(|&e| self.able(e, true));
+        homes.iter().for_each(|&e| self.ask(now, e, self.target / 2.0));
+        if now <= self.infs[i].arrived && self.probes {
+            let readers = self.stage(true);
+            let one = (self.dice() * readers.len() as f64) as usize;
+            readers.get(one).into_iter().for_each(|&e| self.ask(now, e, self.target / 2.0));
+            homes.first().into_iter().for_each(|&e| self.scout(now, e));
+        }
+        let owed = homes.iter().any(|&e| self.engines[e].probing);
+        owed && now < self.infs[i].arrived + self.target / 32.0
+    }
+
+    fn scout(&mut self, now: f64, r: usize) {
+        let stale = self.life / 4.0;
+        let (mut fresh, mut others) = (0, Vec::new());
+        for w in self.stage(false) {
+            let (e, from) = (&self.engines[w], &self.engines[r]);
+            let far = (e.cell != from.cell) as u32 as f64 / 2.0 + (e.zone != from.zone) as u32 as f64;
+            if now - e.load_at.max(e.asked) < stale {
+                fresh += (far < 1.0) as usize;
+            } else {
+                others.push((far + self.dice(), w));
+            }
+        }
+        others.sort_by(|x, y| x.0.total_cmp(&y.0));
+        others.iter().take(SCOUTED.saturating_sub(fresh)).for_each(|o| self.ask(now, o.1, stale));
+    }
+
+    /// A probe, if the news of the engine is older than this and none is out.
+    fn ask(&mut self, now: f64, e: usize, stale: f64) {
+        let eng = &mut self.engines[e];
+        if self.probes && !eng.probing && now - eng.load_at.max(eng.asked) >= stale {
+            (eng.probing, eng.asked) = (true, now);
+            self.todo.probes.push(Eng(e as u32));
+        }
     }
 
-    fn read(&mut self, now: f64, i: usize, r: usize, ahead: f64, read: f64, tokens: f64) {
+    fn read(&mut self, now: f64, i: usize, r: usize) {
+        let (tokens, ahead) = (self.unkept(r, i), self.maturity(now, r) - now);
+        let read = self.read_cost.of(tokens) * self.engines[r].slow;
         self.engines[r].batch_s += read;
         self.engines[r].batch_tokens += tokens;
         self.send(now, i, r, ahead + read);
@@ -496,15 +524,6 @@
         }
         // Slow is what took longer than both the estimate and the queue found there explain.
         self.praise(s.eng, end.after_s, s.expected.max(self.each * (s.there + 1.0)));
-        let (inf, e) = (&self.infs[i], &mut self.engines[s.eng]);
-        // Its memory holds about so much of what this node sent; older belief is dropped half at a time.
-        e.kept_tokens += unkept;
-        if e.kept_tokens > e.memory / (2.0 * self.nodes) || e.kept[0].len() >= KEPT_ENTRIES {
-            e.kept[1] = std::mem::take(&mut e.kept[0]);
-            e.kept_tokens = 0.0;
-        }
-        e.kept[0].insert(inf.session, inf.prompt);
-        e.kept[0].insert(inf.prefix, inf.prefix_tokens);
     }
 
     /// Step time E_d of a writer: grows with its load; at the pace aim it is full.
@@ -512,18 +531,20 @@
         self.pace * (EMPTY_STEP + (1.0 - EMPTY_STEP) * self.load(e)) * self.engines[e].slow
     }
 
-    /// Wait for room at a writer: memory comes free by the mean life of a stream.
+    /// Wait for room at a writer: memory comes free by the mean life of a stream. The edge is soft, since load
+    /// is known roughly and the roughlier the older the news.
     fn wait(&self, e: usize, tokens: f64) -> f64 {
         let short = self.load(e) + tokens / self.engines[e].memory - ROOM;
-        short.max(0.0) * self.life
+        let rough = UNSURE * (2.0 - self.trust(e));
+        rough * (1.0 + (short / rough).exp()).ln() * self.life
     }
 
     /// Time that a state read now is likely to wait for a writer, and the writers' load: over those not held
     /// off, between the least and the mean, since other nodes, too, send to whichever seems free.
     fn writers(&self, now: f64) -> (f64, f64) {
-        let sound = |&e: &usize| self.able(e, false) && self.engines[e].matures < now + self.target;
+        let sound = |&e: &usize| self.engines[e].matures < now + self.target;
         let (mut wait, mut least, mut load, mut n) = (0.0, f64::INFINITY, 0.0, 0.0);
-        for e in (0..self.engines.len()).filter(sound) {
+        for e in self.stage(false).into_iter().filter(sound) {
             let one = (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
             (wait, least) = (wait + one, one.min(least));
             load += self.load(e);
@@ -538,9 +559,9 @@
     /// The earliest-maturing writer, a move out of the cell or zone weighed by its price.
     fn writer(&mut self, now: f64, i: usize) -> Option<usize> {
         let mut best = (f64::INFINITY, None);
-        for w in 0..self.engines.len() {
+        for w in self.stage(false) {
             let fit = self.infs[i].state.is_some() || self.writers_read || self.engines[w].role == Role::Both;
-            if !self.able(w, false) || !fit || !self.again(now, i, Some(w)) || !self.ration(now, w) {
+            if !fit || !self.again(now, i, Some(w)) || !self.ration(now, w) {
                 continue;
             }
             let jitter = 0.1 * self.pace * self.dice();
@@ -548,11 +569,12 @@
             let tried = inf.sends.iter().filter(|s| s.eng == w).count() as f64 * self.target;
             let from = inf.state.map(|r| &self.engines[r]);
             let far = match from {
-                Some(r) if r.zone != e.zone => self.zone_worth,
+                Some(r) if r.zone != e.zone => self.cell_worth + self.cross,
                 Some(r) if r.cell != e.cell => self.cell_worth,
                 _ => 0.0,
             };
-            let at = e.matures.max(now) + self.step(w) + self.wait(w, inf.prompt) + far + tried + jitter;
+            let at = e.matures.max(now) + self.step(w) + self.wait(w, inf.prompt);
+            let at = at + far + tried + jitter + self.risk(now, w);
             if at < best.0 {
                 best = (at, Some(w));
             }
@@ -583,34 +605,44 @@
 
     // ---- Mechanism 1: engine health ----
 
-    /// A failure: the engine matures later, the more so the more failures came in a row. Holds against
-    /// engines that die, go silent or fail quickly; hurts when a lone error was chance, by one hold-off.
+    /// A failure makes the engine a worse choice, the more so the more there were lately, but never bars it:
+    /// when most of a role fails now and then, all go on. Holds against engines that fail quickly, lose
+    /// answers or die; hurts when a lone error was chance, by half a target for a while.
     fn strike(&mut self, now: f64, e: usize) {
-        let e = &mut self.engines[e];
-        e.strikes = (e.strikes + 1.0).min(8.0);
-        let off = self.target * (0.25 * 2f64.powf(e.strikes - 1.0)).min(LONGEST_HOLD_OFF);
-        e.matures = e.matures.max(now + off);
+        (self.engines[e].faults, self.engines[e].fault_at) = (self.faults(now, &self.engines[e]) + 1.0, now);
+    }
+
+    fn faults(&self, now: f64, e: &Engine) -> f64 {
+        e.faults * (-(now - e.fault_at) / (LONGEST_HOLD_OFF * self.target)).exp()
     }
 
-    /// No probe or connection got through: struck, and silent until it is heard.
+    /// What is likely lost at the engine by failing there.
+    fn risk(&self, now: f64, e: usize) -> f64 {
+        self.target * (1.0 - 1.0 / (1.0 + self.faults(now, &self.engines[e])))
+    }
+
+    /// No probe or connection got through: held off, longer each time in a row, until it is heard.
     fn unreached(&mut self, now: f64, e: usize) {
-        self.engines[e].mute = now;
-        self.strike(now, e);
+        let e = &mut self.engines[e];
+        (e.mute, e.strikes) = (now, (e.strikes + 1.0).min(8.0));
+        let off = self.target * (0.25 * 2f64.powf(e.strikes - 1.0)).min(LONGEST_HOLD_OFF);
+        e.matures = e.matures.max(now + off);
     }
 
     /// An answer of any kind ends a hold-off that silence brought: a cut that heals is used again at once.
     fn hear(&mut self, now: f64, e: usize) {
         let e = &mut self.engines[e];
         if e.mute > e.heard {
-            (e.strikes, e.matures) = (0.0, e.matures.min(now));
+            e.matures = e.matures.min(now);
         }
+        e.strikes = 0.0;
         e.heard = now;
     }
 
     /// A success, with the time it took against the time expected.
     fn praise(&mut self, e: usize, took: f64, expected: f64) {
         let e = &mut self.engines[e];
-        e.strikes = (e.strikes - 1.0).max(0.0);
+        e.faults /= 2.0;
         let ratio = (took / expected.max(1e-3)).clamp(0.25, 4.0);
         // Queues of others lengthen single timings: up in small steps, down in larger ones.
         e.slow = (e.slow * ratio.powf(if ratio > 1.0 { 0.1 } else { 0.3 })).clamp(0.7, 12.0);
@@ -629,16 +661,16 @@
             }
             for n in 0..self.infs[i].sends.len() {
                 let s = self.infs[i].sends[n];
-                let e = &mut self.engines[s.eng];
+                let e = &self.engines[s.eng];
                 let quiet = now - s.at.max(e.heard);
-                if s.live && quiet > s.expected + self.target / 4.0 && !e.probing && self.probes {
-                    e.probing = true;
-                    self.todo.probes.push(Eng(s.eng as u32));
-                }
+                let overdue = s.live && quiet > s.expected + self.target / 4.0;
                 // Unreachable since the send and not heard again: what waits there is sent elsewhere.
                 if s.live && self.cancel && e.mute > s.at.max(e.heard) && quiet > self.target / 4.0 {
                     self.todo.cancelled.push((Inf(i as u32), n as u32));
                 }
+                if overdue {
+                    self.ask(now, s.eng, self.target / 4.0);
+                }
             }
         }
     }
@@ -739,71 +771,42 @@
         (e.load, e.load_at, e.tokens_at_report) = (load, now, e.tokens);
         if e.role == Role::Read {
             // What all nodes have waiting there is read first; with nothing own there, the report is all.
-            let at = now + e.there(self.prompt) * self.each;
+            e.told_wait = e.there(self.prompt) * self.each;
+            let at = now + e.told_wait;
             e.matures = if e.out == 0 && e.strikes == 0.0 { at } else { e.matures.max(at) };
         }
     }
 
-    /// Share of a writer that is taken or waited for (may pass 1): memory or slots as reported, whichever is
-    /// fuller, what waits there by the report, and own sends since; unreported, own sends times the nodes.
-    fn load(&self, e: usize) -> f64 {
+    /// Share of a writer that is taken or waited for (may pass 1) as reported: memory or slots, whichever is
+    /// fuller, and what waits there.
+    fn told(&self, e: usize) -> Option<f64> {
         let e = &self.engines[e];
-        let since = (e.tokens - e.tokens_at_report) / e.memory;
         let reported = match (e.load.memory_share, e.load.slot_share) {
             (Some(m), Some(s)) => m.max(s),
-            (m, s) => match m.or(s) {
-                Some(r) => r,
-                None => return e.tokens * self.nodes / e.memory,
-            },
+            (m, s) => m.or(s)?,
         };
         let queued = e.load.queue.map(|q| q * self.prompt / e.memory);
         let unread = e.load.unread_tokens.map(|t| t / e.memory);
         let there = e.load.inflight.map(|n| n * self.prompt / e.memory - reported);
-        let waiting = queued.or(unread).or(there).unwrap_or(0.0).max(0.0);
-        // An old report of more than fits: it has been draining by one share a life since.
-        let full = reported + waiting;
-        let drained = full.min(ROOM.max(full - (self.now - e.load_at) / self.life));
-        (drained + since).max(e.tokens / e.memory)
+        Some(reported + queued.or(unread).or(there).unwrap_or(0.0).max(0.0))
     }
 
-    /// A probe to the engine unheard longest; their price follows the traffic.
-    fn probe(&mut self, now: f64) {
-        if !self.probes || now < self.probed + STARTS_A_PROBE * self.start_gap.max(self.tick) {
-            return;
-        }
-        let asked = |e: &Engine| e.standing == Standing::In && !e.probing;
-        let all = self.engines.iter_mut().enumerate().filter(|(_, e)| asked(e));
-        let stale = all.min_by(|(_, x), (_, y)| x.load_at.total_cmp(&y.load_at));
-        if let Some((i, e)) = stale.filter(|(_, e)| now - e.load_at > self.target / 8.0) {
-            e.probing = true;
-            self.probed = now;
-            self.todo.probes.push(Eng(i as u32));
+    /// Load of a writer now: as told and own sends since, the more like the usual the older the news (an old
+    /// report of an over-full one drains with it); where nothing is ever told, own sends times the nodes.
+    fn load(&self, e: usize) -> f64 {
+        let eng = &self.engines[e];
+        let since = (eng.tokens - eng.tokens_at_report) / eng.memory;
+        match self.told(e) {
+            Some(told) => self.usual[1] + self.trust(e) * (told + since - self.usual[1]),
+            None if self.usual[1] > 0.0 => self.usual[1],
+            None => eng.tokens * self.nodes / eng.memory,
         }
+        .max(eng.tokens / eng.memory)
     }
 
     fn dice(&mut self) -> f64 {
         self.chance.generate::<u32>() as f64 / u32::MAX as f64
     }
-
-    /// The record of an engine, by its id; a gone engine's record with nothing out is used anew when full.
-    fn index(&mut self, id: &str) -> usize {
-        if let Some(&i) = self.by_id.get(id) {
-            return i;
-        }
-        let e = Engine::unknown(id);
-        let gone = |e: &Engine| e.standing == Standing::Gone && e.out == 0 && !e.probing;
-        let full = self.engines.len() >= ENGINES_KNOWN;
-        let reused = if full { self.engines.iter().position(gone) } else { None };
-        let i = reused.unwrap_or(self.engines.len());
-        if reused.is_some() {
-            self.by_id.remove(&self.engines[i].id);
-            self.engines[i] = e;
-        } else {
-            self.engines.push(e);
-        }
-        self.by_id.insert(id.to_string(), i);
-        i
-    }
 }
 
 #[cfg(test)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,68 @@
 //! The records that the decision module keeps: what they hold, not what is done with it.
 
-use crate::interface::{Load, Role, Standing};
+use crate::interface::{Decisions, Inf, Load, ModelRoute, Role, Standing};
+use nanorand::WyRand;
 use std::collections::HashMap;
 
+/// All that a node knows and holds; what it does with it is in `src/decide.rs`.
+#[derive(Default)]
+pub struct Router {
+    pub(crate) node: f64,
+    pub(crate) nodes: f64,
+    pub(crate) tick: f64,
+    pub(crate) routes: Vec<ModelRoute>,
+    pub(crate) shares: Vec<Share>,
+    pub(crate) most_sends: usize,
+    /// How long a state may wait for a writer that may be sent to.
+    pub(crate) hold: f64,
+    pub(crate) writers_read: bool,
+    pub(crate) cancel: bool,
+    pub(crate) probes: bool,
+    pub(crate) come_back: Option<f64>,
+    pub(crate) zone: u32,
+    /// Seconds that a move out of the cell, and a send out of the zone, must save to be worth their price.
+    pub(crate) cell_worth: f64,
+    pub(crate) cross: f64,
+    /// A fresh engine's least share of its capacity, when it is warm, length of a turn, and how much of what
+    /// a warm one takes in a second all nodes may send it in a round of turns.
+    pub(crate) cold_share: f64,
+    pub(crate) warm_within: f64,
+    pub(crate) turn: f64,
+    pub(crate) cold_seconds: f64,
+    /// Tightest first-token target and pace.
+    pub(crate) target: f64,
+    pub(crate) pace: f64,
+    /// Mean life of a stream at a writer, mean prompt.
+    pub(crate) life: f64,
+    pub(crate) prompt: f64,
+    /// Time that each prompt found at a reader adds to a read, as own reads have shown.
+    pub(crate) each: f64,
+    /// Mean gap between inferences started, and when the last one was.
+    pub(crate) start_gap: f64,
+    pub(crate) last_start: f64,
+    pub(crate) now: f64,
+    /// Mean wait at a reader and load of a writer, fresh news counting more.
+    pub(crate) usual: [f64; 2],
+    pub(crate) read_cost: ReadCost,
+    pub(crate) must_ask: bool,
+    pub(crate) ask_at: f64,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) by_id: HashMap<String, usize>,
+    pub(crate) infs: Vec<Inference>,
+    pub(crate) free: Vec<usize>,
+    pub(crate) open: Vec<usize>,
+    pub(crate) chance: WyRand,
+    pub(crate) todo: Decisions,
+}
+
+/// Cost a + b·t + c·t² of reading t unkept tokens (in thousands): least squares, older reads decayed,
+/// from the starting values; no coefficient falls below zero.
+#[derive(Clone, Debug, Default)]
+pub struct ReadCost {
+    pub(crate) sums: [[f64; 4]; 3],
+    pub(crate) abc: [f64; 3],
+}
+
 /// All that is known of an engine.
 #[derive(Clone, Debug, Default)]
 pub struct Engine {
@@ -18,16 +78,22 @@
     /// Seconds of reading given to it in this round of decisions, and their tokens.
     pub batch_s: f64,
     pub batch_tokens: f64,
-    /// Failures in a row, weighed, and its timings against the fleet's.
+    /// Times in a row that it could not be reached; failures of late and when the last was.
     pub strikes: f64,
+    pub faults: f64,
+    pub fault_at: f64,
+    /// Its timings against the fleet's.
     pub slow: f64,
     /// Own sends without an ending, and own prompt tokens there, now and at the last report.
     pub out: u32,
     pub tokens: f64,
     pub tokens_at_report: f64,
     pub load: Load,
-    /// When it last reported, or was last asked in vain.
+    /// When it last reported, and the wait there by that.
     pub load_at: f64,
+    pub told_wait: f64,
+    /// When it was last probed.
+    pub asked: f64,
     /// When it last answered anything.
     pub heard: f64,
     /// When it last could not be reached, by probe or send.
@@ -36,9 +102,6 @@
     /// Own sends in the present turn of a fresh engine.
     pub turn: f64,
     pub turn_sends: f64,
-    /// Texts it is believed to keep, newer and older, id hash to tokens; tokens of the newer.
-    pub kept: [HashMap<u64, f64>; 2],
-    pub kept_tokens: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -76,6 +139,8 @@
     pub session: u64,
     pub prefix: u64,
     pub over_share: bool,
+    /// Readers named by the hash of its text, best first.
+    pub homes: Vec<usize>,
     pub sends: Vec<Sent>,
     /// The reader that holds its state.
     pub state: Option<usize>,
@@ -106,6 +171,8 @@
             standing: Standing::Gone,
             started: f64::NEG_INFINITY,
             slow: 1.0,
+            load_at: f64::NEG_INFINITY,
+            asked: f64::NEG_INFINITY,
             ..Engine::default()
         }
     }
@@ -116,3 +183,37 @@
         self.load.inflight.or(self.load.queue).or(by_tokens).unwrap_or(0.0)
     }
 }
+
+impl Router {
+    /// Puts an inference into the tables.
+    pub(crate) fn keep(&mut self, inf: Inference) -> Inf {
+        let i = self.free.pop().unwrap_or(self.infs.len());
+        if i == self.infs.len() {
+            self.infs.push(inf);
+        } else {
+            self.infs[i] = inf;
+        }
+        self.open.push(i);
+        Inf(i as u32)
+    }
+
+    /// The record of an engine, by its id; a gone engine's record with nothing out is used anew when full.
+    pub(crate) fn record(&mut self, id: &str, most: usize) -> usize {
+        if let Some(&i) = self.by_id.get(id) {
+            return i;
+        }
+        let e = Engine::unknown(id);
+        let gone = |e: &Engine| e.standing == Standing::Gone && e.out == 0 && !e.probing;
+        let full = self.engines.len() >= most;
+        let reused = if full { self.engines.iter().position(gone) } else { None };
+        let i = reused.unwrap_or(self.engines.len());
+        if reused.is_some() {
+            self.by_id.remove(&self.engines[i].id);
+            self.engines[i] = e;
+        } else {
+            self.engines.push(e);
+        }
+        self.by_id.insert(id.to_string(), i);
+        i
+    }
+}
