--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,10 @@
 const SCOUTED: usize = 3;
 /// Share of what is behind the shared beginning that the hashed reader is taken to keep.
 const HOME_KEEPS: f64 = 0.5;
+/// Arrivals by which a node judges how popular a text is.
+const RECENT: usize = 64;
+/// Part of its even part of the readers that a popular text gets.
+const SPREAD: f64 = 5.0;
 /// Engines known at most; past that the records of gone ones are used anew.
 const ENGINES_KNOWN: usize = 1024;
 
@@ -96,8 +100,8 @@
             cross: d.zone_price * target,
             cold_share: d.cold_share,
             warm_within: d.warm_within_s,
-            turn: d.tip_window_s / d.nodes.max(1) as f64,
-            cold_seconds: d.tip_window_s * d.tip_multiple * COLD_CAUTION,
+            tip_window: d.tip_window_s,
+            cold_multiple: d.tip_multiple * COLD_CAUTION,
             target,
             pace,
             life: FIRST_LIFE * pace,
@@ -123,7 +127,7 @@
             let e = &mut self.engines[i];
             if started > e.started || e.standing == Standing::Gone {
                 // A new process under an old id: what was known of the old one is void.
-                (e.strikes, e.faults, e.slow, e.load, e.matures) = (0.0, 0.0, 1.0, Load::default(), now);
+                (e.strikes, e.faults, e.load, e.matures) = (0.0, 0.0, Load::default(), now);
                 e.load_at = f64::NEG_INFINITY;
             }
             (e.zone, e.cell, e.role, e.memory) = (l.zone, l.cell, l.role, l.memory_tokens.max(1.0));
@@ -161,6 +165,8 @@
             ..Inference::default()
         };
         inf.homes = self.homes(&inf);
+        self.recent.push_back(if inf.prefix != 0 { inf.prefix } else { inf.session });
+        self.recent.drain(..self.recent.len().saturating_sub(RECENT));
         self.keep(inf)
     }
 
@@ -179,7 +185,7 @@
         self.infs[i].stage = Stage::Streaming;
         self.infs[i].state = None;
         self.hear(now, s.eng);
-        self.praise(s.eng, now - s.at, s.expected);
+        self.engines[s.eng].faults /= 2.0;
     }
 
     pub fn settled(&mut self, now: f64, inf: Inf, send: u32, end: Ending, load: Option<Load>) {
@@ -327,7 +333,7 @@
             let free = budget.min(e.memory * (1.0 - e.load.memory_share.unwrap_or(0.0)));
             let fits = e.batch_tokens + tokens <= free || (tokens > budget && e.out == 0);
             let ahead = self.maturity(now, home) - now;
-            let read = self.read_cost.of(tokens) * e.slow;
+            let read = self.read_cost.of(tokens);
             // The chance of a first token in time, less sure the busier the writers are; nor may a looser
             // target fill the writers until a tighter one can't be met: half the tightest is left for them.
             // Pressed, reading much anew for one takes the reader from several whose text is kept.
@@ -426,20 +432,29 @@
         Some(hashed.filter(|h| readers.contains(h) && done(*h) <= near).unwrap_or(soonest))
     }
 
-    /// The readers on which all nodes agree for a text, best first: the shared beginning names one or, of
-    /// many, two, so that a popular one does not overrun its reader, and the session chooses of these.
+    /// The node's zone's readers for a text, best first, on which all nodes there agree: the shared beginning
+    /// names as many as its part of recent arrivals needs, so that copies fill little memory, and the session
+    /// chooses of these; behind them stands one more to spill to.
     fn homes(&self, inf: &Inference) -> Vec<usize> {
         let text = if inf.prefix != 0 { inf.prefix } else { inf.session };
         let mut ranked = self.stage(true);
-        // Readers of the node's own zone, where there are any.
         if ranked.iter().any(|&e| self.engines[e].zone == self.zone) {
             ranked.retain(|&e| self.engines[e].zone == self.zone);
         }
+        let others = self.recent.iter().filter(|&&t| t == text).count() as f64;
+        let part = others / (self.recent.len() as f64 + RECENT as f64 / 4.0);
+        let all = ranked.len() as f64;
+        let named = (SPREAD * part * all).clamp(1.0, (all / 2.0).max(1.0));
         ranked.sort_by_cached_key(|&e| Reverse(hash(&self.engines[e].id, text)));
-        // Two of two or three would scatter the prefix over the zone: at most half its readers.
-        ranked.truncate((ranked.len() / 2).clamp(1, 8));
-        ranked.sort_by_cached_key(|&e| Reverse(hash(&self.engines[e].id, inf.session)));
-        ranked
+        ranked.truncate(named.ceil() as usize + 1);
+        // Weighted rendezvous: as the part wavers, and differs from node to node, few sessions move.
+        let score = |k: usize, e: usize| {
+            let chance = (hash(&self.engines[e].id, inf.session) >> 11) as f64 / (1u64 << 53) as f64;
+            chance.ln() / (named - k as f64).clamp(1e-9, 1.0)
+        };
+        let mut scored: Vec<_> = ranked.iter().enumerate().map(|(k, &e)| (score(k, e), e)).collect();
+        scored.sort_by(|x, y| y.0.total_cmp(&x.0));
+        scored.into_iter().map(|s| s.1).collect()
     }
 
     /// Prompt tokens that this reader would have to read: the hashed one is taken to keep the shared beginning
@@ -449,7 +464,7 @@
         let mut homes = inf.homes.iter().copied().filter(|&h| self.able(h, true));
         let kept = match homes.position(|h| h == e) {
             Some(0) => HOME_KEEPS * (inf.prompt + inf.prefix_tokens),
-            Some(1) => inf.prefix_tokens,
+            Some(1) if inf.homes.len() > 2 => inf.prefix_tokens,
             _ => 0.0,
         };
         (inf.prompt - kept).max(1.0)
@@ -458,9 +473,7 @@
     /// Asks for load where news is old: the first two hashed readers, and at arrival one reader and some
     /// writers by chance, those beside the reader first. True while a hashed reader's answer may come.
     fn asking(&mut self, now: f64, i: usize) -> bool {
-        let mut homes = self.infs[i].homes.clone();
-        homes.truncate(2);
-        homes.retain(|&e| self.able(e, true));
+        let homes: Vec<usize> = self.infs[i].homes.iter().copied().take(2).collect();
         homes.iter().for_each(|&e| self.ask(now, e, self.target / 2.0));
         if now <= self.infs[i].arrived && self.probes {
             let readers = self.stage(true);
@@ -491,7 +504,8 @@
     /// A probe, if the news of the engine is older than this and none is out.
     fn ask(&mut self, now: f64, e: usize, stale: f64) {
         let eng = &mut self.engines[e];
-        if self.probes && !eng.probing && now - eng.load_at.max(eng.asked) >= stale {
+        let old = now - eng.load_at.max(eng.asked) >= stale;
+        if self.probes && old && !eng.probing && eng.standing == Standing::In {
             (eng.probing, eng.asked) = (true, now);
             self.todo.probes.push(Eng(e as u32));
         }
@@ -499,7 +513,7 @@
 
     fn read(&mut self, now: f64, i: usize, r: usize) {
         let (tokens, ahead) = (self.unkept(r, i), self.maturity(now, r) - now);
-        let read = self.read_cost.of(tokens) * self.engines[r].slow;
+        let read = self.read_cost.of(tokens);
         self.engines[r].batch_s += read;
         self.engines[r].batch_tokens += tokens;
         self.send(now, i, r, ahead + read);
@@ -514,21 +528,18 @@
     }
 
     fn learn_read(&mut self, i: usize, s: Sent, end: Ending) {
-        let inf = &self.infs[i];
-        let unkept = (inf.prompt - end.note).max(1.0);
         self.each += 0.05 * (end.after_s / (s.there + 1.0) - self.each);
         // Only a read that met an idle reader tells what reading costs; queues fitted as cost would hold
         // readers back, whose queues then look longer still.
         if s.there < 1.0 {
-            self.read_cost.add(unkept, end.after_s / self.engines[s.eng].slow);
+            self.read_cost.add((self.infs[i].prompt - end.note).max(1.0), end.after_s);
         }
-        // Slow is what took longer than both the estimate and the queue found there explain.
-        self.praise(s.eng, end.after_s, s.expected.max(self.each * (s.there + 1.0)));
+        self.engines[s.eng].faults /= 2.0;
     }
 
     /// Step time E_d of a writer: grows with its load; at the pace aim it is full.
     fn step(&self, e: usize) -> f64 {
-        self.pace * (EMPTY_STEP + (1.0 - EMPTY_STEP) * self.load(e)) * self.engines[e].slow
+        self.pace * (EMPTY_STEP + (1.0 - EMPTY_STEP) * self.load(e))
     }
 
     /// Wait for room at a writer: memory comes free by the mean life of a stream. The edge is soft, since load
@@ -543,16 +554,16 @@
     /// off, between the least and the mean, since other nodes, too, send to whichever seems free.
     fn writers(&self, now: f64) -> (f64, f64) {
         let sound = |&e: &usize| self.engines[e].matures < now + self.target;
-        let (mut wait, mut least, mut load, mut n) = (0.0, f64::INFINITY, 0.0, 0.0);
-        for e in self.stage(false).into_iter().filter(sound) {
-            let one = (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
-            (wait, least) = (wait + one, one.min(least));
-            load += self.load(e);
-            n += 1.0;
-        }
-        if n == 0.0 {
+        let writers: Vec<usize> = self.stage(false).into_iter().filter(sound).collect();
+        if writers.is_empty() {
             return (self.target, 1.0);
         }
+        let of =
+            |e: usize| (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
+        let waits: Vec<f64> = writers.iter().map(|&e| of(e)).collect();
+        let least = waits.iter().copied().fold(f64::INFINITY, f64::min);
+        let (wait, load) = (waits.iter().sum::<f64>(), writers.iter().map(|&e| self.load(e)).sum::<f64>());
+        let n = writers.len() as f64;
         ((wait / n + least) / 2.0, (load / n).min(1.0))
     }
 
@@ -573,8 +584,8 @@
                 Some(r) if r.cell != e.cell => self.cell_worth,
                 _ => 0.0,
             };
-            let at = e.matures.max(now) + self.step(w) + self.wait(w, inf.prompt);
-            let at = at + far + tried + jitter + self.risk(now, w);
+            let at = e.matures.max(now) + self.step(w) + self.wait(w, inf.prompt) + self.risk(now, w);
+            let at = at + far + tried + jitter;
             if at < best.0 {
                 best = (at, Some(w));
             }
@@ -592,7 +603,7 @@
             self.last_start = now;
         }
         let there = e.there(self.prompt).max(e.out as f64);
-        inf.sends.push(Sent { eng, at: now, there, expected, write, live: true });
+        inf.sends.push(Sent { eng, at: now, there, expected, write, live: true, late: false });
         // Where probes tell a dead engine from a busy one, no place in a queue is given up for time alone.
         let sure = self.probes && self.cancel;
         let patience = if sure { f64::INFINITY } else { 6.0 * expected + self.target };
@@ -639,15 +650,6 @@
         e.heard = now;
     }
 
-    /// A success, with the time it took against the time expected.
-    fn praise(&mut self, e: usize, took: f64, expected: f64) {
-        let e = &mut self.engines[e];
-        e.faults /= 2.0;
-        let ratio = (took / expected.max(1e-3)).clamp(0.25, 4.0);
-        // Queues of others lengthen single timings: up in small steps, down in larger ones.
-        e.slow = (e.slow * ratio.powf(if ratio > 1.0 { 0.1 } else { 0.3 })).clamp(0.7, 12.0);
-    }
-
     /// A send long overdue speaks against its engine before its outcome comes.
     fn watch(&mut self, now: f64) {
         for i in self.open.clone() {
@@ -668,7 +670,10 @@
                 if s.live && self.cancel && e.mute > s.at.max(e.heard) && quiet > self.target / 4.0 {
                     self.todo.cancelled.push((Inf(i as u32), n as u32));
                 }
-                if overdue {
+                if overdue && !s.late {
+                    // What is slow fails late: a worse choice at once, and asked whether it still answers.
+                    self.infs[i].sends[n].late = true;
+                    self.strike(now, s.eng);
                     self.ask(now, s.eng, self.target / 4.0);
                 }
             }
@@ -677,27 +682,24 @@
 
     // ---- Mechanism 2: rationing fresh engines ----
 
-    /// Whether this node may send to the engine now. A fresh one is sent to by one node at a time, in turn
-    /// by number, and in its turn no more than its part of what a warm one gets, scaled to the allowance.
+    /// Whether this node may send to the engine now. A fresh one is sent to in turns by node number, which
+    /// begin elsewhere for each engine: so many nodes at once that all they have, going there, stays within the
+    /// allowance, one at least; and in its turn a node sends no more than its part of that.
     fn ration(&mut self, now: f64, e: usize) -> bool {
         let age = now - self.engines[e].started;
         if age >= self.warm_within {
             return true;
         }
-        let turn = (now / self.turn).floor();
-        // What a warm engine of the role gets from this node on average.
-        let role = self.engines[e].role;
-        let warm =
-            |p: &&Engine| p.role == role && p.standing == Standing::In && now - p.started >= self.warm_within;
-        let peers = self.engines.iter().filter(warm).count().max(1) as f64;
-        let warm_rate = 1.0 / (self.start_gap.max(self.tick) * peers);
+        let peers = self.stage(self.engines[e].role == Role::Read).len().max(1) as f64;
         let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
-        let allowed = (warm_rate * self.cold_seconds * grown).max(1.0);
+        let even = self.cold_multiple * grown / peers;
+        let allowed = (even * self.tip_window / self.start_gap.max(self.tick)).max(1.0);
         let e = &mut self.engines[e];
-        if e.turn != turn {
-            (e.turn, e.turn_sends) = (turn, 0.0);
+        let place = hash(&e.id, 0) as f64 / u64::MAX as f64 + self.node / self.nodes + now / self.tip_window;
+        if e.turn != place.floor() {
+            (e.turn, e.turn_sends) = (place.floor(), 0.0);
         }
-        turn.rem_euclid(self.nodes) == self.node && e.turn_sends + 1.0 <= allowed
+        place.fract() < even.max(1.0 / self.nodes) && e.turn_sends + 1.0 <= allowed
     }
 
     // ---- Mechanism 3: sending again ----
@@ -764,8 +766,6 @@
         }
     }
 
-    // ---- Mechanism 6: load correction ----
-
     fn note_load(&mut self, now: f64, e: usize, load: Load) {
         let e = &mut self.engines[e];
         (e.load, e.load_at, e.tokens_at_report) = (load, now, e.tokens);
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::{Decisions, Inf, Load, ModelRoute, Role, Standing};
 use nanorand::WyRand;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 /// All that a node knows and holds; what it does with it is in `src/decide.rs`.
 #[derive(Default)]
@@ -23,12 +23,12 @@
     /// Seconds that a move out of the cell, and a send out of the zone, must save to be worth their price.
     pub(crate) cell_worth: f64,
     pub(crate) cross: f64,
-    /// A fresh engine's least share of its capacity, when it is warm, length of a turn, and how much of what
-    /// a warm one takes in a second all nodes may send it in a round of turns.
+    /// A fresh engine's least share of its capacity, when it is warm, how many times its capacity all nodes may
+    /// send it, and within what time.
     pub(crate) cold_share: f64,
     pub(crate) warm_within: f64,
-    pub(crate) turn: f64,
-    pub(crate) cold_seconds: f64,
+    pub(crate) cold_multiple: f64,
+    pub(crate) tip_window: f64,
     /// Tightest first-token target and pace.
     pub(crate) target: f64,
     pub(crate) pace: f64,
@@ -41,6 +41,8 @@
     pub(crate) start_gap: f64,
     pub(crate) last_start: f64,
     pub(crate) now: f64,
+    /// Texts of the latest arrivals.
+    pub(crate) recent: VecDeque<u64>,
     /// Mean wait at a reader and load of a writer, fresh news counting more.
     pub(crate) usual: [f64; 2],
     pub(crate) read_cost: ReadCost,
@@ -82,8 +84,6 @@
     pub strikes: f64,
     pub faults: f64,
     pub fault_at: f64,
-    /// Its timings against the fleet's.
-    pub slow: f64,
     /// Own sends without an ending, and own prompt tokens there, now and at the last report.
     pub out: u32,
     pub tokens: f64,
@@ -125,6 +125,7 @@
     pub expected: f64,
     pub write: bool,
     pub live: bool,
+    pub late: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -170,7 +171,6 @@
             id: id.to_string(),
             standing: Standing::Gone,
             started: f64::NEG_INFINITY,
-            slow: 1.0,
             load_at: f64::NEG_INFINITY,
             asked: f64::NEG_INFINITY,
             ..Engine::default()
