Two readers a text where memory has room for all texts; fresher news of writers

Memory decides: two where it has room for all texts twice, unmet ones estimated. Writers' news counts as old after a sixth of a stream's life, a quarter before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 //! 3. sending again, as far as the model route's kind allows (`again`);
 //! 4. fair shares: what a tenant sends beyond its quota waits behind the rest (`take`);
 //! 5. answering and letting go (`give_up`, `close`);
-//! 6. load correction: reported load, own sends since, and probes for it (`note_load`, `load`, `asking`, `scout`).
+//! 6. load correction: reports, own sends since, and probes (`note_load`, `load`, `asking`, `scout`).
 
 use crate::interface::*;
 pub use crate::state::Router;
@@ -34,16 +34,17 @@
 /// What a second of reading saved by kept text is worth, in seconds of waiting: reading anew also takes the
 /// reader from others and displaces what it keeps.
 const KEEPING: f64 = 4.0;
-/// Writers of which fresh news is wanted when a read starts: the best of a few found by chance is nearly the
-/// best of all, and no two nodes look at the same few.
+/// Writers of which fresh news is wanted: the best of a few by chance, other ones at each node, will do.
 const SCOUTED: usize = 3;
-/// Share of what is behind the shared beginning that the hashed reader is taken to keep.
+/// Share of a session's own text that the hashed reader is taken to keep.
 const HOME_KEEPS: f64 = 0.5;
 /// Arrivals by which a node judges how popular a text is.
 const RECENT: usize = 64;
+/// Part of the readers' memory that shared beginnings may fill.
+const TEXTS_ROOM: f64 = 0.25;
 /// Part of its even part of the readers that a popular text gets.
 const SPREAD: f64 = 5.0;
-/// Engines known at most; past that the records of gone ones are used anew.
+/// Engines known at most.
 const ENGINES_KNOWN: usize = 1024;
 
 impl ReadCost {
@@ -55,13 +56,12 @@
 
     fn add(&mut self, tokens: f64, seconds: f64) {
         let t = tokens / 1000.0;
-        // Others' reads ahead only ever add to a timing: what lies above the fit weighs little.
+        // Others' reads only ever add to a timing: what lies above the fit weighs little.
         let weight = if seconds > self.of(tokens) { 0.1 } else { 1.0 };
         let x = [1.0, t, t * t, seconds];
         for (i, row) in self.sums.iter_mut().enumerate() {
             row.iter_mut().zip(x).for_each(|(sum, y)| *sum = 0.99 * *sum + weight * x[i] * y);
         }
-        // Descent along one coefficient after the other: a few rounds keep up with the changing sums.
         for i in (0..3).cycle().take(12) {
             let (m, abc) = (self.sums[i], self.abc);
             let rest = (0..3).map(|j| m[j] * abc[j]).sum::<f64>() - m[i] * abc[i];
@@ -115,8 +115,7 @@
         }
     }
 
-    /// News of the engines; a full list leaves out those that are gone. Nothing new goes to an engine from
-    /// the moment it is heard to drain or to be gone.
+    /// News of the engines; a full list leaves out those that are gone. Only those that are in are sent to.
     pub fn list(&mut self, now: f64, lines: &[EngineLine], full: bool) {
         for e in self.engines.iter_mut().filter(|e| full && lines.iter().all(|l| l.id != e.id)) {
             e.standing = Standing::Gone;
@@ -165,7 +164,7 @@
             ..Inference::default()
         };
         inf.homes = self.homes(&inf);
-        self.recent.push_back(if inf.prefix != 0 { inf.prefix } else { inf.session });
+        self.recent.push_back(inf.prefix);
         self.recent.drain(..self.recent.len().saturating_sub(RECENT));
         self.keep(inf)
     }
@@ -349,8 +348,8 @@
                 self.give_up(i);
             }
         }
-        // A matured reader that admitted nothing takes the oldest held, even below θ. Not so when all writers
-        // are full: what is read then only waits, and makes others wait.
+        // A matured reader that admitted nothing takes the oldest held, even below θ; not so when all
+        // writers are full: what is read then only waits, and makes others wait.
         queue.sort_by(|&x, &y| self.infs[x].arrived.total_cmp(&self.infs[y].arrived).then(x.cmp(&y)));
         queue.retain(|&i| writer_wait <= self.target / 2.0 && self.infs[i].stage == Stage::Queued);
         for &i in &queue {
@@ -379,7 +378,6 @@
         std::mem::take(&mut self.todo)
     }
 
-    /// The engines of a stage that are in.
     fn stage(&self, reads: bool) -> Vec<usize> {
         (0..self.engines.len()).filter(|&e| self.able(e, reads)).collect()
     }
@@ -444,7 +442,15 @@
         let others = self.recent.iter().filter(|&&t| t == text).count() as f64;
         let part = others / (self.recent.len() as f64 + RECENT as f64 / 4.0);
         let all = ranked.len() as f64;
-        let named = (SPREAD * part * all).clamp(1.0, (all / 2.0).max(1.0));
+        // Two at least where memory has room for all texts twice, those not met yet too (Chao).
+        let mut met: Vec<u64> = self.recent.iter().copied().filter(|&t| t != 0).collect();
+        met.sort_unstable();
+        let seen = |n: usize| met.chunk_by(|a, b| a == b).filter(|c| c.len() == n).count() as f64;
+        let unmet = seen(1) * seen(1) / (2.0 * (seen(2) + 1.0));
+        let texts = met.chunk_by(|a, b| a == b).count() as f64 + unmet;
+        let memory: f64 = ranked.iter().map(|&e| self.engines[e].memory).sum();
+        let least = if 2.0 * texts * self.prompt < TEXTS_ROOM * memory { 2.0 } else { 1.0 };
+        let named = (SPREAD * part * all).max(least).min((all / 2.0).max(1.0));
         ranked.sort_by_cached_key(|&e| Reverse(hash(&self.engines[e].id, text)));
         ranked.truncate(named.ceil() as usize + 1);
         // Weighted rendezvous: as the part wavers, and differs from node to node, few sessions move.
@@ -457,8 +463,8 @@
         scored.into_iter().map(|s| s.1).collect()
     }
 
-    /// Prompt tokens that this reader would have to read: the hashed one is taken to keep the shared beginning
-    /// and, for not knowing, half of the rest; others nothing, so that texts stay together.
+    /// Prompt tokens that this reader would have to read: the hashed one is taken to keep the shared
+    /// beginning and, for not knowing, half of the rest; others nothing, so that texts stay together.
     fn unkept(&self, e: usize, i: usize) -> f64 {
         let inf = &self.infs[i];
         let mut homes = inf.homes.iter().copied().filter(|&h| self.able(h, true));
@@ -486,7 +492,7 @@
     }
 
     fn scout(&mut self, now: f64, r: usize) {
-        let stale = self.life / 4.0;
+        let stale = self.life / 6.0;
         let (mut fresh, mut others) = (0, Vec::new());
         for w in self.stage(false) {
             let (e, from) = (&self.engines[w], &self.engines[r]);
@@ -501,7 +507,6 @@
         others.iter().take(SCOUTED.saturating_sub(fresh)).for_each(|o| self.ask(now, o.1, stale));
     }
 
-    /// A probe, if the news of the engine is older than this and none is out.
     fn ask(&mut self, now: f64, e: usize, stale: f64) {
         let eng = &mut self.engines[e];
         let old = now - eng.load_at.max(eng.asked) >= stale;
@@ -519,10 +524,10 @@
         self.send(now, i, r, ahead + read);
     }
 
-    /// The writer next matures at its next step.
     fn write(&mut self, now: f64, i: usize, w: usize, read: f64) {
         let step = self.step(w);
         let wait = step + self.wait(w, self.infs[i].prompt) + read;
+        // The writer next matures at its next step.
         self.engines[w].matures = self.engines[w].matures.max(now + step);
         self.send(now, i, w, wait);
     }
@@ -537,13 +542,13 @@
         self.engines[s.eng].faults /= 2.0;
     }
 
-    /// Step time E_d of a writer: grows with its load; at the pace aim it is full.
+    /// Step time E_d of a writer: grows with its load; at the pace aim it is full (relax = 0).
     fn step(&self, e: usize) -> f64 {
         self.pace * (EMPTY_STEP + (1.0 - EMPTY_STEP) * self.load(e))
     }
 
-    /// Wait for room at a writer: memory comes free by the mean life of a stream. The edge is soft, since load
-    /// is known roughly and the roughlier the older the news.
+    /// Wait for room at a writer: memory comes free by the mean life of a stream. The edge is soft:
+    /// load is known roughly, the more so the older the news.
     fn wait(&self, e: usize, tokens: f64) -> f64 {
         let short = self.load(e) + tokens / self.engines[e].memory - ROOM;
         let rough = UNSURE * (2.0 - self.trust(e));
@@ -561,9 +566,8 @@
         let of =
             |e: usize| (self.engines[e].matures - now).max(0.0) + self.wait(e, self.prompt) + self.step(e);
         let waits: Vec<f64> = writers.iter().map(|&e| of(e)).collect();
-        let least = waits.iter().copied().fold(f64::INFINITY, f64::min);
+        let (n, least) = (waits.len() as f64, waits.iter().copied().fold(f64::INFINITY, f64::min));
         let (wait, load) = (waits.iter().sum::<f64>(), writers.iter().map(|&e| self.load(e)).sum::<f64>());
-        let n = writers.len() as f64;
         ((wait / n + least) / 2.0, (load / n).min(1.0))
     }
 
@@ -614,8 +618,6 @@
         self.todo.sends.push(SendOrder { inf: Inf(i as u32), eng: Eng(eng as u32), patience_s });
     }
 
-    // ---- Mechanism 1: engine health ----
-
     /// A failure makes the engine a worse choice, the more so the more there were lately, but never bars it:
     /// when most of a role fails now and then, all go on. Holds against engines that fail quickly, lose
     /// answers or die; hurts when a lone error was chance, by half a target for a while.
@@ -680,10 +682,8 @@
         }
     }
 
-    // ---- Mechanism 2: rationing fresh engines ----
-
     /// Whether this node may send to the engine now. A fresh one is sent to in turns by node number, which
-    /// begin elsewhere for each engine: so many nodes at once that all they have, going there, stays within the
+    /// begin elsewhere for each engine: so many nodes at once that all they have stays within the
     /// allowance, one at least; and in its turn a node sends no more than its part of that.
     fn ration(&mut self, now: f64, e: usize) -> bool {
         let age = now - self.engines[e].started;
@@ -702,8 +702,6 @@
         place.fract() < even.max(1.0 / self.nodes) && e.turn_sends + 1.0 <= allowed
     }
 
-    // ---- Mechanism 3: sending again ----
-
     /// Whether a further send is allowed: to this writer, or (none named) at all, a read and a write left.
     fn again(&self, now: f64, i: usize, writer: Option<usize>) -> bool {
         let inf = &self.infs[i];
@@ -728,8 +726,6 @@
         }
     }
 
-    // ---- Mechanism 5: answering and letting go ----
-
     /// Answers at once: shed where a repeat is harmless, else errored; lets go of what is held.
     fn give_up(&mut self, i: usize) {
         if matches!(self.infs[i].stage, Stage::Ended | Stage::Closed) {
@@ -752,7 +748,7 @@
         self.close(i);
     }
 
-    /// The inference is over; a state that may still wait is let go, and the handle once no send is out.
+    /// The inference is over; what it holds is let go, and its handle once no send is out.
     fn close(&mut self, i: usize) {
         let live = self.infs[i].sends.iter().any(|s| s.live);
         // A send still out keeps the state from being let go: it is said again when the last one ends.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -167,6 +167,7 @@
     for k in 2..readers {
         r.list(NOW, &[line(&format!("more{k}"), Role::Read, 0, 0)], false);
     }
+    r.prompt = 2000.0;
     r.recent.extend((0..RECENT).map(|k| if (k as f64) < part * RECENT as f64 { 9 } else { 100 + k as u64 }));
     let mut seen: Vec<usize> = Vec::new();
     for session in (1..60).map(|k| hash("s", k)) {
@@ -177,6 +178,21 @@
     assert_eq!(seen.len(), named);
 }
 
+/// One reader for each of a few texts left some readers idle and others overrun.
+#[test_case(3, 2; "few texts fit twice")]
+#[test_case(60, 1; "many do not")]
+fn a_text_has_two_readers_where_memory_has_room(texts: u64, named: usize) {
+    let mut r = router(Repeat::Retriable);
+    (2..6).for_each(|k| r.list(NOW, &[line(&format!("more{k}"), Role::Read, 0, 0)], false));
+    r.prompt = 2000.0;
+    r.recent.extend((0..RECENT as u64).map(|k| 100 + k % texts));
+    let first = |session| r.homes(&Inference { session, prefix: 9, ..inference(Stage::Queued) })[0];
+    let mut seen: Vec<usize> = (1..60).map(|k| first(hash("s", k))).collect();
+    seen.sort();
+    seen.dedup();
+    assert_eq!(seen.len(), named);
+}
+
 #[test]
 fn what_is_too_late_to_start_is_shed_unread() {
     let mut r = router(Repeat::Retriable);
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,8 +23,8 @@
     /// Seconds that a move out of the cell, and a send out of the zone, must save to be worth their price.
     pub(crate) cell_worth: f64,
     pub(crate) cross: f64,
-    /// A fresh engine's least share of its capacity, when it is warm, how many times its capacity all nodes may
-    /// send it, and within what time.
+    /// A fresh engine's least share of its capacity, when it is warm, how many times its capacity all
+    /// nodes may send it, and within what time.
     pub(crate) cold_share: f64,
     pub(crate) warm_within: f64,
     pub(crate) cold_multiple: f64,
