A tenant's bucket has room for two chance arrivals at any number of nodes

Cause: a node's part of a quota is under half an inference a second on a large fleet, and a bucket of two seconds of that never held one, so every arrival of a small tenant counted as beyond its share.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -83,7 +83,7 @@
         // Before the first sample: a read costs half a pace, and what the target grants a prompt token.
         let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
         let quota = |q: &f64| q / d.nodes.max(1) as f64;
-        let share = |q: &f64| Share { left: 2.0 * quota(q), at: 0.0, rate: quota(q) };
+        let share = |q: &f64| Share { left: 2.0 + 2.0 * quota(q), at: 0.0, rate: quota(q) };
         Router {
             node: d.node as f64,
             nodes: d.nodes.max(1) as f64,
@@ -147,7 +147,7 @@
         let target = now + r.first_token_target_s + r.target_per_token_s * a.prompt_tokens;
         let over_share = a.tenant.is_some_and(|t| {
             let s = &mut self.shares[t];
-            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 * s.rate);
+            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 + 2.0 * s.rate);
             (s.at, s.left) = (now, s.left - 1.0);
             s.left < 0.0
         });
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -560,6 +560,24 @@
     assert_eq!(r.decide(NOW).sends.len(), 1);
 }
 
+/// With a part under half an inference a second the bucket never held one: all of a small tenant was shed.
+#[test_case(1, false; "the first")]
+#[test_case(9, true; "the ninth at once")]
+fn a_small_part_of_a_quota_admits_what_chance_brings(arrivals: usize, over: bool) {
+    let mut r = Router::new(Deployment { nodes: 200, ..deployment(Repeat::Retriable) });
+    let arrival = Arrival {
+        route: 0,
+        tenant: Some(0),
+        due_at: NOW + 5.0,
+        prompt_tokens: 900.0,
+        prefix_tokens: 0.0,
+        session: "s".into(),
+        prefix: None,
+    };
+    let last = (0..arrivals).map(|_| r.take(NOW, &arrival)).last().unwrap();
+    assert_eq!(r.infs[last.0 as usize].over_share, over);
+}
+
 #[test]
 fn beyond_its_share_comes_last() {
     let mut r = router(Repeat::Retriable);
--- a/src/state.rs
+++ b/src/state.rs
@@ -150,7 +150,8 @@
     pub ran: Option<(usize, f64)>,
 }
 
-/// A tenant's allowance at this node: inferences left of it, when last filled, and its rate.
+/// A tenant's allowance at this node: inferences left of it (two seconds' worth and two that chance may
+/// bring together at most), when last filled, and its rate.
 pub struct Share {
     pub left: f64,
     pub at: f64,
