--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,7 +4,7 @@
 //! on which all later calls for that inference are made) and, after each batch of calls, do what
 //! [`Router::decide`] lists. The types exchanged are in `src/interface.rs`. The ordinary path is the one
 //! function `decide`; it follows docs/design.md. Beside it stand six mechanisms:
-//! 1. engine health: outcomes and own timings move maturity (`strike`, `hear`, `praise`, `watch`);
+//! 1. engine health: failures and overdue sends, and silence (`strike`, `unreached`, `hear`, `watch`);
 //! 2. rationing of fresh engines, node by node in turn (`ration`);
 //! 3. sending again, as far as the model route's kind allows (`again`);
 //! 4. fair shares: what a tenant sends beyond its quota waits behind the rest (`take`);
