Age of an engine's news is worked out in one place; a note says what the code does

Read again: scout and ask each had the age of news, and texts met once were counted twice an arrival. The note of unkept left out the second reader.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -446,7 +446,7 @@
         let mut met: Vec<u64> = self.recent.iter().copied().filter(|&t| t != 0).collect();
         met.sort_unstable();
         let seen = |n: usize| met.chunk_by(|a, b| a == b).filter(|c| c.len() == n).count() as f64;
-        let unmet = seen(1) * seen(1) / (2.0 * (seen(2) + 1.0));
+        let unmet = seen(1).powi(2) / (2.0 * (seen(2) + 1.0));
         let texts = met.chunk_by(|a, b| a == b).count() as f64 + unmet;
         let memory: f64 = ranked.iter().map(|&e| self.engines[e].memory).sum();
         let least = if 2.0 * texts * self.prompt < TEXTS_ROOM * memory { 2.0 } else { 1.0 };
@@ -463,8 +463,8 @@
         scored.into_iter().map(|s| s.1).collect()
     }
 
-    /// Prompt tokens that this reader would have to read: the hashed one is taken to keep the shared
-    /// beginning and, for not knowing, half of the rest; others nothing, so that texts stay together.
+    /// Prompt tokens that this reader would have to read: the hashed one is taken to keep the beginning and
+    /// half of the rest, the next one named the beginning; others nothing, so that texts stay together.
     fn unkept(&self, e: usize, i: usize) -> f64 {
         let inf = &self.infs[i];
         let mut homes = inf.homes.iter().copied().filter(|&h| self.able(h, true));
@@ -497,7 +497,7 @@
         for w in self.stage(false) {
             let (e, from) = (&self.engines[w], &self.engines[r]);
             let far = (e.cell != from.cell) as u32 as f64 / 2.0 + (e.zone != from.zone) as u32 as f64;
-            if now - e.load_at.max(e.asked) < stale {
+            if now - e.news_at() < stale {
                 fresh += (far < 1.0) as usize;
             } else {
                 others.push((far + self.dice(), w));
@@ -509,7 +509,7 @@
 
     fn ask(&mut self, now: f64, e: usize, stale: f64) {
         let eng = &mut self.engines[e];
-        let old = now - eng.load_at.max(eng.asked) >= stale;
+        let old = now - eng.news_at() >= stale;
         if self.probes && old && !eng.probing && eng.standing == Standing::In {
             (eng.probing, eng.asked) = (true, now);
             self.todo.probes.push(Eng(e as u32));
--- a/src/state.rs
+++ b/src/state.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// When news of it came, or was asked for.
+    pub fn news_at(&self) -> f64 {
+        self.load_at.max(self.asked)
+    }
+
     /// Prompts that wait or are read here by the last report, of this mean length.
     pub fn there(&self, prompt: f64) -> f64 {
         let by_tokens = self.load.unread_tokens.map(|t| t / prompt.max(1.0));
