--- /dev/null
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -0,0 +1,152 @@
+//! What is let in: model name to model route, bearer token to tenant, limits of size. No I/O.
+
+use nickelgw_protocol::chat::{ApiError, ChatRequest};
+
+/// A model route as clients name it.
+#[derive(Clone, Debug)]
+pub struct Model {
+    pub name: String,
+    /// Longest that a client waits for its first token: a constant part, and one for each prompt token.
+    pub timeout_s: f64,
+    pub timeout_per_token_s: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub name: String,
+    pub key: String,
+}
+
+/// A request as the module takes it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub route: usize,
+    pub tenant: Option<usize>,
+    pub timeout_s: f64,
+    pub prompt_tokens: f64,
+    pub prefix_tokens: f64,
+    pub session: String,
+    pub prefix: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Refusal {
+    /// As many inferences are open as may be.
+    Full,
+    /// The queue to the core is full: the node is behind.
+    Behind,
+    Unknown(ApiError),
+}
+
+impl Refusal {
+    pub fn error(self, come_back_s: f64) -> ApiError {
+        let word = match self {
+            Refusal::Unknown(e) => return e,
+            Refusal::Full => "as many requests are open as this node takes",
+            Refusal::Behind => "this node is behind with its work",
+        };
+        let mut e = ApiError::new(503, "server_error", "node_full", word);
+        e.retry_after_s = Some(come_back_s);
+        e
+    }
+}
+
+pub struct Door {
+    pub models: Vec<Model>,
+    pub tenants: Vec<Tenant>,
+    pub most_prompt_tokens: f64,
+}
+
+/// Equal in time that does not tell where the first difference lies.
+fn same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |d, (x, y)| d | (x ^ y)) == 0
+}
+
+impl Door {
+    /// `client_timeout_s`: the client's own word on how long it waits, which only shortens.
+    pub fn enter(
+        &self,
+        chat: &ChatRequest,
+        bearer: Option<&str>,
+        client_timeout_s: Option<f64>,
+    ) -> Result<Ask, Refusal> {
+        let tenant = match bearer {
+            _ if self.tenants.is_empty() => None,
+            None => return Err(denied("you must provide an API key as a bearer token")),
+            Some(key) => {
+                let known = |t: &Tenant| same(t.key.as_bytes(), key.as_bytes());
+                let found = self.tenants.iter().position(known);
+                Some(found.ok_or_else(|| denied("the API key is not known"))?)
+            }
+        };
+        let Some(route) = self.models.iter().position(|m| m.name == chat.model) else {
+            let word =
+                format!("the model '{}' does not exist", chat.model.chars().take(64).collect::<String>());
+            let mut e = ApiError::new(404, "invalid_request_error", "model_not_found", word);
+            e.param = Some("model");
+            return Err(Refusal::Unknown(e));
+        };
+        if chat.prompt_tokens > self.most_prompt_tokens {
+            let word = format!(
+                "the prompt has about {} tokens, the longest taken is {}",
+                chat.prompt_tokens, self.most_prompt_tokens
+            );
+            let mut e = ApiError::new(400, "invalid_request_error", "context_length_exceeded", word);
+            e.param = Some("messages");
+            return Err(Refusal::Unknown(e));
+        }
+        let m = &self.models[route];
+        let timeout = m.timeout_s + m.timeout_per_token_s * chat.prompt_tokens;
+        Ok(Ask {
+            route,
+            tenant,
+            timeout_s: client_timeout_s.map_or(timeout, |t| t.clamp(0.0, timeout)),
+            prompt_tokens: chat.prompt_tokens,
+            prefix_tokens: chat.prefix_tokens,
+            session: chat.session.clone(),
+            prefix: chat.prefix.clone(),
+        })
+    }
+}
+
+fn denied(word: &str) -> Refusal {
+    Refusal::Unknown(ApiError::new(401, "invalid_request_error", "invalid_api_key", word))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn door() -> Door {
+        let model = Model { name: "chat".into(), timeout_s: 5.0, timeout_per_token_s: 0.001 };
+        let tenant = |n: &str, k: &str| Tenant { name: n.into(), key: k.into() };
+        Door {
+            models: vec![model],
+            tenants: vec![tenant("a", "key-a"), tenant("b", "key-b")],
+            most_prompt_tokens: 100.0,
+        }
+    }
+
+    fn chat(model: &str, text: &str) -> ChatRequest {
+        let body = format!(r#"{{"model":"{model}","messages":[{{"role":"user","content":"{text}"}}]}}"#);
+        ChatRequest::parse(body.as_bytes()).unwrap()
+    }
+
+    #[test]
+    fn who_and_what_is_known_comes_in() {
+        let ask = door().enter(&chat("chat", "hi"), Some("key-b"), Some(60.0)).unwrap();
+        assert_eq!((ask.route, ask.tenant), (0, Some(1)));
+        assert!(ask.timeout_s > 5.0 && ask.timeout_s < 5.1, "the client's word only shortens");
+        assert_eq!(door().enter(&chat("chat", "hi"), Some("key-a"), Some(1.0)).unwrap().timeout_s, 1.0);
+    }
+
+    #[test]
+    fn others_are_told_why_not() {
+        let status = |r: Result<Ask, Refusal>| r.unwrap_err().error(1.0).status;
+        assert_eq!(status(door().enter(&chat("chat", "hi"), None, None)), 401);
+        assert_eq!(status(door().enter(&chat("chat", "hi"), Some("key-c"), None)), 401);
+        assert_eq!(status(door().enter(&chat("nope", "hi"), Some("key-a"), None)), 404);
+        assert_eq!(status(door().enter(&chat("chat", &"x".repeat(500)), Some("key-a"), None)), 400);
+        assert_eq!(Refusal::Full.error(1.5).retry_after().as_deref(), Some("2"));
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -0,0 +1,515 @@
+//! A request's life around the Router, without I/O: calls tell what happened and when, [`Core::act`] returns what
+//! to do. No clock, socket or task; equal calls give equal actions.
+
+pub mod cause;
+pub mod door;
+pub mod letgo;
+
+pub use cause::Cause;
+pub use door::{Ask, Door, Refusal};
+use letgo::LetGo;
+use nickelgw::decide::Router;
+use nickelgw::interface::{Arrival, Deployment, Ending, EngineLine, Inf, Load, Outcome, Role, Standing};
+use nickelgw_protocol::list::{self, List};
+use nickelgw_protocol::load::{self, LoadReport};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Names a request taken. A late word for one that is over finds nothing and is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket {
+    inf: u32,
+    pub serial: u64,
+}
+
+/// An engine as the list has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub id: String,
+    pub address: String,
+}
+
+/// A state that waits at a reader.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldState {
+    pub name: String,
+    pub reader: Rc<Place>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    pub ticket: Ticket,
+    pub send: u32,
+    /// The send's own name; a read leaves its state under it.
+    pub name: String,
+    pub eng: Rc<Place>,
+    /// Time for a read to end, for a write to begin.
+    pub patience_s: f64,
+    pub what: Work,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Work {
+    Read,
+    /// With no state the writer reads the prompt itself. A stream silent for longer than `idle_s` is lost.
+    Write {
+        state: Option<HeldState>,
+        idle_s: f64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    Completed,
+    /// Nothing has run, or may run again: the client may come back, where said, after so long.
+    Shed {
+        come_back_s: Option<f64>,
+    },
+    Errored(Why),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// The client's time ended before an answer began.
+    TimeUp,
+    /// Every send allowed has failed.
+    SendsFailed,
+    /// The stream broke after its first token.
+    StreamBroken,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Do {
+    Send(Order),
+    CallOff {
+        ticket: Ticket,
+        send: u32,
+    },
+    /// The one final answer; nothing is sent for the ticket after it.
+    Answer {
+        ticket: Ticket,
+        answer: Answer,
+    },
+    LetGo {
+        call: u64,
+        state: HeldState,
+    },
+    Probe(Rc<Place>),
+    AskList,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Actions {
+    pub todo: Vec<Do>,
+    pub wake_at: Option<f64>,
+}
+
+/// How a send ended, as the shell saw it.
+#[derive(Clone, Debug, Default)]
+pub struct End {
+    pub cause: Cause,
+    pub load: Option<LoadReport>,
+    /// Prompt tokens that the reader had kept.
+    pub kept: f64,
+}
+
+/// The few figures of the settings that the core uses itself.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Name of this process of this node, in every send's name: never used by another.
+    pub boot: String,
+    /// Unix time at the process's time zero, for start times in the list.
+    pub epoch_unix_s: f64,
+    pub zones: Vec<String>,
+    /// Inferences open at once; one more is refused at the door.
+    pub most_open: usize,
+    pub stream_idle_s: f64,
+    pub let_go_within_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub taken: u64,
+    pub completed: u64,
+    pub shed: u64,
+    pub errored: u64,
+    pub left: u64,
+    pub refused: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    Streaming(u32),
+    /// Answered, or the client has left.
+    Over,
+}
+
+struct Sent {
+    name: String,
+    eng: Rc<Place>,
+    read: bool,
+    live: bool,
+    /// The reader may hold a state under the send's name.
+    held: bool,
+    /// The read send whose state this write fetches.
+    from: Option<u32>,
+}
+
+struct Taken {
+    serial: u64,
+    stage: Stage,
+    due_at: f64,
+    sends: Vec<Sent>,
+}
+
+pub struct Core {
+    router: Router,
+    figures: Figures,
+    tick: f64,
+    places: HashMap<String, (Rc<Place>, Role)>,
+    /// By the Router's handle.
+    taken: Vec<Option<Taken>>,
+    open: usize,
+    serial: u64,
+    letgo: LetGo,
+    revision: Option<u64>,
+    ready: Vec<Do>,
+    pub tally: Tally,
+}
+
+fn load(report: &LoadReport) -> Load {
+    Load {
+        memory_share: report.mem_utilization,
+        slot_share: report.application_utilization,
+        queue: report.named(load::WAITING),
+        inflight: report.named(load::PRESENT),
+        unread_tokens: report.named(load::UNREAD),
+    }
+}
+
+impl Core {
+    pub fn new(deployment: Deployment, figures: Figures) -> Core {
+        Core {
+            tick: deployment.tick_s,
+            router: Router::new(deployment),
+            places: HashMap::new(),
+            taken: Vec::new(),
+            open: 0,
+            serial: 0,
+            letgo: LetGo::new(figures.let_go_within_s),
+            revision: None,
+            ready: Vec::new(),
+            tally: Tally::default(),
+            figures,
+        }
+    }
+
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Whether anything is still owed to an engine: a send out or a state to let go.
+    pub fn is_quiet(&self) -> bool {
+        self.taken.iter().all(Option::is_none) && self.letgo.is_empty()
+    }
+
+    /// A list from the same source never goes back: an older one is an answer that was overtaken.
+    pub fn list(&mut self, now: f64, list: &List) {
+        if self.revision.is_some_and(|r| list.revision < r) {
+            return;
+        }
+        self.revision = Some(list.revision);
+        let mut lines = Vec::with_capacity(list.engines.len());
+        for l in &list.engines {
+            // A zone not in the settings cannot be weighed; the engine is left out, as if gone.
+            let Some(zone) = self.figures.zones.iter().position(|z| *z == l.zone) else { continue };
+            let role = match l.role {
+                list::Role::Read => Role::Read,
+                list::Role::Write => Role::Write,
+                list::Role::Both => Role::Both,
+            };
+            let standing = match l.state {
+                list::State::In => Standing::In,
+                list::State::Draining => Standing::Draining,
+                list::State::Gone => Standing::Gone,
+            };
+            let known = self.places.get(&l.id).filter(|(p, _)| p.address == l.address);
+            let place = known.map_or_else(
+                || Rc::new(Place { id: l.id.clone(), address: l.address.clone() }),
+                |(p, _)| p.clone(),
+            );
+            self.places.insert(l.id.clone(), (place, role));
+            lines.push(EngineLine {
+                id: l.id.clone(),
+                zone: zone as u32,
+                cell: l.cell,
+                role,
+                memory_tokens: l.memory_tokens,
+                standing,
+                started_at: l.started_at.map(|at| at - self.figures.epoch_unix_s),
+            });
+        }
+        self.places.retain(|id, _| lines.iter().any(|l| l.id == *id));
+        self.router.list(now, &lines, true);
+    }
+
+    /// The last list of an earlier process: used until a source speaks, whose first word counts at any revision.
+    pub fn list_unproved(&mut self, now: f64, list: &List) {
+        self.list(now, list);
+        self.revision = None;
+    }
+
+    pub fn list_failed(&mut self, now: f64) {
+        self.router.list_failed(now);
+    }
+
+    /// Takes a request, or says why not.
+    pub fn take(&mut self, now: f64, ask: &Ask) -> Result<Ticket, Refusal> {
+        if self.open >= self.figures.most_open {
+            self.tally.refused += 1;
+            return Err(Refusal::Full);
+        }
+        let arrival = Arrival {
+            route: ask.route,
+            tenant: ask.tenant,
+            due_at: now + ask.timeout_s,
+            prompt_tokens: ask.prompt_tokens,
+            prefix_tokens: ask.prefix_tokens,
+            session: ask.session.clone(),
+            prefix: ask.prefix.clone(),
+        };
+        let inf = self.router.take(now, &arrival).0;
+        self.serial += 1;
+        self.open += 1;
+        self.tally.taken += 1;
+        let slot = inf as usize;
+        if slot >= self.taken.len() {
+            self.taken.resize_with(slot + 1, || None);
+        }
+        let stage = Stage::Waiting;
+        self.taken[slot] =
+            Some(Taken { serial: self.serial, stage, due_at: arrival.due_at, sends: Vec::new() });
+        Ok(Ticket { inf, serial: self.serial })
+    }
+
+    fn get(&mut self, t: Ticket) -> Option<&mut Taken> {
+        self.taken.get_mut(t.inf as usize)?.as_mut().filter(|x| x.serial == t.serial)
+    }
+
+    fn ticket(&self, inf: Inf) -> Option<Ticket> {
+        let serial = self.taken.get(inf.0 as usize)?.as_ref()?.serial;
+        Some(Ticket { inf: inf.0, serial })
+    }
+
+    /// A write's first token is there. True: the stream is this send's from now on; false: it came too late.
+    pub fn began(&mut self, now: f64, t: Ticket, send: u32) -> bool {
+        let Some(taken) = self.get(t) else { return false };
+        let Some(s) = taken.sends.get(send as usize) else { return false };
+        if !s.live || s.read || taken.stage != Stage::Waiting {
+            return false;
+        }
+        let from = s.from;
+        taken.stage = Stage::Streaming(send);
+        // The state was fetched: the reader let go of it by itself.
+        if let Some(read) = from.and_then(|n| taken.sends.get_mut(n as usize)) {
+            read.held = false;
+        }
+        self.router.first_token(now, Inf(t.inf), send);
+        self.let_go_all(now, t);
+        true
+    }
+
+    /// A send has ended; each ends once, what comes later for it is passed over.
+    pub fn ended(&mut self, now: f64, t: Ticket, send: u32, end: End) {
+        let Some(taken) = self.get(t) else { return };
+        let Some(s) = taken.sends.get_mut(send as usize).filter(|s| s.live) else { return };
+        let began = taken.stage == Stage::Streaming(send);
+        let mut cause = end.cause;
+        if (cause == Cause::Completed && !began) || (matches!(cause, Cause::Read) && !s.read) {
+            cause = Cause::Garbled;
+        }
+        s.live = false;
+        let outcome = cause.outcome();
+        // What a failed read may have left is let go at once: nobody will ever ask for it.
+        let orphan = s.read && s.held && cause != Cause::Read;
+        if orphan {
+            s.held = false;
+        }
+        let state = HeldState { name: s.name.clone(), reader: s.eng.clone() };
+        if began && cause == Cause::CalledOff {
+            // Nobody takes the stream any more: the client has gone, whichever socket told it first.
+            self.leave(t);
+        } else if began {
+            let answer = if cause == Cause::Completed {
+                Answer::Completed
+            } else {
+                Answer::Errored(Why::StreamBroken)
+            };
+            self.answer(t, answer);
+        }
+        let over = self.get(t).is_none_or(|x| x.stage == Stage::Over);
+        if orphan && !matches!(cause, Cause::TurnedAway | Cause::NoConnection | Cause::NotSent) {
+            self.letgo.add(now, state);
+        }
+        let note = if cause == Cause::NoState { 1.0 } else { end.kept };
+        // Time since the send: the Router learns from it how long reads and streams last.
+        let after_s = now - self.sent_at(t, send);
+        let ending = Ending { outcome, after_s, over, note };
+        self.router.settled(now, Inf(t.inf), send, ending, end.load.as_ref().map(load));
+    }
+
+    fn sent_at(&self, t: Ticket, send: u32) -> f64 {
+        self.router.sent_at(Inf(t.inf), send)
+    }
+
+    /// The client has gone. What is out for it is called off; nothing more is owed.
+    pub fn left(&mut self, now: f64, t: Ticket) {
+        if self.leave(t) {
+            self.call_off(t);
+            self.router.left(Inf(t.inf));
+            self.let_go_all(now, t);
+        }
+    }
+
+    fn leave(&mut self, t: Ticket) -> bool {
+        let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { return false };
+        taken.stage = Stage::Over;
+        self.open -= 1;
+        self.tally.left += 1;
+        true
+    }
+
+    pub fn probed(&mut self, now: f64, id: &str, cause: Cause, report: Option<LoadReport>) {
+        self.router.probed(now, id, cause.outcome(), report.as_ref().map(load));
+    }
+
+    /// A call that lets go of a state was answered, or was not.
+    pub fn let_go(&mut self, now: f64, call: u64, done: bool) {
+        self.letgo.told(now, call, done);
+    }
+
+    fn answer(&mut self, t: Ticket, answer: Answer) {
+        let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { return };
+        taken.stage = Stage::Over;
+        self.open -= 1;
+        match answer {
+            Answer::Completed => self.tally.completed += 1,
+            Answer::Shed { .. } => self.tally.shed += 1,
+            Answer::Errored(_) => self.tally.errored += 1,
+        }
+        self.ready.push(Do::Answer { ticket: t, answer });
+        self.call_off(t);
+    }
+
+    /// Whatever is still out for a request that is over is no longer waited for.
+    fn call_off(&mut self, t: Ticket) {
+        let Some(taken) = self.get(t) else { return };
+        let live = taken.sends.iter().enumerate().filter(|(_, s)| s.live);
+        let orders: Vec<Do> = live.map(|(n, _)| Do::CallOff { ticket: t, send: n as u32 }).collect();
+        self.ready.extend(orders);
+    }
+
+    /// Lets go of every state that no live send may still fetch or leave.
+    fn let_go_all(&mut self, now: f64, t: Ticket) {
+        let Some(taken) = self.get(t) else { return };
+        let wanted: Vec<u32> = taken.sends.iter().filter(|s| s.live).filter_map(|s| s.from).collect();
+        let mut free = Vec::new();
+        for (n, s) in taken.sends.iter_mut().enumerate() {
+            if s.held && !s.live && !wanted.contains(&(n as u32)) {
+                s.held = false;
+                free.push(HeldState { name: s.name.clone(), reader: s.eng.clone() });
+            }
+        }
+        free.into_iter().for_each(|state| self.letgo.add(now, state));
+    }
+
+    /// What to do after a batch of calls.
+    pub fn act(&mut self, now: f64) -> Actions {
+        let d = self.router.decide(now);
+        let mut todo = std::mem::take(&mut self.ready);
+        for &(inf, send) in &d.cancelled {
+            if let Some(ticket) = self.ticket(inf) {
+                todo.push(Do::CallOff { ticket, send });
+            }
+        }
+        for s in &d.sends {
+            todo.extend(self.order(s.inf, s.eng, s.patience_s).map(Do::Send));
+        }
+        for &(inf, come_back_s) in &d.shed {
+            if let Some(t) = self.ticket(inf) {
+                self.answer(t, Answer::Shed { come_back_s });
+            }
+        }
+        for &inf in &d.errored {
+            if let Some(t) = self.ticket(inf) {
+                let due = self.get(t).map_or(f64::INFINITY, |x| x.due_at);
+                let why = if now + 2.0 * self.tick >= due { Why::TimeUp } else { Why::SendsFailed };
+                self.answer(t, Answer::Errored(why));
+            }
+        }
+        for &inf in &d.released {
+            if let Some(t) = self.ticket(inf) {
+                self.let_go_all(now, t);
+            }
+        }
+        for &eng in &d.probes {
+            let id = self.router.engine_id(eng);
+            match self.places.get(id) {
+                Some((place, _)) => todo.push(Do::Probe(place.clone())),
+                // The list took it out in this very batch.
+                None => {
+                    let id = id.to_string();
+                    self.router.probed(now, &id, Outcome::NoConnection, None);
+                }
+            }
+        }
+        if d.subscribe {
+            todo.push(Do::AskList);
+        }
+        for &inf in &d.closed {
+            if let Some(t) = self.ticket(inf) {
+                self.let_go_all(now, t);
+                // A request must not vanish unanswered, whatever the Router thinks of it.
+                self.answer(t, Answer::Errored(Why::SendsFailed));
+            }
+        }
+        todo.append(&mut self.ready);
+        for inf in &d.closed {
+            self.taken[inf.0 as usize] = None;
+        }
+        let (calls, let_go_at) = self.letgo.due(now);
+        todo.extend(calls.into_iter().map(|(call, state)| Do::LetGo { call, state }));
+        let wake_at = [d.wake_at, let_go_at].into_iter().flatten().min_by(f64::total_cmp);
+        Actions { todo, wake_at }
+    }
+
+    /// Books a send and says what the shell needs to make it.
+    fn order(&mut self, inf: Inf, eng: nickelgw::interface::Eng, patience_s: f64) -> Option<Order> {
+        let ticket = self.ticket(inf)?;
+        let id = self.router.engine_id(eng).to_string();
+        let (boot, idle_s) = (self.figures.boot.clone(), self.figures.stream_idle_s);
+        let (eng, role) = match self.places.get(&id) {
+            Some((place, role)) => (place.clone(), *role),
+            None => (Rc::new(Place { id, address: String::new() }), Role::Read),
+        };
+        let taken = self.get(ticket)?;
+        let send = taken.sends.len() as u32;
+        let name = format!("{boot}-{}-{send}", ticket.serial);
+        let read = role == Role::Read;
+        let from = if read { None } else { taken.sends.iter().rposition(|s| s.held && !s.live) };
+        let state =
+            from.map(|n| HeldState { name: taken.sends[n].name.clone(), reader: taken.sends[n].eng.clone() });
+        let from = from.map(|n| n as u32);
+        taken.sends.push(Sent { name: name.clone(), eng: eng.clone(), read, live: true, held: read, from });
+        let what = if read { Work::Read } else { Work::Write { state, idle_s } };
+        Some(Order { ticket, send, name, eng, patience_s, what })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -0,0 +1,403 @@
+use super::*;
+use nickelgw::interface::{Group, ModelRoute, Repeat};
+use nickelgw_protocol::list::{Line, State};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use test_case::test_case;
+
+const HOLD_S: f64 = 0.5;
+const MEMORY_S: f64 = 3.0;
+const REPEATS: [Repeat; 3] =
+    [Repeat::Retriable, Repeat::Deduped { group: Group::Zone, memory_s: MEMORY_S }, Repeat::NonRetriable];
+
+fn deployment() -> Deployment {
+    let route =
+        |repeat| ModelRoute { first_token_target_s: 0.5, target_per_token_s: 0.0, pace_s: 0.05, repeat };
+    Deployment {
+        node: 0,
+        nodes: 1,
+        seed: 7,
+        zone: 0,
+        tick_s: 0.004,
+        routes: REPEATS.map(route).to_vec(),
+        tenant_quotas: vec![1000.0],
+        most_sends: 6,
+        writers_read: true,
+        hold_limit_s: HOLD_S,
+        move_price: 0.0,
+        zone_price: 0.0,
+        cancel: true,
+        probes: true,
+        must_ask: false,
+        longest_come_back_s: Some(2.0),
+        cold_share: 0.3,
+        warm_within_s: 5.0,
+        tip_multiple: 3.0,
+        tip_window_s: 2.0,
+    }
+}
+
+fn list(revision: u64, states: &[State]) -> List {
+    let line = |(n, &state): (usize, &State)| Line {
+        id: format!("e{n}"),
+        address: format!("127.0.0.1:{n}"),
+        zone: if n % 4 < 2 { "a" } else { "b" }.into(),
+        cell: 0,
+        role: if n % 2 == 0 { list::Role::Read } else { list::Role::Write },
+        memory_tokens: 1e5,
+        state,
+        started_at: None,
+    };
+    List { revision, engines: states.iter().enumerate().map(line).collect() }
+}
+
+fn core(most_open: usize) -> Core {
+    let figures = Figures {
+        boot: "n0".into(),
+        epoch_unix_s: 0.0,
+        zones: vec!["a".into(), "b".into()],
+        most_open,
+        stream_idle_s: 2.0,
+        let_go_within_s: HOLD_S / 2.0,
+    };
+    let mut c = Core::new(deployment(), figures);
+    c.list(0.0, &list(1, &[State::In; 8]));
+    c
+}
+
+fn ask(route: usize) -> Ask {
+    Ask {
+        route,
+        tenant: Some(0),
+        timeout_s: 2.0,
+        prompt_tokens: 200.0,
+        prefix_tokens: 0.0,
+        session: "s".into(),
+        prefix: None,
+    }
+}
+
+fn end(cause: Cause) -> End {
+    End { cause, ..End::default() }
+}
+
+#[derive(Default)]
+struct Seen {
+    route: usize,
+    due: f64,
+    answers: Vec<(f64, Answer)>,
+    left: bool,
+    /// Writes that may have run: number, when sent, and the writer's zone.
+    ran: Vec<(u32, f64, usize)>,
+    live: BTreeSet<u32>,
+    begun: bool,
+}
+
+/// Plays engines and clients, and checks each action against the rules as it comes.
+struct World {
+    core: Core,
+    now: f64,
+    seen: BTreeMap<Ticket, Seen>,
+    out: Vec<Order>,
+    /// States that wait, and since when no send was out for them.
+    states: BTreeMap<String, (Ticket, f64)>,
+    calls: Vec<u64>,
+    probes: Vec<String>,
+    wake: Option<f64>,
+}
+
+fn zone_of(eng: &Place) -> usize {
+    usize::from(eng.id[1..].parse::<usize>().unwrap() % 4 >= 2)
+}
+
+impl World {
+    fn new() -> Self {
+        World {
+            core: core(64),
+            now: 0.0,
+            seen: BTreeMap::new(),
+            out: Vec::new(),
+            states: BTreeMap::new(),
+            calls: Vec::new(),
+            probes: Vec::new(),
+            wake: None,
+        }
+    }
+
+    fn act(&mut self) {
+        let actions = self.core.act(self.now);
+        self.wake = actions.wake_at;
+        for d in actions.todo {
+            match d {
+                Do::Send(o) => self.sent(o),
+                Do::CallOff { ticket, send } => {
+                    let found = self.out.iter().position(|o| (o.ticket, o.send) == (ticket, send));
+                    if let Some(n) = found {
+                        let o = self.out.swap_remove(n);
+                        self.end(o, Cause::CalledOff);
+                    }
+                }
+                Do::Answer { ticket, answer } => {
+                    let s = self.seen.get_mut(&ticket).unwrap();
+                    assert!(s.answers.is_empty() && !s.left, "answered twice, or after the client left");
+                    assert!(s.begun || self.now <= s.due + 1e-9, "answered after the client's time");
+                    let shed = matches!(answer, Answer::Shed { .. });
+                    let harmless = s.ran.is_empty() || REPEATS[s.route] == Repeat::Retriable;
+                    assert!(!shed || harmless, "shed though it may have run");
+                    s.answers.push((self.now, answer));
+                }
+                Do::LetGo { call, state } => {
+                    self.states.remove(&state.name);
+                    self.calls.push(call);
+                }
+                Do::Probe(p) => self.probes.push(p.id.clone()),
+                Do::AskList => {}
+            }
+        }
+        for (name, (t, since)) in &self.states {
+            let idle = self.seen[t].live.is_empty();
+            assert!(!idle || self.now < since + HOLD_S, "{name} is pinned");
+        }
+    }
+
+    fn sent(&mut self, o: Order) {
+        let s = self.seen.get_mut(&o.ticket).unwrap();
+        assert!(s.answers.is_empty() && !s.left, "sent after the final answer");
+        if let Work::Write { state, .. } = &o.what {
+            match (REPEATS[s.route], s.ran.first().copied()) {
+                (Repeat::NonRetriable, Some(_)) => panic!("a non-retriable inference is sent again"),
+                (Repeat::Deduped { .. }, Some((_, at, zone))) => {
+                    assert!(zone == zone_of(&o.eng) && self.now < at + MEMORY_S, "outside group or span");
+                }
+                _ => {}
+            }
+            if let Some(state) = state {
+                assert!(self.states.contains_key(&state.name), "a state let go is sent on");
+            }
+            // Until an outcome proves otherwise it may have run.
+            s.ran.push((o.send, self.now, zone_of(&o.eng)));
+        }
+        s.live.insert(o.send);
+        self.out.push(o);
+    }
+
+    fn end(&mut self, o: Order, cause: Cause) {
+        let s = self.seen.get_mut(&o.ticket).unwrap();
+        s.live.remove(&o.send);
+        let proven =
+            matches!(cause.outcome(), Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent);
+        if proven {
+            s.ran.retain(|r| r.0 != o.send);
+        }
+        if o.what == Work::Read && cause == Cause::Read {
+            self.states.insert(o.name.clone(), (o.ticket, self.now));
+        }
+        for v in self.states.values_mut().filter(|v| v.0 == o.ticket) {
+            v.1 = self.now;
+        }
+        self.core.ended(self.now, o.ticket, o.send, end(cause));
+    }
+
+    fn step(&mut self, (what, pick, dt): (u8, usize, f64)) {
+        // Time passes by the core's own wake-ups, as a shell would have it.
+        let until = self.now + dt;
+        while let Some(w) = self.wake.filter(|&w| w < until) {
+            self.now = w.max(self.now + 1e-4);
+            self.act();
+        }
+        self.now = self.now.max(until);
+        let n = pick % self.out.len().max(1);
+        match what {
+            0..=2 => {
+                if let Ok(t) = self.core.take(self.now, &ask(pick % 3)) {
+                    let due = self.now + 2.0;
+                    self.seen.insert(t, Seen { route: pick % 3, due, ..Seen::default() });
+                }
+            }
+            3 => {
+                let t = self.seen.keys().nth(pick % self.seen.len().max(1)).copied();
+                if let Some(t) = t.filter(|t| self.seen[t].answers.is_empty()) {
+                    self.seen.get_mut(&t).unwrap().left = true;
+                    self.core.left(self.now, t);
+                }
+            }
+            4..=9 if !self.out.is_empty() => {
+                let o = self.out.swap_remove(n);
+                let read = o.what == Work::Read;
+                let cause = match (what, read) {
+                    (4..=6, true) => Cause::Read,
+                    (4..=6, false) => Cause::Completed,
+                    (7, _) => [Cause::TurnedAway, Cause::NoConnection, Cause::NoState][pick % 3],
+                    (8, _) => [Cause::Lost, Cause::NoAnswer, Cause::Garbled][pick % 3],
+                    _ => Cause::Failed(500),
+                };
+                if cause == Cause::Completed && self.core.began(self.now, o.ticket, o.send) {
+                    self.begun(&o);
+                }
+                // Heard twice, it counts once.
+                let twice = (o.ticket, o.send);
+                self.end(o, cause);
+                self.core.ended(self.now, twice.0, twice.1, end(Cause::Lost));
+            }
+            10 if !self.out.is_empty() => {
+                let o = self.out[n].clone();
+                if self.core.began(self.now, o.ticket, o.send) {
+                    self.begun(&o);
+                }
+            }
+            11 => {
+                let pool = [State::In, State::In, State::Draining, State::Gone];
+                let states: Vec<State> = (0..8).map(|k| pool[(pick >> (2 * k)) % 4]).collect();
+                let revision = self.core.revision().unwrap() + 1;
+                self.core.list(self.now, &list(revision, &states));
+            }
+            12 => {
+                let cause = [Cause::Completed, Cause::NoAnswer, Cause::TurnedAway][pick % 3];
+                for id in std::mem::take(&mut self.probes) {
+                    self.core.probed(self.now, &id, cause, None);
+                }
+            }
+            13 => {
+                for c in std::mem::take(&mut self.calls) {
+                    self.core.let_go(self.now, c, pick % 3 != 0);
+                }
+            }
+            _ => {}
+        }
+        self.act();
+    }
+
+    fn begun(&mut self, o: &Order) {
+        self.seen.get_mut(&o.ticket).unwrap().begun = true;
+        if let Work::Write { state: Some(s), .. } = &o.what {
+            self.states.remove(&s.name);
+        }
+    }
+
+    /// All that is out comes to an end, and time passes.
+    fn finish(&mut self) {
+        for k in 0..400 {
+            while let Some(o) = self.out.pop() {
+                self.end(o, Cause::Lost);
+            }
+            for c in std::mem::take(&mut self.calls) {
+                self.core.let_go(self.now, c, true);
+            }
+            self.now += 0.01;
+            self.act();
+            if k > 250 && self.out.is_empty() && self.calls.is_empty() {
+                break;
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 192, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn every_order_of_events_keeps_the_rules(
+        steps in prop::collection::vec((0u8..14, any::<usize>(), 0.0..0.2f64), 1..160),
+    ) {
+        let mut w = World::new();
+        steps.iter().for_each(|s| w.step(*s));
+        w.finish();
+        for (t, s) in &w.seen {
+            prop_assert_eq!(s.answers.len() + usize::from(s.left), 1, "{:?}", t);
+        }
+        prop_assert!(w.core.is_quiet(), "something is kept for requests that are over");
+        prop_assert_eq!(w.core.open(), 0);
+        prop_assert!(w.states.is_empty());
+        let t = w.core.tally;
+        prop_assert_eq!(t.taken, t.completed + t.shed + t.errored + t.left);
+    }
+
+    #[test]
+    fn equal_calls_give_equal_actions(
+        steps in prop::collection::vec((0u8..14, any::<usize>(), 0.0..0.1f64), 1..60),
+    ) {
+        let run = || {
+            let mut w = World::new();
+            steps.iter().for_each(|s| w.step(*s));
+            let sends: Vec<String> = w.out.iter().map(|o| format!("{} {}", o.name, o.eng.id)).collect();
+            (sends, w.core.tally, w.wake.map(f64::to_bits))
+        };
+        prop_assert_eq!(run(), run());
+    }
+}
+
+fn first_send(c: &mut Core, now: f64) -> Order {
+    let found = c.act(now).todo.into_iter().find_map(|d| if let Do::Send(o) = d { Some(o) } else { None });
+    found.expect("a send")
+}
+
+#[test]
+fn the_ordinary_way_reads_moves_and_streams() {
+    let mut c = core(4);
+    let t = c.take(1.0, &ask(0)).unwrap();
+    // The hashed reader is asked for its load first, and waited for no longer than a 32nd of the target.
+    c.act(1.0);
+    let read = first_send(&mut c, 1.02);
+    assert_eq!(read.what, Work::Read);
+    c.ended(1.1, t, read.send, end(Cause::Read));
+    let write = first_send(&mut c, 1.1);
+    let Work::Write { state: Some(state), .. } = &write.what else { panic!("the state goes to a writer") };
+    assert_eq!((&state.name, &state.reader), (&read.name, &read.eng));
+    assert!(c.began(1.2, t, write.send));
+    c.ended(1.5, t, write.send, end(Cause::Completed));
+    let todo = c.act(1.5).todo;
+    assert_eq!(todo, vec![Do::Answer { ticket: t, answer: Answer::Completed }]);
+    assert!(c.is_quiet());
+}
+
+#[test]
+fn a_stream_that_breaks_gets_one_error_and_nothing_more() {
+    let mut c = core(4);
+    let t = c.take(1.0, &ask(0)).unwrap();
+    c.act(1.0);
+    let read = first_send(&mut c, 1.02);
+    c.ended(1.1, t, read.send, end(Cause::Read));
+    let write = first_send(&mut c, 1.1);
+    assert!(c.began(1.2, t, write.send));
+    c.ended(1.3, t, write.send, end(Cause::Lost));
+    let broken = Answer::Errored(Why::StreamBroken);
+    assert_eq!(c.act(1.3).todo, vec![Do::Answer { ticket: t, answer: broken }]);
+    assert!(!c.began(1.4, t, write.send) && c.is_quiet());
+}
+
+// A read whose answer was lost has left a state that nobody will fetch.
+#[test_case(Cause::NoAnswer, true; "no answer")]
+#[test_case(Cause::Lost, true; "connection lost")]
+#[test_case(Cause::Failed(500), true; "failed")]
+#[test_case(Cause::TurnedAway, false; "turned away, it never began")]
+#[test_case(Cause::NoConnection, false; "never sent")]
+fn what_a_failed_read_left_is_let_go(cause: Cause, let_go: bool) {
+    let mut c = core(4);
+    let t = c.take(1.0, &ask(0)).unwrap();
+    c.act(1.0);
+    let read = first_send(&mut c, 1.02);
+    c.ended(1.1, t, read.send, end(cause));
+    let todo = c.act(1.1).todo;
+    let named = |d: &Do| matches!(d, Do::LetGo { state, .. } if state.name == read.name);
+    assert_eq!(todo.iter().any(named), let_go);
+}
+
+#[test]
+fn no_more_is_taken_than_may_be_open() {
+    let mut c = core(2);
+    let first = c.take(1.0, &ask(0)).unwrap();
+    c.take(1.0, &ask(0)).unwrap();
+    assert_eq!(c.take(1.0, &ask(0)), Err(Refusal::Full));
+    c.left(1.1, first);
+    assert!(c.take(1.1, &ask(0)).is_ok());
+    assert_eq!((c.tally.refused, c.tally.left), (1, 1));
+}
+
+#[test]
+fn an_older_list_is_one_that_was_overtaken() {
+    let mut c = core(2);
+    c.list(1.0, &list(5, &[State::Gone; 8]));
+    c.list(1.1, &list(4, &[State::In; 8]));
+    c.take(1.2, &ask(0)).unwrap();
+    let sends = c.act(1.3).todo.iter().filter(|d| matches!(d, Do::Send(_))).count();
+    assert_eq!((c.revision(), sends), (Some(5), 0));
+}
--- /dev/null
+++ b/crates/nickelgw-node/src/driver.rs
@@ -0,0 +1,323 @@
+//! The one task that owns the core: tells it what happened, does what it says, waits on no peer.
+
+use crate::core::{Answer, Ask, Cause, Core, Do, End, Place, Refusal, Ticket, Why};
+use crate::engines::Engines;
+use crate::meter::Meter;
+use crate::{seconds, Clock};
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use nickelgw_protocol::chat::{ApiError, ChatRequest, Chunk, Whole};
+use nickelgw_protocol::list::List;
+use nickelgw_protocol::load::LoadReport;
+use nickelgw_protocol::sse;
+use smol::{LocalExecutor, Task, Timer};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+/// Words taken in one round: as many as wait, so that a rush costs fewer rounds, not longer queues.
+const MOST_IN_A_ROUND: usize = 256;
+
+/// Something that happened, and when it was read off its socket.
+pub struct Word {
+    pub at: Instant,
+    pub said: Said,
+}
+
+impl Word {
+    pub fn new(said: Said) -> Word {
+        Word { at: Instant::now(), said }
+    }
+}
+
+pub enum Said {
+    Take { ask: Ask, job: Job, taken: Sender<Ticket> },
+    Began { ticket: Ticket, send: u32, grant: Sender<Sink> },
+    Ended { ticket: Ticket, send: u32, end: End, sink: Option<Sink> },
+    Probed { place: Rc<Place>, cause: Cause, load: Option<LoadReport> },
+    LetGo { call: u64, done: bool },
+    List(List),
+    ListFailed,
+}
+
+/// The client's side of an inference.
+pub struct Job {
+    pub id: Rc<str>,
+    pub chat: Rc<ChatRequest>,
+    pub reply: Sender<Reply>,
+    pub since: Instant,
+}
+
+pub enum Reply {
+    Stream(Receiver<Bytes>),
+    Whole(Bytes),
+    Error(ApiError),
+}
+
+/// Where a stream's events go. Held by the one send that has the client.
+pub enum Sink {
+    Stream { to: Sender<Bytes>, usage: bool },
+    Whole(Whole),
+}
+
+impl Sink {
+    pub async fn pass(&mut self, frame: Bytes, data: &[u8]) -> Result<(), Cause> {
+        match self {
+            // Asked for by the node for its own count, not by this client.
+            Sink::Stream { usage: false, .. } if is_usage_only(data) => Ok(()),
+            Sink::Stream { to, .. } => to.send(frame).await.map_err(|_| Cause::CalledOff),
+            Sink::Whole(whole) => {
+                whole.add(Chunk::parse(data).map_err(|_| Cause::Garbled)?);
+                Ok(())
+            }
+        }
+    }
+}
+
+fn is_usage_only(data: &[u8]) -> bool {
+    let named = data.windows(8).any(|w| w == b"\"usage\":");
+    named && Chunk::parse(data).is_ok_and(|c| c.is_usage_only())
+}
+
+/// Events that may wait for a slow client before its writer is slowed.
+const FRAMES_AHEAD: usize = 32;
+
+pub struct Driver {
+    pub core: Core,
+    pub clock: Clock,
+    pub ex: Rc<LocalExecutor<'static>>,
+    pub engines: Rc<Engines>,
+    pub to_core: Sender<Word>,
+    pub words: Receiver<Word>,
+    /// Clients gone. Not bounded by itself: each request open says it once at most.
+    pub left: Receiver<Ticket>,
+    pub poke: Sender<()>,
+    /// Requests that wait for the core.
+    pub waiting: Rc<Cell<usize>>,
+    pub jobs: HashMap<Ticket, Job>,
+    /// Sends out; dropped, a send is called off.
+    pub sends: HashMap<(Ticket, u32), Task<()>>,
+    pub meter: Option<Arc<Mutex<Meter>>>,
+}
+
+fn failed(why: Why) -> ApiError {
+    let (status, code, word) = match why {
+        Why::TimeUp => (504, "timeout", "no answer began in time"),
+        Why::SendsFailed => (502, "engines_failed", "the engines asked did not answer"),
+        Why::StreamBroken => (502, "stream_broken", "the answer broke off; what came of it is not whole"),
+    };
+    ApiError::new(status, "server_error", code, word)
+}
+
+impl Driver {
+    pub async fn run(mut self) {
+        let mut wake = Timer::never();
+        let mut stamps = Vec::new();
+        loop {
+            let heard = async {
+                futures_lite::future::or(async { self.words.recv().await.ok().map(Ok) }, async {
+                    self.left.recv().await.ok().map(Err)
+                })
+                .await
+            };
+            let first = futures_lite::future::or(heard, async {
+                (&mut wake).await;
+                None
+            })
+            .await;
+            let now = self.clock.now();
+            let started = Instant::now();
+            match first {
+                Some(Ok(word)) => self.hear(now, word, &mut stamps),
+                Some(Err(ticket)) => self.gone(now, ticket),
+                None => {}
+            }
+            for _ in 0..MOST_IN_A_ROUND {
+                let Ok(word) = self.words.try_recv() else { break };
+                self.hear(now, word, &mut stamps);
+            }
+            while let Ok(ticket) = self.left.try_recv() {
+                self.gone(now, ticket);
+            }
+            let wake_at = self.act(now);
+            match wake_at {
+                Some(at) => wake.set_after(seconds((at - self.clock.now()).max(0.0))),
+                None => wake = Timer::never(),
+            }
+            if let Some(meter) = &self.meter {
+                let mut m = meter.lock().unwrap_or_else(|e| e.into_inner());
+                m.words += stamps.len() as u64;
+                stamps.drain(..).for_each(|at: Instant| Meter::note(&mut m.to_decision, at.elapsed()));
+                Meter::note(&mut m.round, started.elapsed());
+            }
+            stamps.clear();
+        }
+    }
+
+    fn gone(&mut self, now: f64, ticket: Ticket) {
+        self.core.left(now, ticket);
+        if let Some(job) = self.jobs.remove(&ticket) {
+            self.note(&job, "left");
+        }
+    }
+
+    fn hear(&mut self, now: f64, word: Word, stamps: &mut Vec<Instant>) {
+        if self.meter.is_some() {
+            stamps.push(word.at);
+        }
+        match word.said {
+            Said::Take { ask, job, taken } => {
+                self.waiting.set(self.waiting.get() - 1);
+                // The client may have gone while it waited for the core.
+                if taken.is_closed() {
+                    return;
+                }
+                match self.core.take(now, &ask) {
+                    Ok(ticket) => {
+                        let _ = taken.try_send(ticket);
+                        self.jobs.insert(ticket, job);
+                    }
+                    Err(refusal) => drop(job.reply.try_send(Reply::Error(self.refused(refusal)))),
+                }
+            }
+            Said::Began { ticket, send, grant } => {
+                if self.core.began(now, ticket, send) {
+                    if let Some(job) = self.jobs.get(&ticket) {
+                        let _ = grant.try_send(sink(job));
+                    }
+                }
+            }
+            Said::Ended { ticket, send, end, sink } => {
+                self.sends.remove(&(ticket, send));
+                let job = self.jobs.get(&ticket);
+                if let Some(job) = job.filter(|_| !matches!(end.cause, Cause::Read | Cause::Completed)) {
+                    tracing::debug!(request = %job.id, send, cause = ?end.cause, "send ended");
+                }
+                // The client's own stream is closed by the answer that follows.
+                if let (Some(sink), Some(job)) = (sink, self.jobs.remove(&ticket)) {
+                    let whole = end.cause == Cause::Completed;
+                    self.finish(sink, &job, whole);
+                    let left = end.cause == Cause::CalledOff;
+                    self.note(
+                        &job,
+                        if whole {
+                            "completed"
+                        } else if left {
+                            "left"
+                        } else {
+                            "errored"
+                        },
+                    );
+                }
+                self.core.ended(now, ticket, send, end);
+            }
+            Said::Probed { place, cause, load } => self.core.probed(now, &place.id, cause, load),
+            Said::LetGo { call, done } => self.core.let_go(now, call, done),
+            Said::List(list) => {
+                self.core.list(now, &list);
+                self.engines.pool.forget_others(|a| list.engines.iter().any(|l| l.address == a));
+            }
+            Said::ListFailed => self.core.list_failed(now),
+        }
+    }
+
+    fn refused(&self, refusal: Refusal) -> ApiError {
+        refusal.error(self.engines.limits.come_back_s)
+    }
+
+    /// Writes a begun stream's last event; it may have to wait for the client, so not here.
+    fn finish(&self, sink: Sink, job: &Job, whole: bool) {
+        match sink {
+            Sink::Stream { to, .. } => {
+                let last = if whole { sse::done() } else { sse::frame(&failed(Why::StreamBroken).body()) };
+                let stall = self.engines.limits.client_stall_s;
+                self.ex.spawn(async move { drop(crate::within(stall, to.send(last)).await) }).detach();
+            }
+            Sink::Whole(w) => {
+                let reply = match whole {
+                    true => Reply::Whole(w.body(&job.chat.model)),
+                    false => Reply::Error(failed(Why::StreamBroken)),
+                };
+                let _ = job.reply.try_send(reply);
+            }
+        }
+    }
+
+    fn note(&self, job: &Job, answer: &str) {
+        let ms = job.since.elapsed().as_secs_f64() * 1e3;
+        tracing::info!(request = %job.id, model = %job.chat.model, answer, ms, "answered");
+    }
+
+    /// Does what the core says until it has no more to say for now; gives its next wake.
+    fn act(&mut self, now: f64) -> Option<f64> {
+        loop {
+            let actions = self.core.act(now);
+            let mut again = false;
+            for d in actions.todo {
+                match d {
+                    Do::Send(order) => {
+                        let key = (order.ticket, order.send);
+                        let Some(job) = self.jobs.get(&order.ticket) else {
+                            self.core.ended(now, key.0, key.1, End::default());
+                            again = true;
+                            continue;
+                        };
+                        tracing::debug!(request = %job.id, send = order.send, engine = %order.eng.id,
+                            read = order.what == crate::core::Work::Read, "send");
+                        let (id, chat) = (job.id.clone(), job.chat.clone());
+                        let task = self.engines.clone().send(order, id, chat, self.to_core.clone());
+                        self.sends.insert(key, self.ex.spawn(task));
+                    }
+                    Do::CallOff { ticket, send } => {
+                        self.sends.remove(&(ticket, send));
+                        let end = End { cause: Cause::CalledOff, ..End::default() };
+                        self.core.ended(now, ticket, send, end);
+                        again = true;
+                    }
+                    Do::Answer { ticket, answer } => self.answer(ticket, answer),
+                    Do::LetGo { call, state } => {
+                        let task = self.engines.clone().let_go(call, state, self.to_core.clone());
+                        self.ex.spawn(task).detach();
+                    }
+                    Do::Probe(place) => {
+                        let task = self.engines.clone().probe(place, self.to_core.clone());
+                        self.ex.spawn(task).detach();
+                    }
+                    Do::AskList => drop(self.poke.try_send(())),
+                }
+            }
+            if !again {
+                return actions.wake_at;
+            }
+        }
+    }
+
+    fn answer(&mut self, ticket: Ticket, answer: Answer) {
+        // Begun streams were answered where their end was heard.
+        let Some(job) = self.jobs.remove(&ticket) else { return };
+        let (error, word) = match answer {
+            Answer::Shed { come_back_s } => {
+                let mut e = ApiError::new(503, "server_error", "shed", "no engine has room in time");
+                e.retry_after_s = come_back_s;
+                (e, "shed")
+            }
+            Answer::Errored(why) => (failed(why), "errored"),
+            // Cannot come for one that has not begun.
+            Answer::Completed => (failed(Why::SendsFailed), "errored"),
+        };
+        let _ = job.reply.try_send(Reply::Error(error));
+        self.note(&job, word);
+    }
+}
+
+/// The begun stream of this client, and its receiving end in the client's hands.
+fn sink(job: &Job) -> Sink {
+    if !job.chat.stream {
+        return Sink::Whole(Whole::default());
+    }
+    let (to, from) = async_channel::bounded(FRAMES_AHEAD);
+    let _ = job.reply.try_send(Reply::Stream(from));
+    Sink::Stream { to, usage: job.chat.include_usage }
+}
--- /dev/null
+++ b/crates/nickelgw-node/src/engines.rs
@@ -0,0 +1,260 @@
+//! Sends to engines: what the core orders is put on the wire, and how it ended is read off it.
+
+use crate::client::{whole, Connection, Pool};
+use crate::core::{Cause, End, HeldState, Order, Place, Work};
+use crate::driver::{Sink, Word};
+use crate::{seconds, within, Limits};
+use async_channel::{bounded, Sender};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, CONTENT_TYPE, HOST, TE};
+use hyper::{Method, Request};
+use nickelgw_protocol::chat::ChatRequest;
+use nickelgw_protocol::engine::{read_body, write_body, KvTransfer, ReadAnswer};
+use nickelgw_protocol::load::LoadReport;
+use nickelgw_protocol::sse::{Event, Events};
+use nickelgw_protocol::{LOAD, LOAD_FORMAT, NODE, REQUEST_ID, SEND_ID, ZONE};
+use smol::{LocalExecutor, Timer};
+use std::rc::Rc;
+
+pub struct Engines {
+    pub pool: Pool,
+    node: String,
+    zone: String,
+    pub limits: Rc<Limits>,
+}
+
+fn report(headers: &HeaderMap) -> Option<LoadReport> {
+    // A report that cannot be read is as none: it rides on an answer that counts without it.
+    LoadReport::parse(headers.get(LOAD)?.to_str().ok()?).ok()
+}
+
+/// What a stream has come to, and the load told with it.
+type Ended = (Cause, Option<LoadReport>);
+
+impl Engines {
+    pub fn new(ex: Rc<LocalExecutor<'static>>, node: &str, zone: &str, limits: Rc<Limits>) -> Rc<Engines> {
+        let pool = Pool::new(ex, limits.connect_s, limits.most_idle, limits.idle_s);
+        Rc::new(Engines { pool, node: node.into(), zone: zone.into(), limits })
+    }
+
+    pub fn request(&self, method: Method, address: &str, path: &str) -> hyper::http::request::Builder {
+        let b = Request::builder().method(method).uri(path).header(HOST, address);
+        b.header(NODE, &self.node).header(ZONE, &self.zone).header(LOAD_FORMAT, "JSON")
+    }
+
+    fn completion(&self, order: &Order, id: &str, body: Bytes) -> Option<Request<Full<Bytes>>> {
+        let b = self.request(Method::POST, &order.eng.address, "/v1/chat/completions");
+        let b = b.header(CONTENT_TYPE, "application/json").header(TE, "trailers");
+        b.header(REQUEST_ID, id).header(SEND_ID, &order.name).body(Full::new(body)).ok()
+    }
+
+    /// Makes one send and tells the core how it ends. Dropped, it closes its connection.
+    pub async fn send(self: Rc<Self>, order: Order, id: Rc<str>, chat: Rc<ChatRequest>, words: Sender<Word>) {
+        let (ticket, send) = (order.ticket, order.send);
+        let (end, sink) = match &order.what {
+            Work::Read => (self.read(&order, &id, &chat).await, None),
+            Work::Write { state, idle_s } => {
+                self.write(&order, &id, &chat, state.as_ref(), *idle_s, &words).await
+            }
+        };
+        // A full queue holds the task up; the event is never dropped.
+        let _ = words.send(Word::new(crate::driver::Said::Ended { ticket, send, end, sink })).await;
+    }
+
+    async fn read(&self, order: &Order, id: &str, chat: &ChatRequest) -> End {
+        let request = read_body(chat).ok().and_then(|body| self.completion(order, id, body));
+        let Some(request) = request else { return End::default() };
+        let answer = within(order.patience_s, self.pool.fetch(&order.eng.address, &request)).await;
+        let (status, headers, body) = match answer {
+            None => return End { cause: Cause::NoAnswer, ..End::default() },
+            Some(Err(cause)) => return End { cause, ..End::default() },
+            Some(Ok(a)) => a,
+        };
+        let load = report(&headers);
+        if status != 200 {
+            return End { cause: Cause::of_status(status, &body), load, kept: 0.0 };
+        }
+        match ReadAnswer::parse(&body) {
+            Ok(a) if a.kv_transfer_params.remote_request_id.as_deref() == Some(&order.name) => {
+                let kept = a.usage.prompt_tokens_details.unwrap_or_default().cached_tokens as f64;
+                End { cause: Cause::Read, load, kept }
+            }
+            _ => End { cause: Cause::Garbled, load, kept: 0.0 },
+        }
+    }
+
+    async fn write(
+        &self,
+        order: &Order,
+        id: &str,
+        chat: &ChatRequest,
+        state: Option<&HeldState>,
+        idle_s: f64,
+        words: &Sender<Word>,
+    ) -> (End, Option<Sink>) {
+        let ended = |cause, load| (End { cause, load, kept: 0.0 }, None);
+        let kv = state.map(|s| KvTransfer {
+            do_remote_prefill: true,
+            remote_request_id: Some(s.name.clone()),
+            remote_engine_id: Some(s.reader.id.clone()),
+            remote_host: Some(s.reader.address.clone()),
+            ..KvTransfer::default()
+        });
+        let request = write_body(chat, kv.as_ref()).ok().and_then(|body| self.completion(order, id, body));
+        let Some(request) = request else { return ended(Cause::NotSent, None) };
+        let mut patience = Timer::after(seconds(order.patience_s));
+        let begun =
+            futures_lite::future::or(async { Some(self.begin(&order.eng.address, &request).await) }, async {
+                (&mut patience).await;
+                None
+            });
+        let mut stream = match begun.await {
+            None => return ended(Cause::NoAnswer, None),
+            Some(Err((cause, load))) => return ended(cause, load),
+            Some(Ok(s)) => s,
+        };
+        let (grant, granted) = bounded(1);
+        let (ticket, send) = (order.ticket, order.send);
+        let began = crate::driver::Said::Began { ticket, send, grant };
+        if words.send(Word::new(began)).await.is_err() {
+            return ended(Cause::CalledOff, None);
+        }
+        // Too late: another has the client, or it has gone. The core knows this send as ended already.
+        let Ok(mut sink) = granted.recv().await else { return ended(Cause::CalledOff, None) };
+        let stall = self.limits.client_stall_s;
+        let (cause, load) = stream.pump(&mut sink, idle_s, stall).await;
+        if cause == Cause::Completed {
+            self.pool.give_back(&order.eng.address, stream.conn);
+        }
+        (End { cause, load, kept: 0.0 }, Some(sink))
+    }
+
+    /// Up to the first event of the stream.
+    async fn begin(&self, address: &str, request: &Request<Full<Bytes>>) -> Result<Stream, Ended> {
+        let (response, conn) = self.pool.call(address, request).await.map_err(|c| (c, None))?;
+        let (head, body) = response.into_parts();
+        let load = report(&head.headers);
+        let status = head.status.as_u16();
+        if status != 200 {
+            let body = whole(body).await.map_err(|c| (c, load.clone()))?;
+            self.pool.give_back(address, conn);
+            return Err((Cause::of_status(status, &body), load));
+        }
+        let kind = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or("");
+        if !kind.starts_with("text/event-stream") {
+            return Err((Cause::Garbled, load));
+        }
+        let mut s = Stream { body, events: Events::default(), first: None, trailers: None, conn };
+        match s.next().await {
+            Ok(Some(first)) => s.first = Some(first),
+            Ok(None) => return Err((Cause::Garbled, load)),
+            Err(cause) => return Err((cause, load)),
+        }
+        Ok(s)
+    }
+
+    pub async fn probe(self: Rc<Self>, place: Rc<Place>, words: Sender<Word>) {
+        let built = self.request(Method::GET, &place.address, "/health").body(Full::default());
+        let (cause, load) = match built {
+            Err(_) => (Cause::NoConnection, None),
+            Ok(r) => match within(self.limits.probe_s, self.pool.fetch(&place.address, &r)).await {
+                None => (Cause::NoAnswer, None),
+                Some(Err(cause)) => (cause, None),
+                Some(Ok((200, headers, _))) => (Cause::Completed, report(&headers)),
+                Some(Ok((status, headers, body))) => (Cause::of_status(status, &body), report(&headers)),
+            },
+        };
+        let _ = words.send(Word::new(crate::driver::Said::Probed { place, cause, load })).await;
+    }
+
+    pub async fn let_go(self: Rc<Self>, call: u64, state: HeldState, words: Sender<Word>) {
+        let path = format!("/v1/states/{}", state.name);
+        let address = &state.reader.address;
+        let done = match self.request(Method::DELETE, address, &path).body(Full::default()) {
+            Err(_) => false,
+            Ok(r) => {
+                let answer = within(self.limits.probe_s, self.pool.fetch(address, &r)).await;
+                // Not found is let go too: fetched, or never there.
+                matches!(answer, Some(Ok((200 | 204 | 404, _, _))))
+            }
+        };
+        let _ = words.send(Word::new(crate::driver::Said::LetGo { call, done })).await;
+    }
+}
+
+/// A write's answer as it comes.
+struct Stream {
+    body: Incoming,
+    events: Events,
+    first: Option<Event>,
+    trailers: Option<HeaderMap>,
+    conn: Connection,
+}
+
+impl Stream {
+    /// The next event; none at the end of the body.
+    async fn next(&mut self) -> Result<Option<Event>, Cause> {
+        loop {
+            if let Some(e) = self.events.next_event().map_err(|_| Cause::Garbled)? {
+                let sound = match &e {
+                    Event::Done => true,
+                    Event::Data { data, .. } => serde_json::from_slice::<serde::de::IgnoredAny>(data).is_ok(),
+                };
+                return if sound { Ok(Some(e)) } else { Err(Cause::Garbled) };
+            }
+            match self.body.frame().await {
+                None if self.events.is_cut() => return Err(Cause::Garbled),
+                None => return Ok(None),
+                Some(Err(_)) => return Err(Cause::Lost),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => self.events.push(&data),
+                    Err(frame) => self.trailers = frame.into_trailers().ok(),
+                },
+            }
+        }
+    }
+
+    /// Passes events on until the stream ends, and says how it ended.
+    async fn pump(&mut self, sink: &mut Sink, idle_s: f64, stall_s: f64) -> Ended {
+        let mut idle = Timer::after(seconds(idle_s));
+        loop {
+            let event = match self.first.take() {
+                Some(e) => Ok(Some(e)),
+                None => {
+                    idle.set_after(seconds(idle_s));
+                    let next = futures_lite::future::or(async { Some(self.next().await) }, async {
+                        (&mut idle).await;
+                        None
+                    });
+                    let Some(next) = next.await else { return (Cause::NoAnswer, None) };
+                    next
+                }
+            };
+            match event {
+                // Ended without [DONE]: cut, whatever the framing says.
+                Ok(None) => return (Cause::Lost, None),
+                Err(cause) => return (cause, None),
+                Ok(Some(Event::Done)) => {
+                    let rest = within(idle_s, self.next()).await;
+                    let load = self.trailers.as_ref().and_then(report);
+                    return match rest {
+                        Some(Ok(None)) => (Cause::Completed, load),
+                        // The answer is whole; what follows it is not passed on.
+                        _ => (Cause::Completed, None),
+                    };
+                }
+                Ok(Some(Event::Data { data, .. })) if data.starts_with(b"{\"error\"") => {
+                    return (Cause::Failed(200), None);
+                }
+                Ok(Some(Event::Data { frame, data })) => match within(stall_s, sink.pass(frame, &data)).await
+                {
+                    Some(Ok(())) => {}
+                    Some(Err(cause)) => return (cause, None),
+                    None => return (Cause::CalledOff, None),
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-node/src/lib.rs
@@ -0,0 +1,139 @@
+//! A node: the I/O-free [`core`] around the decision module, and the sockets, timers and files that act for it.
+//! All of a node runs on one thread; `docs/design-node.md` says why.
+
+pub mod client;
+pub mod core;
+mod driver;
+mod engines;
+mod meter;
+mod server;
+mod watch;
+
+pub use meter::Meter;
+
+use crate::core::{Core, Door, Figures};
+use async_channel::{bounded, unbounded};
+use nickelgw::interface::Deployment;
+use smol::{LocalExecutor, Timer};
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Limits of the shell; each is a setting, with its default in `node.proto`.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub most_connections: usize,
+    pub most_body_bytes: usize,
+    /// For a request's head, and for its body, to come in whole.
+    pub head_s: f64,
+    pub body_s: f64,
+    pub connect_s: f64,
+    pub probe_s: f64,
+    /// Connections kept open to an engine while unused, how many and how long.
+    pub most_idle: usize,
+    pub idle_s: f64,
+    /// Requests that may wait for the core; one more is refused.
+    pub most_waiting: usize,
+    /// A client that takes nothing of its stream for so long has left.
+    pub client_stall_s: f64,
+    /// What a refused client is told.
+    pub come_back_s: f64,
+}
+
+/// All that a node is started with.
+pub struct Start {
+    pub name: String,
+    pub zone: String,
+    pub deployment: Deployment,
+    pub figures: Figures,
+    pub door: Door,
+    pub limits: Limits,
+    /// host:port of the engine list.
+    pub list: String,
+    pub last_list: Option<PathBuf>,
+    pub meter: Option<Arc<Mutex<Meter>>>,
+}
+
+/// Seconds since the node began.
+#[derive(Clone, Copy)]
+pub(crate) struct Clock(Instant);
+
+impl Clock {
+    pub fn now(self) -> f64 {
+        self.0.elapsed().as_secs_f64()
+    }
+}
+
+pub(crate) fn seconds(s: f64) -> Duration {
+    // Unbounded patience is bounded by what a timer can hold.
+    Duration::from_secs_f64(s.clamp(0.0, 86_400.0))
+}
+
+/// The future's result, or none when so many seconds have passed.
+pub(crate) async fn within<T>(s: f64, f: impl std::future::Future<Output = T>) -> Option<T> {
+    futures_lite::future::or(async { Some(f.await) }, async {
+        Timer::after(seconds(s)).await;
+        None
+    })
+    .await
+}
+
+/// Serves until the future is dropped. Everything it began ends with it.
+pub async fn run(listener: TcpListener, start: Start) -> std::io::Result<()> {
+    let clock = Clock(Instant::now());
+    let listener = smol::Async::new(listener)?;
+    let ex = Rc::new(LocalExecutor::new());
+    let (to_core, words) = bounded(1024);
+    let (gone, left) = unbounded();
+    let (poke, poked) = bounded(1);
+    let limits = Rc::new(start.limits);
+    let engines = engines::Engines::new(ex.clone(), &start.name, &start.zone, limits.clone());
+    let mut core = Core::new(start.deployment, start.figures);
+    if let Some(list) = watch::last(start.last_list.as_deref()) {
+        tracing::info!(engines = list.engines.len(), revision = list.revision, "served from the last list");
+        core.list_unproved(clock.now(), &list);
+    }
+    let watch = watch::Watch {
+        address: start.list,
+        node: start.name.clone(),
+        last: start.last_list,
+        words: to_core.clone(),
+        poked,
+        clock,
+    };
+    let watching = ex.spawn(watch.run(engines.clone()));
+    let names = Rc::new(start.door.models.iter().map(|m| m.name.clone()).collect::<Vec<_>>());
+    let waiting = Rc::new(std::cell::Cell::new(0));
+    let driver = driver::Driver {
+        core,
+        clock,
+        ex: ex.clone(),
+        engines,
+        to_core: to_core.clone(),
+        words,
+        left,
+        poke,
+        waiting: waiting.clone(),
+        jobs: Default::default(),
+        sends: Default::default(),
+        meter: start.meter,
+    };
+    let driving = ex.spawn(driver.run());
+    let server = Rc::new(server::Server {
+        door: start.door,
+        limits,
+        to_core,
+        gone,
+        waiting,
+        name: start.name,
+        serial: RefCell::new(0),
+        models: names,
+        connections: std::cell::Cell::new(0),
+    });
+    let result = ex.run(server::accept(listener, server, ex.clone())).await;
+    drop((watching, driving));
+    result
+}
--- /dev/null
+++ b/crates/nickelgw-node/src/server.rs
@@ -0,0 +1,251 @@
+//! The chat API's sockets: requests are read within limits and handed to the core, answers written as they come.
+
+use crate::core::{Door, Refusal, Ticket};
+use crate::driver::{Job, Reply, Said, Word};
+use crate::{seconds, within, Limits};
+use async_channel::{bounded, Receiver, Sender};
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{HeaderValue, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use nickelgw_protocol::chat::{ApiError, ChatRequest};
+use nickelgw_protocol::REQUEST_ID;
+use serde_json::json;
+use smol::{Async, LocalExecutor};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+pub struct Server {
+    pub door: Door,
+    pub limits: Rc<Limits>,
+    pub to_core: Sender<Word>,
+    pub gone: Sender<Ticket>,
+    pub waiting: Rc<Cell<usize>>,
+    pub name: String,
+    pub serial: RefCell<u64>,
+    pub models: Rc<Vec<String>>,
+    pub connections: Cell<usize>,
+}
+
+type Answer = Response<BoxBody<Bytes, Infallible>>;
+
+/// Says that the client has gone, unless its answer was whole by then.
+struct Gone {
+    ticket: Option<Ticket>,
+    to: Sender<Ticket>,
+}
+
+impl Drop for Gone {
+    fn drop(&mut self) {
+        if let Some(t) = self.ticket.take() {
+            let _ = self.to.try_send(t);
+        }
+    }
+}
+
+/// A streamed answer's body.
+struct Streamed {
+    from: Pin<Box<Receiver<Bytes>>>,
+    gone: Gone,
+}
+
+impl Body for Streamed {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        use futures_lite::Stream;
+        match self.from.as_mut().poll_next(cx) {
+            Poll::Ready(Some(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Poll::Ready(None) => {
+                self.gone.ticket = None;
+                Poll::Ready(None)
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+fn full(bytes: Bytes) -> BoxBody<Bytes, Infallible> {
+    Full::new(bytes).boxed()
+}
+
+fn json_answer(status: u16, body: Bytes) -> Answer {
+    let mut r = Response::new(full(body));
+    *r.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    r
+}
+
+fn error(e: &ApiError) -> Answer {
+    let mut r = json_answer(e.status, e.body());
+    if let Some(v) = e.retry_after().and_then(|s| HeaderValue::from_str(&s).ok()) {
+        r.headers_mut().insert(RETRY_AFTER, v);
+    }
+    if let Some(s) = e.retry_after_s {
+        let ms = format!("{}", (s * 1e3).ceil());
+        r.headers_mut().extend(HeaderValue::from_str(&ms).ok().map(|v| (MS, v)));
+    }
+    r
+}
+
+/// Heeded by OpenAI's own client libraries before the coarser `retry-after`.
+const MS: hyper::header::HeaderName = hyper::header::HeaderName::from_static("retry-after-ms");
+const TIMEOUT: &str = "x-request-timeout-ms";
+
+fn plain_id(id: &str) -> bool {
+    (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
+
+/// Accepts until dropped. Beyond the limit a connection is told to come back and closed.
+pub async fn accept(
+    listener: Async<TcpListener>,
+    server: Rc<Server>,
+    ex: Rc<LocalExecutor<'static>>,
+) -> std::io::Result<()> {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            // Out of descriptors, or the peer went while it waited: the next may do.
+            Err(e) => {
+                tracing::warn!(error = %e, "a connection was not accepted");
+                smol::Timer::after(seconds(0.01)).await;
+                continue;
+            }
+        };
+        let _ = stream.get_ref().set_nodelay(true);
+        let server = server.clone();
+        if server.connections.get() >= server.limits.most_connections {
+            let busy = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\n\
+                         content-length: 0\r\n\r\n";
+            use std::io::Write;
+            let _ = stream.get_ref().write(busy);
+            continue;
+        }
+        server.connections.set(server.connections.get() + 1);
+        ex.spawn(async move {
+            let served = server.clone();
+            let service = hyper::service::service_fn(move |r| {
+                let server = served.clone();
+                async move { Ok::<_, Infallible>(server.serve(r).await) }
+            });
+            let mut http = hyper::server::conn::http1::Builder::new();
+            http.timer(SmolTimer::new()).header_read_timeout(seconds(server.limits.head_s));
+            http.max_buf_size(64 * 1024);
+            if let Err(e) = http.serve_connection(FuturesIo::new(stream), service).await {
+                tracing::debug!(error = %e, "connection ended");
+            }
+            server.connections.set(server.connections.get() - 1);
+        })
+        .detach();
+    }
+}
+
+impl Server {
+    async fn serve(&self, request: Request<Incoming>) -> Answer {
+        let id = request.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok()).filter(|id| plain_id(id));
+        let id: Rc<str> = match id {
+            Some(id) => id.into(),
+            None => {
+                *self.serial.borrow_mut() += 1;
+                format!("{}-{:x}-{}", self.name, std::process::id(), self.serial.borrow()).into()
+            }
+        };
+        let mut answer = match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/chat/completions") => match self.chat(request, id.clone()).await {
+                Ok(a) => a,
+                Err(e) => {
+                    tracing::info!(request = %id, status = e.status, code = e.code, "refused");
+                    error(&e)
+                }
+            },
+            (&Method::GET, "/v1/models") => {
+                let model = |m: &String| json!({"id": m, "object": "model", "owned_by": "nickelgw"});
+                let list: Vec<_> = self.models.iter().map(model).collect();
+                json_answer(200, json!({"object": "list", "data": list}).to_string().into())
+            }
+            (&Method::GET, "/healthz") => json_answer(200, "{\"status\":\"ok\"}".into()),
+            (_, path) => {
+                let word = format!("no such call: {}", path.chars().take(64).collect::<String>());
+                error(&ApiError::new(404, "invalid_request_error", "not_found", word))
+            }
+        };
+        answer.headers_mut().extend(HeaderValue::from_str(&id).ok().map(|v| (ID, v)));
+        answer
+    }
+
+    async fn chat(&self, request: Request<Incoming>, id: Rc<str>) -> Result<Answer, ApiError> {
+        let since = Instant::now();
+        let (head, body) = request.into_parts();
+        let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let bearer = header(AUTHORIZATION.as_str()).and_then(|v| v.strip_prefix("Bearer ")).map(str::trim);
+        let timeout = header(TIMEOUT).and_then(|v| v.parse::<f64>().ok()).map(|ms| ms / 1e3);
+        let body = self.body(body).await?;
+        let chat = ChatRequest::parse(&body).map_err(|m| ApiError::invalid(&m))?;
+        let come_back = |r: Refusal| r.error(self.limits.come_back_s);
+        let ask = self.door.enter(&chat, bearer, timeout).map_err(come_back)?;
+        if self.waiting.get() >= self.limits.most_waiting {
+            return Err(come_back(Refusal::Behind));
+        }
+        let (reply, replied) = bounded(1);
+        let (taken, ticket) = bounded(1);
+        let job = Job { id, chat: Rc::new(chat), reply, since };
+        self.waiting.set(self.waiting.get() + 1);
+        let word = Word::new(Said::Take { ask, job, taken });
+        if self.to_core.try_send(word).is_err() {
+            self.waiting.set(self.waiting.get() - 1);
+            return Err(come_back(Refusal::Behind));
+        }
+        // Dropped by the client's going from here on, the ticket's guard tells the core.
+        let mut gone = Gone { ticket: None, to: self.gone.clone() };
+        let lost = || ApiError::new(500, "server_error", "node_stopping", "the node is stopping");
+        gone.ticket = ticket.recv().await.ok();
+        let reply = replied.recv().await.map_err(|_| lost())?;
+        match reply {
+            Reply::Stream(from) => {
+                let body = Streamed { from: Box::pin(from), gone };
+                let mut r = Response::new(body.boxed());
+                r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+                r.headers_mut().insert(hyper::header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+                Ok(r)
+            }
+            Reply::Whole(body) => {
+                gone.ticket = None;
+                Ok(json_answer(200, body))
+            }
+            Reply::Error(e) => {
+                gone.ticket = None;
+                Err(e)
+            }
+        }
+    }
+
+    async fn body(&self, body: Incoming) -> Result<Bytes, ApiError> {
+        let most = self.limits.most_body_bytes;
+        let wrong = |status, code, word: String| ApiError::new(status, "invalid_request_error", code, word);
+        if body.size_hint().lower() > most as u64 {
+            return Err(wrong(413, "body_too_large", format!("the body is over {most} bytes")));
+        }
+        match within(self.limits.body_s, Limited::new(body, most).collect()).await {
+            None => Err(wrong(408, "body_too_slow", "the body did not come in time".into())),
+            Some(Ok(b)) => Ok(b.to_bytes()),
+            Some(Err(e)) if e.is::<LengthLimitError>() => {
+                Err(wrong(413, "body_too_large", format!("the body is over {most} bytes")))
+            }
+            Some(Err(_)) => Err(wrong(400, "body_cut", "the body ended early".into())),
+        }
+    }
+}
+
+const ID: hyper::header::HeaderName = hyper::header::HeaderName::from_static(REQUEST_ID);
--- /dev/null
+++ b/crates/nickelgw-protocol/src/list.rs
@@ -0,0 +1,65 @@
+//! The list of engines: `GET /v1/engines?after=REVISION&node=N` answers when there is news, or after a while.
+
+use crate::Malformed;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    Read,
+    Write,
+    Both,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    In,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub id: String,
+    /// host:port.
+    pub address: String,
+    pub zone: String,
+    #[serde(default)]
+    pub cell: u32,
+    pub role: Role,
+    pub memory_tokens: f64,
+    pub state: State,
+    /// Seconds since 1970; left out: long ago.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_at: Option<f64>,
+}
+
+/// Always the whole list; one that leaves an engine out says that it is gone.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct List {
+    pub revision: u64,
+    pub engines: Vec<Line>,
+}
+
+/// Lists longer than this are refused: the tables behind them are bounded.
+pub const MOST_LINES: usize = 1024;
+
+impl List {
+    pub fn parse(bytes: &[u8]) -> Result<List, Malformed> {
+        let list: List = serde_json::from_slice(bytes).map_err(|e| Malformed::Json(e.to_string()))?;
+        if list.engines.len() > MOST_LINES {
+            return Err(Malformed::field("engines", format!("over {MOST_LINES} lines")));
+        }
+        let mut ids: Vec<&str> = list.engines.iter().map(|l| l.id.as_str()).collect();
+        ids.sort_unstable();
+        if ids.windows(2).any(|w| w[0] == w[1]) {
+            return Err(Malformed::field("engines", "an id stands twice"));
+        }
+        let sound = |l: &Line| l.memory_tokens.is_finite() && l.started_at.is_none_or(f64::is_finite);
+        if !list.engines.iter().all(|l| sound(l) && l.memory_tokens > 0.0 && !l.id.is_empty()) {
+            return Err(Malformed::field("engines", "an id is empty or a number is not usable"));
+        }
+        Ok(list)
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -183,6 +183,8 @@
         }
         self.infs[i].stage = Stage::Streaming;
         self.infs[i].state = None;
+        // Nothing is left to decide for it: thousands of streams cost a round of decisions nothing.
+        self.open.retain(|&o| o != i);
         self.hear(now, s.eng);
         self.engines[s.eng].faults /= 2.0;
     }
@@ -262,6 +264,11 @@
         load.into_iter().for_each(|l| self.note_load(now, e, l));
     }
 
+    /// When a send of an inference that is not closed was made.
+    pub fn sent_at(&self, inf: Inf, send: u32) -> f64 {
+        self.infs[inf.0 as usize].sends[send as usize].at
+    }
+
     pub fn engine_id(&self, eng: Eng) -> &str {
         &self.engines[eng.0 as usize].id
     }
@@ -369,8 +376,10 @@
         }
         self.todo.subscribe = self.must_ask && now >= self.ask_at;
         self.must_ask &= !self.todo.subscribe;
-        if self.open.iter().any(|&i| self.infs[i].stage != Stage::Streaming) {
-            self.todo.wake_at = Some(now + (4.0 * self.tick).max(0.01));
+        if !self.open.is_empty() {
+            // Rule 1: no later than a tick before the first client's time is up.
+            let due = self.open.iter().map(|&i| self.infs[i].due - self.tick);
+            self.todo.wake_at = Some(due.fold(now + (4.0 * self.tick).max(0.01), f64::min));
         } else if self.must_ask {
             self.todo.wake_at = Some(self.ask_at);
         }
@@ -655,9 +664,6 @@
     /// A send long overdue speaks against its engine before its outcome comes.
     fn watch(&mut self, now: f64) {
         for i in self.open.clone() {
-            if self.infs[i].stage == Stage::Streaming {
-                continue;
-            }
             // Rule 1: the answer goes out a tick before the client's time is up.
             if now + self.tick >= self.infs[i].due {
                 self.give_up(i);
