Stand-ins, settings in protobuf text format, and the auditor of the five rules

Need: the node is proved only against engines that hold, move and lose things, by a judge that never reads its logs.

--- /dev/null
+++ b/crates/nickelgw-audit/src/tests.rs
@@ -0,0 +1,96 @@
+use super::*;
+use serde_json::json;
+use test_case::test_case;
+
+/// A conversation that keeps all rules: a read, its state moved, an answer; an engine that drained and one cold.
+const GOOD: &str = r#"
+{"t":0,"who":"driver","ev":"rules","drain_grace_s":0.5,"hold_limit_s":0.5,"slack_s":0.1,"routes":{"chat":{"repeat":"retriable"},"book":{"repeat":"non_retriable"},"mark":{"repeat":"deduped","group":"zone","memory_s":2}}}
+{"t":0,"who":"r0","ev":"start","zone":"a","cell":0,"role":"read","cold":false}
+{"t":0,"who":"w0","ev":"start","zone":"a","cell":0,"role":"write","cold":false}
+{"t":0,"who":"w1","ev":"start","zone":"b","cell":0,"role":"write","cold":false}
+{"t":0,"who":"w2","ev":"start","zone":"a","cell":0,"role":"write","cold":true,"slots":2,"cold_from":0.3,"warm_s":10,"tip_multiple":3,"tip_window_s":2}
+{"t":0.1,"who":"list","ev":"told","node":"n0","revision":1,"in":["r0","w0","w1","w2"],"draining":[]}
+{"t":1.0,"who":"client","ev":"ask","req":"q1","node":"n0","model":"chat","timeout_s":2,"target_s":1,"intended":1.0}
+{"t":1.01,"who":"r0","ev":"send","req":"q1","send":"s1-0","node":"n0","role":"read","work":0.1}
+{"t":1.1,"who":"r0","ev":"read","req":"q1","send":"s1-0","tokens":9}
+{"t":1.11,"who":"w0","ev":"send","req":"q1","send":"s1-1","node":"n0","role":"write","state":"s1-0","work":0.1}
+{"t":1.12,"who":"r0","ev":"fetched","state":"s1-0"}
+{"t":1.13,"who":"w0","ev":"ran","req":"q1","send":"s1-1"}
+{"t":1.2,"who":"client","ev":"first","req":"q1"}
+{"t":1.5,"who":"client","ev":"final","req":"q1","how":"completed"}
+{"t":2.0,"who":"client","ev":"ask","req":"q2","node":"n0","model":"book","timeout_s":2,"target_s":1,"intended":2.0}
+{"t":2.01,"who":"w0","ev":"send","req":"q2","send":"s2-0","node":"n0","role":"write","work":0.1}
+{"t":2.02,"who":"w0","ev":"turned","req":"q2","send":"s2-0","code":"engine_full"}
+{"t":2.03,"who":"w1","ev":"send","req":"q2","send":"s2-1","node":"n0","role":"write","work":0.1}
+{"t":2.04,"who":"w1","ev":"ran","req":"q2","send":"s2-1"}
+{"t":2.5,"who":"client","ev":"final","req":"q2","how":"errored"}
+{"t":3.0,"who":"client","ev":"ask","req":"q3","node":"n0","model":"mark","timeout_s":9,"target_s":1,"intended":3.0}
+{"t":3.01,"who":"w0","ev":"send","req":"q3","send":"s3-0","node":"n0","role":"write","work":0.1}
+{"t":3.5,"who":"w2","ev":"send","req":"q3","send":"s3-1","node":"n0","role":"write","work":0.1}
+{"t":3.6,"who":"client","ev":"final","req":"q3","how":"completed"}
+{"t":4.0,"who":"list","ev":"told","node":"n0","revision":2,"in":["r0","w1","w2"],"draining":["w0"]}
+{"t":4.1,"who":"client","ev":"ask","req":"q4","node":"n0","model":"chat","timeout_s":2,"target_s":1,"intended":4.1}
+{"t":4.3,"who":"w0","ev":"send","req":"q4","send":"s4-0","node":"n0","role":"write","work":0.1}
+{"t":4.4,"who":"client","ev":"final","req":"q4","how":"shed"}
+{"t":9.0,"who":"driver","ev":"end"}
+"#;
+
+fn lines(text: &str) -> Vec<Line> {
+    let mut out: Vec<Line> = text
+        .lines()
+        .filter(|l| !l.is_empty())
+        .map(|l| Line::of(&serde_json::from_str(l).unwrap()).unwrap())
+        .collect();
+    sort(&mut out);
+    out
+}
+
+#[test]
+fn a_sound_conversation_breaks_nothing_and_each_rule_had_something_to_judge() {
+    let v = judge(&lines(GOOD));
+    assert!(v.breaks.is_empty(), "{:?}", v.breaks);
+    assert!(Rule::ALL.iter().all(|r| v.judged.get(r.name()).is_some_and(|&n| n > 0)), "{:?}", v.judged);
+    let s = &service(&lines(GOOD))["chat"];
+    assert_eq!((s.taken, s.completed, s.shed, s.in_target), (2, 1, 1, 1));
+    assert!((s.quantile(0.5).unwrap() - 0.2).abs() < 1e-9);
+}
+
+// Each break beside the same conversation without it.
+#[test_case(Rule::Lost, "\"ev\":\"final\",\"req\":\"q1\"", "\"ev\":\"none\",\"req\":\"q1\""; "no final answer")]
+#[test_case(Rule::Lost, "{\"t\":1.2,\"who\":\"client\",\"ev\":\"first\"", "{\"t\":3.2,\"who\":\"client\",\"ev\":\"first\""; "begun too late")]
+#[test_case(Rule::Lost, "{\"t\":4.3,\"who\":\"w0\"", "{\"t\":4.51,\"who\":\"w0\""; "sent after the final answer")]
+#[test_case(Rule::Twice, "\"ev\":\"turned\",\"req\":\"q2\"", "\"ev\":\"none\",\"req\":\"q2\""; "non-retriable sent again")]
+#[test_case(Rule::Twice, "\"req\":\"q2\",\"how\":\"errored\"", "\"req\":\"q2\",\"how\":\"shed\""; "shed though it may have run")]
+#[test_case(Rule::Twice, "{\"t\":3.5,\"who\":\"w2\"", "{\"t\":3.5,\"who\":\"w1\""; "deduped outside its zone")]
+#[test_case(Rule::Twice, "{\"t\":3.01,\"who\":\"w0\"", "{\"t\":1.2,\"who\":\"w0\""; "deduped after the memory span")]
+#[test_case(Rule::Drain, "{\"t\":4.0,\"who\":\"list\"", "{\"t\":3.61,\"who\":\"list\""; "sent after the grace")]
+#[test_case(Rule::Cold, "{\"t\":9.0,\"who\":\"driver\",\"ev\":\"end\"}", "{\"t\":9.0,\"who\":\"w2\",\"ev\":\"fell\"}"; "pushed over")]
+#[test_case(Rule::Pinned, "\"ev\":\"send\",\"req\":\"q1\",\"send\":\"s1-1\",\"node\":\"n0\",\"role\":\"write\",\"state\":\"s1-0\"", "\"ev\":\"none\",\"state\":\"x\",\"req\":\"q1\",\"send\":\"s1-1\""; "a state held")]
+fn each_break_is_caught(rule: Rule, good: &str, bad: &str) {
+    assert!(GOOD.contains(good), "the conversation has no {good}");
+    let mut text = GOOD.replacen(good, bad, 1);
+    if rule == Rule::Pinned {
+        text = text.replace(
+            "{\"t\":1.12,\"who\":\"r0\",\"ev\":\"fetched\"",
+            "{\"t\":1.8,\"who\":\"r0\",\"ev\":\"fetched\"",
+        );
+    }
+    let v = judge(&lines(&text));
+    assert!(v.count(rule) >= 1 && v.breaks.iter().all(|b| b.rule == rule), "{:?}", v.breaks);
+    assert!(!v.breaks[0].evidence.is_empty());
+}
+
+#[test]
+fn what_a_dead_node_owed_is_excused_and_nothing_else() {
+    let no_answer = GOOD.replacen("\"ev\":\"final\",\"req\":\"q1\"", "\"ev\":\"cut\",\"req\":\"q1\"", 1);
+    assert_eq!(judge(&lines(&no_answer)).count(Rule::Lost), 1);
+    let killed = json!({"t": 1.45, "who": "driver", "ev": "killed", "node": "n0"}).to_string();
+    assert_eq!(judge(&lines(&format!("{no_answer}{killed}\n"))).count(Rule::Lost), 0);
+    let other = killed.replace("n0", "n1");
+    assert_eq!(judge(&lines(&format!("{no_answer}{other}\n"))).count(Rule::Lost), 1);
+}
+
+#[test]
+fn a_record_without_rules_is_no_verdict() {
+    assert_eq!(judge(&[]).breaks.len(), 1);
+}
--- a/crates/nickelgw-node/src/core/letgo.rs
+++ b/crates/nickelgw-node/src/core/letgo.rs
@@ -7,6 +7,8 @@
 /// States to let go at once; past it the oldest is forgotten, and its reader's own limit frees it.
 const MOST: usize = 8192;
 const FIRST_GAP_S: f64 = 0.02;
+/// A reader that comes back from a cut is told within this time.
+const LONGEST_GAP_S: f64 = 0.32;
 
 struct Call {
     state: HeldState,
@@ -43,7 +45,7 @@
 
     pub fn told(&mut self, now: f64, call: u64, done: bool) {
         let Some(c) = self.calls.get_mut(&call) else { return };
-        let gap = FIRST_GAP_S * f64::from(1u32 << c.tries.min(16));
+        let gap = (FIRST_GAP_S * f64::from(1u32 << c.tries.min(16))).min(LONGEST_GAP_S);
         if done || now + gap > c.since + self.within {
             self.given_up += u64::from(!done);
             self.calls.remove(&call);
--- /dev/null
+++ b/crates/nickelgw-settings/src/check.rs
@@ -0,0 +1,357 @@
+//! Checks of settings: what cannot work is refused before anything listens, with its place.
+
+use crate::place::{line_of, Step};
+use crate::proto::{fault, Day, Fault, Group, Limits, ModelRoute, Node, Repeat, Rules, Tenant};
+use crate::Problem;
+use nickelgw::interface as m;
+use std::collections::BTreeSet;
+
+pub struct Checks<'a> {
+    file: &'a str,
+    text: &'a str,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Checks<'a> {
+    pub fn new(file: &'a str, text: &'a str) -> Self {
+        Checks { file, text, problems: Vec::new() }
+    }
+
+    fn wrong(&mut self, path: &[Step], what: impl ToString, wanted: &str) {
+        let step = |s: &Step| if s.1 > 0 { format!("{}[{}]", s.0, s.1) } else { s.0.to_string() };
+        self.problems.push(Problem::Field {
+            file: self.file.into(),
+            line: line_of(self.text, path),
+            field: path.iter().map(step).collect::<Vec<_>>().join("."),
+            what: what.to_string(),
+            wanted: wanted.into(),
+        });
+    }
+
+    fn above_zero(&mut self, path: &[Step], value: f64) {
+        if !(value.is_finite() && value > 0.0) {
+            self.wrong(path, format!("is {value}"), "a number above zero");
+        }
+    }
+
+    fn not_negative(&mut self, path: &[Step], value: f64) {
+        if !(value.is_finite() && value >= 0.0) {
+            self.wrong(path, format!("is {value}"), "zero or more");
+        }
+    }
+
+    fn share(&mut self, path: &[Step], value: f64) {
+        if !(0.0..=1.0).contains(&value) {
+            self.wrong(path, format!("is {value}"), "a part from 0 to 1");
+        }
+    }
+
+    fn named(&mut self, path: &[Step], value: &str) {
+        if value.is_empty() {
+            self.wrong(path, "is empty or missing", "a name");
+        }
+    }
+
+    /// A name may stand once.
+    fn once(&mut self, field: &str, inner: &str, names: impl Iterator<Item = String>) {
+        let mut seen = BTreeSet::new();
+        for (n, name) in names.enumerate() {
+            if !seen.insert(name.clone()) {
+                self.wrong(&[(field, n), (inner, 0)], format!("'{name}' stands twice"), "each name once");
+            }
+        }
+    }
+
+    fn address(&mut self, path: &[Step], value: &str) {
+        let port = value.rsplit_once(':').map(|p| (p.0.is_empty(), p.1.parse::<u16>()));
+        if !matches!(port, Some((false, Ok(_)))) {
+            self.wrong(path, format!("is '{value}'"), "host:port");
+        }
+    }
+
+    fn done(self) -> Result<(), Vec<Problem>> {
+        if self.problems.is_empty() {
+            Ok(())
+        } else {
+            Err(self.problems)
+        }
+    }
+
+    pub fn node(mut self, n: &Node) -> Result<(), Vec<Problem>> {
+        self.named(&[("name", 0)], &n.name);
+        if n.nodes() == 0 || n.number() >= n.nodes() {
+            let what = format!("is {} of {} nodes", n.number(), n.nodes());
+            self.wrong(&[("number", 0)], what, "a number below nodes, which count from 0");
+        }
+        self.zones(&n.zones);
+        if !n.zones.contains(&n.zone) {
+            self.wrong(&[("zone", 0)], format!("is '{}'", n.zone), "one of zones");
+        }
+        self.address(&[("listen", 0)], n.listen());
+        self.address(&[("list", 0)], &n.list);
+        self.routes(&n.model_route);
+        self.tenants(&n.tenant);
+        self.rules(&n.rules.unwrap_or_default(), &n.model_route);
+        self.limits(&n.limits.unwrap_or_default());
+        self.done()
+    }
+
+    fn zones(&mut self, zones: &[String]) {
+        if zones.is_empty() {
+            self.wrong(&[("zones", 0)], "none is given", "the deployment's zones");
+        }
+        let distinct: BTreeSet<_> = zones.iter().collect();
+        if distinct.len() < zones.len() {
+            self.wrong(&[("zones", 0)], "a zone stands twice", "each zone once");
+        }
+    }
+
+    fn routes(&mut self, routes: &[ModelRoute]) {
+        if routes.is_empty() {
+            self.wrong(&[("model_route", 0)], "none is given", "a model route at least");
+        }
+        for (n, r) in routes.iter().enumerate() {
+            let at = ("model_route", n);
+            self.named(&[at, ("model", 0)], &r.model);
+            self.above_zero(&[at, ("first_token_target_ms", 0)], r.first_token_target_ms);
+            self.not_negative(&[at, ("target_per_1000_tokens_ms", 0)], r.target_per_1000_tokens_ms());
+            self.above_zero(&[at, ("pace_ms", 0)], r.pace_ms());
+            let timeout = &[at, ("route_timeout_ms", 0)];
+            self.above_zero(timeout, r.route_timeout_ms);
+            if r.route_timeout_ms < r.first_token_target_ms {
+                self.wrong(timeout, "is below the first-token target", "the target or more");
+            }
+            let memory = &[at, ("dedupe_memory_ms", 0)];
+            match (r.repeat(), r.dedupe_memory_ms) {
+                (Repeat::Deduped, None) => {
+                    self.wrong(memory, "is missing", "how long engines remember a repeat")
+                }
+                (Repeat::Deduped, Some(ms)) => self.above_zero(memory, ms),
+                (_, Some(_)) => self.wrong(memory, "means nothing here", "repeat: DEDUPED, or no such line"),
+                (_, None) => {}
+            }
+        }
+        self.once("model_route", "model", routes.iter().map(|r| r.model.clone()));
+    }
+
+    fn tenants(&mut self, tenants: &[Tenant]) {
+        for (n, t) in tenants.iter().enumerate() {
+            let at = ("tenant", n);
+            self.named(&[at, ("name", 0)], &t.name);
+            self.above_zero(&[at, ("quota_per_s", 0)], t.quota_per_s);
+            if t.key.len() < 8 {
+                self.wrong(&[at, ("key", 0)], "is too short", "a secret of eight bytes or more");
+            }
+        }
+        self.once("tenant", "name", tenants.iter().map(|t| t.name.clone()));
+        let mut keys = BTreeSet::new();
+        for (n, t) in tenants.iter().enumerate() {
+            if !keys.insert(&t.key) {
+                // The key itself is not shown.
+                self.wrong(&[("tenant", n), ("key", 0)], "is another tenant's too", "a key of its own");
+            }
+        }
+    }
+
+    fn rules(&mut self, r: &Rules, routes: &[ModelRoute]) {
+        let at = ("rules", 0);
+        if r.most_sends() < 2 {
+            self.wrong(
+                &[at, ("most_sends", 0)],
+                format!("is {}", r.most_sends()),
+                "2 or more: a read and a write",
+            );
+        }
+        self.above_zero(&[at, ("hold_limit_ms", 0)], r.hold_limit_ms());
+        self.share(&[at, ("cold_share", 0)], r.cold_share());
+        self.above_zero(&[at, ("cold_share", 0)], r.cold_share());
+        self.above_zero(&[at, ("warm_within_ms", 0)], r.warm_within_ms());
+        if r.tip_multiple().is_nan() || r.tip_multiple() < 1.0 {
+            self.wrong(&[at, ("tip_multiple", 0)], format!("is {}", r.tip_multiple()), "1 or more");
+        }
+        self.above_zero(&[at, ("tip_window_ms", 0)], r.tip_window_ms());
+        self.not_negative(&[at, ("cell_price", 0)], r.cell_price());
+        self.not_negative(&[at, ("zone_price", 0)], r.zone_price());
+        self.not_negative(&[at, ("longest_come_back_ms", 0)], r.longest_come_back_ms());
+        let least = routes.iter().map(|r| r.route_timeout_ms).fold(f64::INFINITY, f64::min);
+        if r.hold_limit_ms() >= least {
+            let wanted = "less than the shortest route timeout: a state outliving it serves nobody";
+            self.wrong(&[at, ("hold_limit_ms", 0)], format!("is {}", r.hold_limit_ms()), wanted);
+        }
+    }
+
+    fn limits(&mut self, l: &Limits) {
+        let at = ("limits", 0);
+        for (name, value) in [
+            ("most_open", f64::from(l.most_open())),
+            ("most_connections", f64::from(l.most_connections())),
+            ("most_waiting", f64::from(l.most_waiting())),
+            ("most_body_bytes", f64::from(l.most_body_bytes())),
+            ("most_prompt_tokens", l.most_prompt_tokens()),
+            ("head_ms", l.head_ms()),
+            ("body_ms", l.body_ms()),
+            ("connect_ms", l.connect_ms()),
+            ("probe_ms", l.probe_ms()),
+            ("idle_connection_ms", l.idle_connection_ms()),
+            ("stream_idle_ms", l.stream_idle_ms()),
+            ("client_stall_ms", l.client_stall_ms()),
+            ("come_back_ms", l.come_back_ms()),
+        ] {
+            self.above_zero(&[at, (name, 0)], value);
+        }
+        if l.most_waiting() > 1024 {
+            self.wrong(&[at, ("most_waiting", 0)], format!("is {}", l.most_waiting()), "1024 or less");
+        }
+    }
+
+    pub fn day(mut self, d: &Day) -> Result<(), Vec<Problem>> {
+        self.named(&[("name", 0)], &d.name);
+        self.above_zero(&[("length_s", 0)], d.length_s);
+        if d.length_s > 600.0 {
+            self.wrong(
+                &[("length_s", 0)],
+                format!("is {}", d.length_s),
+                "600 or less: a rehearsal ends by itself",
+            );
+        }
+        if !(1..=64).contains(&d.nodes()) {
+            self.wrong(&[("nodes", 0)], format!("is {}", d.nodes()), "1 to 64");
+        }
+        self.zones(&d.zones);
+        self.routes(&d.model_route);
+        self.tenants(&d.tenant);
+        self.rules(&d.rules.unwrap_or_default(), &d.model_route);
+        self.limits(&d.limits.unwrap_or_default());
+        self.not_negative(&[("list_lag_ms", 0)], d.list_lag_ms());
+        self.above_zero(&[("drain_grace_ms", 0)], d.drain_grace_ms());
+        self.engines(d);
+        for (n, t) in d.traffic.iter().enumerate() {
+            let at = ("traffic", n);
+            if !d.model_route.iter().any(|r| r.model == t.model) {
+                self.wrong(&[at, ("model", 0)], format!("is '{}'", t.model), "a model_route's model");
+            }
+            let known = d.tenant.iter().any(|x| x.name == t.tenant());
+            if (t.tenant.is_some() || !d.tenant.is_empty()) && !known {
+                self.wrong(&[at, ("tenant", 0)], format!("is '{}'", t.tenant()), "a tenant's name");
+            }
+            self.above_zero(&[at, ("rate_per_s", 0)], t.rate_per_s);
+            self.above_zero(&[at, ("prompt_tokens", 0)], t.prompt_tokens());
+            for (name, value) in [
+                ("stream_share", t.stream_share()),
+                ("leave_waiting_share", t.leave_waiting_share()),
+                ("leave_streaming_share", t.leave_streaming_share()),
+                ("malformed_share", t.malformed_share()),
+            ] {
+                self.share(&[at, (name, 0)], value);
+            }
+            if t.leave_waiting_share() + t.leave_streaming_share() + t.malformed_share() > 1.0 {
+                self.wrong(&[at, ("malformed_share", 0)], "the parts sum to over 1", "a sum of 1 or less");
+            }
+        }
+        d.fault.iter().enumerate().for_each(|(n, f)| self.fault(d, n, f));
+        self.done()
+    }
+
+    fn engines(&mut self, d: &Day) {
+        let total: u32 = d.engines.iter().map(|e| e.count()).sum();
+        if !(1..=256).contains(&total) {
+            self.wrong(&[("engines", 0)], format!("{total} in all"), "1 to 256 engines");
+        }
+        for (n, e) in d.engines.iter().enumerate() {
+            let at = ("engines", n);
+            self.named(&[at, ("name", 0)], &e.name);
+            if !d.zones.contains(&e.zone) {
+                self.wrong(&[at, ("zone", 0)], format!("is '{}'", e.zone), "one of zones");
+            }
+            for (name, value) in [
+                ("count", f64::from(e.count())),
+                ("slots", f64::from(e.slots())),
+                ("memory_tokens", e.memory_tokens()),
+                ("read_ms", e.read_ms()),
+                ("read_tokens_per_s", e.read_tokens_per_s()),
+                ("step_ms", e.step_ms()),
+                ("out_tokens", f64::from(e.out_tokens())),
+                ("state_ttl_ms", e.state_ttl_ms()),
+            ] {
+                self.above_zero(&[at, (name, 0)], value);
+            }
+        }
+        self.once("engines", "name", d.engines.iter().map(|e| e.name.clone()));
+    }
+
+    fn fault(&mut self, d: &Day, n: usize, f: &Fault) {
+        use fault::Kind;
+        let at = ("fault", n);
+        self.not_negative(&[at, ("at_s", 0)], f.at_s);
+        self.not_negative(&[at, ("for_s", 0)], f.for_s());
+        self.share(&[at, ("share", 0)], f.share());
+        self.above_zero(&[at, ("factor", 0)], f.factor());
+        let target = &[at, ("target", 0)];
+        let wanted = match f.kind() {
+            Kind::StallList => return,
+            Kind::CutZone if !d.zones.iter().any(|z| z == f.target()) => "one of zones",
+            Kind::KillNode if !(0..d.nodes()).any(|n| format!("node{n}") == f.target()) => "node0 and so on",
+            Kind::CutZone | Kind::KillNode => return,
+            _ if !engine_names(d).iter().any(|e| e == f.target()) => "an engine: its group's name and number",
+            _ => return,
+        };
+        self.wrong(target, format!("is '{}'", f.target()), wanted);
+    }
+}
+
+/// Names of a day's engines, in the order of its groups.
+pub fn engine_names(d: &Day) -> Vec<String> {
+    d.engines.iter().flat_map(|e| (0..e.count()).map(move |n| format!("{}{n}", e.name))).collect()
+}
+
+/// Zone of a day's node: nodes go round the zones.
+pub fn node_zone(d: &Day, number: u32) -> &str {
+    &d.zones[number as usize % d.zones.len()]
+}
+
+/// A node's settings as the module's deployment. The settings have passed their checks.
+pub fn deployment(n: &Node) -> m::Deployment {
+    let r = n.rules.unwrap_or_default();
+    let route = |x: &ModelRoute| m::ModelRoute {
+        first_token_target_s: x.first_token_target_ms / 1e3,
+        target_per_token_s: x.target_per_1000_tokens_ms() / 1e6,
+        pace_s: x.pace_ms() / 1e3,
+        repeat: match x.repeat() {
+            Repeat::Retriable => m::Repeat::Retriable,
+            Repeat::NonRetriable => m::Repeat::NonRetriable,
+            Repeat::Deduped => m::Repeat::Deduped {
+                group: match x.dedupe_group() {
+                    Group::All => m::Group::All,
+                    Group::Zone => m::Group::Zone,
+                    Group::Cell => m::Group::Cell,
+                },
+                memory_s: x.dedupe_memory_ms() / 1e3,
+            },
+        },
+    };
+    m::Deployment {
+        node: n.number(),
+        nodes: n.nodes(),
+        seed: n.seed(),
+        zone: n.zones.iter().position(|z| *z == n.zone).unwrap_or(0) as u32,
+        tick_s: TICK_S,
+        routes: n.model_route.iter().map(route).collect(),
+        tenant_quotas: n.tenant.iter().map(|t| t.quota_per_s).collect(),
+        most_sends: r.most_sends(),
+        writers_read: r.writers_read(),
+        hold_limit_s: r.hold_limit_ms() / 1e3,
+        move_price: r.cell_price(),
+        zone_price: r.zone_price(),
+        cancel: true,
+        probes: r.probes(),
+        must_ask: false,
+        longest_come_back_s: Some(r.longest_come_back_ms() / 1e3).filter(|&s| s > 0.0),
+        cold_share: r.cold_share(),
+        warm_within_s: r.warm_within_ms() / 1e3,
+        tip_multiple: r.tip_multiple(),
+        tip_window_s: r.tip_window_ms() / 1e3,
+    }
+}
+
+/// Slack that decisions keep before a client's time: what a loaded machine's timers may be late by.
+const TICK_S: f64 = 0.005;
--- /dev/null
+++ b/crates/nickelgw-settings/src/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+use test_case::test_case;
+
+const NODE: &str = include_str!("../../../examples/node.txtpb");
+const DAY: &str = include_str!("../../../examples/bad-day.txtpb");
+
+#[test]
+fn the_examples_pass() {
+    let n = node_text("node.txtpb", NODE).unwrap();
+    assert!(check::deployment(&n).routes.len() >= 2);
+    let d = day_text("bad-day.txtpb", DAY).unwrap();
+    assert!(d.length_s < 60.0 && d.nodes() == 3 && check::engine_names(&d).len() >= 12);
+}
+
+#[test_case("number: 0", "number: 9", "number", "below nodes"; "impossible number")]
+#[test_case("route_timeout_ms: 5000", "route_timeout_ms: 50", "model_route.route_timeout_ms", "target or more"; "timeout below target")]
+#[test_case("zone: \"north\"", "zone: \"nowhere\"", "zone", "one of zones"; "unknown zone")]
+#[test_case("quota_per_s: 20", "quota_per_s: -1", "tenant.quota_per_s", "above zero"; "negative quota")]
+#[test_case("model: \"review\"", "model: \"chat\"", "model_route[1].model", "each name once"; "name twice")]
+#[test_case("most_open: 20000", "most_open: 0", "limits.most_open", "above zero"; "zero limit")]
+#[test_case("dedupe_memory_ms: 5000", "", "model_route[1].dedupe_memory_ms", "remember"; "no memory span")]
+#[test_case("hold_limit_ms: 500", "hold_limit_ms: 9000", "rules.hold_limit_ms", "shortest route timeout"; "hold beyond timeout")]
+#[test_case("list: \"127.0.0.1:8090\"", "list: \"here\"", "list", "host:port"; "no address")]
+fn a_bad_field_is_told_with_its_line(good: &str, bad: &str, field: &str, wanted: &str) {
+    assert!(NODE.contains(good), "the example has no {good}");
+    let text = NODE.replacen(good, bad, 1);
+    let problems = node_text("n.txtpb", &text).unwrap_err();
+    let Problem::Field { line, field: f, wanted: w, .. } = &problems[0] else { panic!("{problems:?}") };
+    assert!(f == field && w.contains(wanted), "{problems:?}");
+    let known = text.lines().nth(line - 1).unwrap();
+    assert!(bad.is_empty() || known.contains(bad), "line {line} is: {known}");
+}
+
+#[test]
+fn text_that_is_no_settings_is_told_with_its_line() {
+    let why = |text: &str| node_text("n.txtpb", text).unwrap_err()[0].to_string();
+    assert!(why(&format!("{NODE}\nwrong_name: 3\n")).contains(&format!("line {}", NODE.lines().count() + 2)));
+    assert!(why("name: ").contains("at the end"));
+    assert!(node(Path::new("no/such/file")).unwrap_err()[0].to_string().contains("cannot be read"));
+}
+
+#[test_case("target: \"read-south0\"", "target: \"ghost\"", "an engine"; "unknown engine")]
+#[test_case("kind: KILL_NODE", "kind: CUT_ZONE", "one of zones"; "a node is no zone")]
+fn a_bad_day_is_refused(good: &str, bad: &str, wanted: &str) {
+    assert!(DAY.contains(good), "the example has no {good}");
+    let problems = day_text("d.txtpb", &DAY.replacen(good, bad, 1)).unwrap_err();
+    assert!(problems.iter().any(|p| p.to_string().contains(wanted)), "{problems:?}");
+}
--- /dev/null
+++ b/crates/nickelgw-standin/src/engine.rs
@@ -0,0 +1,525 @@
+//! Stand-in of a reader or a writer on sockets: the model's times passed for real, states moved as bytes, faults
+//! on demand by `POST /control`.
+
+use crate::model::{Figures, Model, Refused, Role};
+use crate::record::{unix_now, Record};
+use crate::serve::{body, error, header, json, serve, Answer, Cut, Streamed};
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use hyper::{HeaderMap, Method, Request, Response};
+use nanorand::{Rng, WyRand};
+use nickelgw_protocol::chat::ChatRequest;
+use nickelgw_protocol::engine::{KvTransfer, DRAINING, FULL, NO_STATE};
+use nickelgw_protocol::load::{self, LoadReport};
+use nickelgw_protocol::{sse, LOAD, NODE, REQUEST_ID, SEND_ID, ZONE};
+use serde_json::{json, Value};
+use smol::Timer;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+#[derive(Default)]
+struct Faults {
+    silent_until: f64,
+    cut_until: f64,
+    fail: (f64, f64),
+    lose: (f64, f64),
+    /// Until when, how long each pause is and how often one begins.
+    pause: (f64, f64, f64),
+}
+
+pub struct Engine {
+    model: RefCell<Model>,
+    /// Sends that wait for room, first come first served, and the room each needs.
+    line: RefCell<VecDeque<(f64, Sender<()>)>>,
+    faults: RefCell<Faults>,
+    chance: RefCell<WyRand>,
+    record: Record,
+    address: String,
+    die: Sender<()>,
+    ex: smol::LocalExecutor<'static>,
+    streams: Cell<u64>,
+}
+
+async fn rest(s: f64) {
+    Timer::after(Duration::from_secs_f64(s.clamp(0.0, 3600.0))).await;
+}
+
+/// Room taken; given back when dropped, however the work ended.
+struct Room {
+    engine: Rc<Engine>,
+    tokens: f64,
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        let mut m = self.engine.model.borrow_mut();
+        m.running -= 1;
+        m.memory -= self.tokens;
+        drop(m);
+        self.engine.admit_next();
+    }
+}
+
+struct Waiting<'a>(&'a Engine, f64);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut m = self.0.model.borrow_mut();
+        m.waiting -= 1;
+        m.waiting_tokens -= self.1;
+    }
+}
+
+/// Serves until told to die, or dropped.
+pub async fn run(listener: TcpListener, figures: Figures, record: Record, seed: u64) -> std::io::Result<()> {
+    let address = listener.local_addr()?.to_string();
+    let (die, dead) = async_channel::bounded(1);
+    let f = &figures;
+    record.note(
+        "start",
+        json!({"zone": f.zone, "cell": f.cell, "role": f.role, "cold": f.cold, "slots": f.slots,
+        "cold_from": f.cold_from, "warm_s": f.warm_s, "tip_multiple": f.tip_multiple,
+        "tip_window_s": f.tip_window_s, "memory_tokens": f.memory_tokens}),
+    );
+    let engine = Rc::new(Engine {
+        model: RefCell::new(Model::new(figures, unix_now())),
+        line: RefCell::default(),
+        faults: RefCell::default(),
+        chance: RefCell::new(WyRand::new_seed(seed)),
+        record,
+        address,
+        die,
+        ex: smol::LocalExecutor::new(),
+        streams: Cell::new(0),
+    });
+    let serving = engine.clone();
+    let handle = Rc::new(move |r| serving.clone().handle(r));
+    let expiry = async {
+        loop {
+            rest(0.25).await;
+            let old = engine.model.borrow().expired(unix_now());
+            for name in old {
+                engine.model.borrow_mut().free(&name);
+                engine.record.note("expired", json!({"state": name}));
+            }
+        }
+    };
+    let end = async {
+        let _ = dead.recv().await;
+        Ok(())
+    };
+    let work = engine.ex.run(futures_lite::future::or(serve(listener, handle), expiry));
+    futures_lite::future::or(end, work).await
+}
+
+impl Engine {
+    fn report(&self) -> LoadReport {
+        let m = self.model.borrow();
+        let f = &m.figures;
+        let mut r = LoadReport {
+            mem_utilization: Some((m.memory / f.memory_tokens).max(0.0)),
+            application_utilization: Some(m.running as f64 / f.slots as f64),
+            ..LoadReport::default()
+        };
+        r.named_metrics.insert(load::WAITING.into(), m.waiting as f64);
+        r.named_metrics.insert(load::PRESENT.into(), (m.waiting + m.running) as f64);
+        r.named_metrics.insert(load::UNREAD.into(), m.waiting_tokens.max(0.0));
+        r
+    }
+
+    fn told(&self, mut a: Answer) -> Answer {
+        if let Ok(v) = self.report().header().parse() {
+            a.headers_mut().insert(LOAD, v);
+        }
+        a
+    }
+
+    /// Waits while nothing gets through: silent, cut off from the caller's zone, or paused.
+    async fn through(&self, zone: &str) {
+        loop {
+            let now = unix_now();
+            let until = {
+                let f = self.faults.borrow();
+                let other = !zone.is_empty() && zone != self.model.borrow().figures.zone;
+                let cut = if other { f.cut_until } else { 0.0 };
+                let (until, long, every) = f.pause;
+                let pause = if now < until && now % every < long { now - now % every + long } else { 0.0 };
+                f.silent_until.max(cut).max(pause)
+            };
+            if until <= now {
+                return;
+            }
+            rest(until - now).await;
+        }
+    }
+
+    fn drawn(&self, (until, share): (f64, f64)) -> bool {
+        let dice = self.chance.borrow_mut().generate::<u32>() as f64 / u32::MAX as f64;
+        unix_now() < until && dice < share
+    }
+
+    /// Waits for a slot and memory, in the order of coming.
+    async fn room(self: &Rc<Self>, tokens: f64, memory: f64) -> Room {
+        let free = self.line.borrow().is_empty() && self.model.borrow().has_room(memory);
+        if !free {
+            let (mine, turn) = async_channel::bounded(1);
+            self.line.borrow_mut().push_back((memory, mine));
+            let mut m = self.model.borrow_mut();
+            m.waiting += 1;
+            m.waiting_tokens += tokens;
+            drop(m);
+            let waiting = Waiting(self, tokens);
+            let _ = turn.recv().await;
+            drop(waiting);
+        }
+        let mut m = self.model.borrow_mut();
+        m.running += 1;
+        m.memory += memory;
+        drop(m);
+        Room { engine: self.clone(), tokens: memory }
+    }
+
+    fn admit_next(&self) {
+        let mut line = self.line.borrow_mut();
+        // Those that gave up waiting are passed over.
+        while line.front().is_some_and(|w| w.1.receiver_count() == 0) {
+            line.pop_front();
+        }
+        let fits = line.front().is_some_and(|w| self.model.borrow().has_room(w.0));
+        if fits {
+            if let Some((_, next)) = line.pop_front() {
+                let _ = next.try_send(());
+            }
+        }
+    }
+
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Answer, Cut> {
+        let path = request.uri().path().to_string();
+        let method = request.method().clone();
+        if path == "/control" {
+            return self.control(request).await;
+        }
+        let zone = header(request.headers(), ZONE).to_string();
+        let answer = match (method, path.as_str()) {
+            // Recorded as it comes in: when it was sent, not when a cut that holds it up has healed.
+            (Method::POST, "/v1/chat/completions") => self.clone().complete(request, &zone).await?,
+            (method, path) => {
+                self.through(&zone).await;
+                match self.clone().other(method, path, request).await? {
+                    Some(a) => a,
+                    None => return self.fetched(path.trim_start_matches("/v1/states/")).await,
+                }
+            }
+        };
+        // What was silenced meanwhile stays unsaid until it is over.
+        self.through(&zone).await;
+        Ok(self.told(answer))
+    }
+
+    /// Probes and letting go; none for a state to be fetched.
+    async fn other(
+        self: Rc<Self>,
+        method: Method,
+        path: &str,
+        request: Request<Incoming>,
+    ) -> Result<Option<Answer>, Cut> {
+        Ok(Some(match (method, path) {
+            (Method::GET, "/health") if self.model.borrow().fallen => error(500, "fallen"),
+            (Method::GET, "/health") => json(200, json!({"status": "ok"})),
+            (method, path) => match path.strip_prefix("/v1/states/") {
+                Some(name) if method == Method::DELETE => {
+                    let found = self.model.borrow_mut().free(name);
+                    let node = header(request.headers(), NODE);
+                    self.record.note("let_go", json!({"state": name, "found": found, "node": node}));
+                    json(if found { 200 } else { 404 }, json!({"found": found}))
+                }
+                Some(_) if method == Method::GET => return Ok(None),
+                _ => error(404, "not_found"),
+            },
+        }))
+    }
+
+    /// A writer fetches a state: its bytes go out, and its memory is free when all of them have.
+    async fn fetched(self: Rc<Self>, name: &str) -> Result<Answer, Cut> {
+        let found = self.model.borrow().states.get(name).map(|s| s.0);
+        let Some(tokens) = found else { return Ok(error(404, NO_STATE)) };
+        let bytes = (tokens * self.model.borrow().figures.state_bytes_per_token) as usize;
+        let (to, from) = async_channel::bounded(4);
+        let (engine, name) = (self.clone(), name.to_string());
+        self.ex
+            .spawn(async move {
+                let piece = Bytes::from(vec![b'k'; 64 * 1024]);
+                let mut left = bytes;
+                while left > 0 {
+                    let n = left.min(piece.len());
+                    if to.send(Frame::data(piece.slice(..n))).await.is_err() {
+                        return;
+                    }
+                    left -= n;
+                }
+                if engine.model.borrow_mut().free(&name) {
+                    engine.record.note("fetched", json!({"state": name, "bytes": bytes}));
+                }
+            })
+            .detach();
+        let b = Response::builder().header("content-length", bytes);
+        b.body(stream_body(from)).map_err(|_| Cut)
+    }
+
+    async fn complete(self: Rc<Self>, request: Request<Incoming>, zone: &str) -> Result<Answer, Cut> {
+        let headers = request.headers().clone();
+        let (req, send) = (header(&headers, REQUEST_ID).to_string(), header(&headers, SEND_ID).to_string());
+        let bytes = body(request).await?;
+        let Ok(chat) = ChatRequest::parse(&bytes) else { return Ok(error(400, "bad_request")) };
+        let kv: Option<KvTransfer> =
+            chat.fields.get("kv_transfer_params").and_then(|v| serde_json::from_str(v.get()).ok());
+        let role = self.model.borrow().figures.role;
+        let work = self.model.borrow().work(chat.prompt_tokens);
+        let state = kv.as_ref().and_then(|k| k.remote_request_id.clone());
+        self.record.note(
+            "send",
+            json!({"req": req, "send": send, "node": header(&headers, NODE), "role": role,
+            "state": state, "work": work}),
+        );
+        self.through(zone).await;
+        let fell = self.model.borrow_mut().press(unix_now(), work);
+        if fell {
+            self.record.note("fell", json!({}));
+        }
+        let refused = self.model.borrow().admit(chat.prompt_tokens).err();
+        if let Some(why) = refused {
+            let (status, code) = match why {
+                Refused::Full => (429, FULL),
+                Refused::Draining => (503, DRAINING),
+                Refused::Fallen => (500, "fallen"),
+            };
+            self.record.note("turned", json!({"req": req, "send": send, "code": code}));
+            return Ok(error(status, code));
+        }
+        let fail = self.faults.borrow().fail;
+        if self.drawn(fail) {
+            self.record.note("failed", json!({"req": req, "send": send}));
+            return Ok(error(500, "internal"));
+        }
+        match role {
+            Role::Read => self.read(&chat, &req, &send, zone).await,
+            Role::Write => self.write(chat, headers, req, send, kv).await,
+        }
+    }
+
+    async fn read(
+        self: Rc<Self>,
+        chat: &ChatRequest,
+        req: &str,
+        send: &str,
+        zone: &str,
+    ) -> Result<Answer, Cut> {
+        let tokens = chat.prompt_tokens;
+        let room = self.room(tokens, tokens).await;
+        let prefix = chat.prefix.as_deref().map(|p| (p, chat.prefix_tokens));
+        let kept = self.model.borrow_mut().keep(&chat.session, prefix, tokens);
+        let takes = self.model.borrow().read_takes(unix_now(), tokens - kept);
+        rest(takes).await;
+        self.through(zone).await;
+        drop(room);
+        self.model.borrow_mut().hold(unix_now(), send, tokens);
+        self.record.note("read", json!({"req": req, "send": send, "tokens": tokens, "kept": kept}));
+        let lose = self.faults.borrow().lose;
+        if self.drawn(lose) {
+            self.record.note("lost", json!({"req": req, "send": send}));
+            return Err(Cut);
+        }
+        let kv = KvTransfer {
+            do_remote_prefill: true,
+            remote_request_id: Some(send.to_string()),
+            remote_engine_id: Some(self.model.borrow().figures.id.clone()),
+            remote_host: Some(self.address.clone()),
+            ..KvTransfer::default()
+        };
+        let usage = json!({"prompt_tokens": tokens as u64, "completion_tokens": 1,
+            "total_tokens": tokens as u64 + 1, "prompt_tokens_details": {"cached_tokens": kept as u64}});
+        Ok(json(
+            200,
+            json!({"id": send, "object": "chat.completion", "choices": [], "usage": usage,
+            "kv_transfer_params": kv}),
+        ))
+    }
+
+    async fn write(
+        self: Rc<Self>,
+        chat: ChatRequest,
+        headers: HeaderMap,
+        req: String,
+        send: String,
+        kv: Option<KvTransfer>,
+    ) -> Result<Answer, Cut> {
+        let zone = header(&headers, ZONE).to_string();
+        let (drawn, out) = {
+            let dice = self.chance.borrow_mut().generate::<u32>() as f64 / u32::MAX as f64;
+            let mean = self.model.borrow().figures.out_tokens as f64;
+            (dice, (mean * (0.5 + dice)).round().max(1.0) as u64)
+        };
+        let out = chat.max_tokens.map_or(out, |m| out.min(m));
+        let room = self.room(chat.prompt_tokens, chat.prompt_tokens + out as f64).await;
+        match kv {
+            Some(kv) => {
+                if self.fetch(&kv).await.is_none() {
+                    self.record.note("turned", json!({"req": req, "send": send, "code": NO_STATE}));
+                    return Ok(error(409, NO_STATE));
+                }
+            }
+            None => {
+                let takes = self.model.borrow().read_takes(unix_now(), chat.prompt_tokens);
+                rest(4.0 * takes).await;
+            }
+        }
+        // The effect: from here on the inference has run.
+        self.record.note("ran", json!({"req": req, "send": send}));
+        let lose = self.faults.borrow().lose;
+        if self.drawn(lose) {
+            self.record.note("lost", json!({"req": req, "send": send}));
+            let step = self.model.borrow().step_takes(unix_now());
+            rest(drawn * step * out as f64).await;
+            return Err(Cut);
+        }
+        let first = self.model.borrow().step_takes(unix_now());
+        rest(first).await;
+        self.through(&zone).await;
+        let (to, from) = async_channel::bounded(4);
+        let engine = self.clone();
+        self.streams.set(self.streams.get() + 1);
+        self.ex.spawn(async move { engine.speak(chat, out, room, to, req, send, zone).await }).detach();
+        let b = Response::builder().header("content-type", "text/event-stream").header("trailer", LOAD);
+        b.body(stream_body(from)).map_err(|_| Cut)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn speak(
+        self: Rc<Self>,
+        chat: ChatRequest,
+        out: u64,
+        room: Room,
+        to: Sender<Frame<Bytes>>,
+        req: String,
+        send: String,
+        zone: String,
+    ) {
+        let created = unix_now() as u64;
+        let chunk = |choices: Value, usage: Value| {
+            let v = json!({"id": send, "object": "chat.completion.chunk", "created": created,
+                "model": chat.model, "choices": choices, "usage": usage});
+            Frame::data(sse::frame(v.to_string().as_bytes()))
+        };
+        for n in 0..out {
+            let finish = if n + 1 == out { json!("stop") } else { Value::Null };
+            let mut delta = json!({"content": format!("w{n} ")});
+            if n == 0 {
+                delta["role"] = json!("assistant");
+            }
+            let choice = json!([{"index": 0, "delta": delta, "finish_reason": finish}]);
+            if to.send(chunk(choice, Value::Null)).await.is_err() {
+                self.record.note("dropped", json!({"req": req, "send": send, "tokens": n}));
+                return;
+            }
+            let step = self.model.borrow().step_takes(unix_now());
+            if n + 1 < out {
+                rest(step).await;
+            }
+            self.through(&zone).await;
+        }
+        let prompt = chat.prompt_tokens as u64;
+        let usage = json!({"prompt_tokens": prompt, "completion_tokens": out, "total_tokens": prompt + out});
+        if chat.include_usage {
+            let _ = to.send(chunk(json!([]), usage)).await;
+        }
+        let _ = to.send(Frame::data(sse::done())).await;
+        drop(room);
+        self.record.note("done", json!({"req": req, "send": send, "tokens": out}));
+        let mut trailers = HeaderMap::new();
+        if let Ok(v) = self.report().header().parse() {
+            trailers.insert(LOAD, v);
+        }
+        let _ = to.send(Frame::trailers(trailers)).await;
+    }
+
+    /// Fetches a state from the reader that holds it; its size, or none where it cannot be had.
+    async fn fetch(&self, kv: &KvTransfer) -> Option<usize> {
+        let (host, name) = (kv.remote_host.as_ref()?, kv.remote_request_id.as_ref()?);
+        let zone = self.model.borrow().figures.zone.clone();
+        let fetch = async {
+            let mut s = smol::net::TcpStream::connect(host).await.ok()?;
+            let head = format!(
+                "GET /v1/states/{name} HTTP/1.1\r\nhost: {host}\r\n{ZONE}: {zone}\r\nconnection: close\r\n\r\n"
+            );
+            s.write_all(head.as_bytes()).await.ok()?;
+            let (mut head, mut buffer) = (Vec::new(), vec![0; 64 * 1024]);
+            let end = loop {
+                let n = s.read(&mut buffer).await.ok().filter(|&n| n > 0)?;
+                head.extend_from_slice(&buffer[..n]);
+                if let Some(end) = head.windows(4).position(|w| w == b"\r\n\r\n") {
+                    break end + 4;
+                }
+            };
+            let text = String::from_utf8_lossy(&head[..end]).to_ascii_lowercase();
+            let length = text.lines().find_map(|l| l.strip_prefix("content-length:"))?;
+            let length: usize = length.trim().parse().ok()?;
+            let mut got = head.len() - end;
+            while got < length {
+                got += s.read(&mut buffer).await.ok().filter(|&n| n > 0)?;
+            }
+            text.starts_with("http/1.1 200").then_some(got)
+        };
+        let late = async {
+            rest(2.0).await;
+            None
+        };
+        futures_lite::future::or(fetch, late).await
+    }
+
+    async fn control(self: Rc<Self>, request: Request<Incoming>) -> Result<Answer, Cut> {
+        let Ok(v) = serde_json::from_slice::<Value>(&body(request).await?) else {
+            return Ok(error(400, "bad_json"));
+        };
+        let until = unix_now() + v["for_s"].as_f64().unwrap_or(0.0);
+        let share = v["share"].as_f64().unwrap_or(1.0);
+        let fault = v["fault"].as_str().unwrap_or("");
+        self.record.note("fault", v.clone());
+        {
+            let mut f = self.faults.borrow_mut();
+            let mut m = self.model.borrow_mut();
+            match fault {
+                "die" => drop(self.die.try_send(())),
+                "silence" => f.silent_until = until,
+                "cut" => f.cut_until = until,
+                "slow" => m.slow = (until, v["factor"].as_f64().unwrap_or(4.0)),
+                "fail" => f.fail = (until, share),
+                "lose" => f.lose = (until, share),
+                "pause" => {
+                    let (long, every) = (v["pause_s"].as_f64(), v["every_s"].as_f64());
+                    f.pause = (until, long.unwrap_or(0.2), every.unwrap_or(1.0).max(0.01));
+                }
+                "forget" => m.forget(),
+                "drain" => m.draining = true,
+                _ => return Ok(error(400, "unknown_fault")),
+            }
+        }
+        let m = self.model.borrow();
+        Ok(json(
+            200,
+            json!({"states": m.states.len(), "memory": m.memory, "running": m.running,
+            "waiting": m.waiting, "fallen": m.fallen, "streams": self.streams.get()}),
+        ))
+    }
+}
+
+fn stream_body(
+    from: Receiver<Frame<Bytes>>,
+) -> http_body_util::combinators::BoxBody<Bytes, std::convert::Infallible> {
+    Streamed { from: Box::pin(from) }.boxed()
+}
