The nickelgw command: up, serve, check, engine, list and rehearse

Found by the first rehearsal: a send's end dropped its request's client, so that all were errored; the client is now taken only with a begun stream.

--- a/crates/nickelgw-audit/src/judge.rs
+++ b/crates/nickelgw-audit/src/judge.rs
@@ -175,9 +175,10 @@
                 let inside: Vec<&str> =
                     l.rest["in"].as_array().into_iter().flatten().filter_map(|x| x.as_str()).collect();
                 let before = known.insert(node, inside.clone()).unwrap_or_default();
-                inside.iter().for_each(|e| drop(out.remove(&(node, *e))));
-                let gone = before.into_iter().filter(|e| !inside.contains(e));
-                gone.for_each(|e| drop(out.entry((node, e)).or_insert(l)));
+                out.retain(|k, _| k.0 != node || !inside.contains(&k.1));
+                for e in before.into_iter().filter(|e| !inside.contains(e)) {
+                    out.entry((node, e)).or_insert(l);
+                }
             }
             "send" => {
                 let Some(told) = out.get(&(l.text("node"), l.who.as_str())) else { continue };
--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -1,1 +1,182 @@
-fn main() {}
+//! The `nickelgw` command.
+
+mod bench;
+mod rehearse;
+mod signals;
+mod start;
+mod up;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use nickelgw_standin::model::Role;
+use nickelgw_standin::Record;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Routes language-model requests between prompt readers and answer writers.
+#[derive(Parser)]
+#[command(name = "nickelgw", version)]
+struct Cli {
+    /// How logs are written, on standard error.
+    #[arg(long, global = true, value_enum, default_value = "plain")]
+    log: Log,
+    /// Least severity logged: error, warn, info, debug or trace.
+    #[arg(long, global = true, default_value = "warn")]
+    log_level: tracing::Level,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Log {
+    Plain,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Runs nodes and stand-in engines on loopback, to try things out.
+    Up(up::Up),
+    /// Serves as a node.
+    Serve {
+        /// Its settings, in protobuf text format.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Checks a settings file of a node or a day.
+    Check { file: PathBuf },
+    /// Runs a stand-in reader or writer.
+    Engine {
+        #[arg(long)]
+        id: String,
+        #[arg(long, value_enum)]
+        role: EngineRole,
+        #[arg(long, default_value = "a")]
+        zone: String,
+        #[arg(long, default_value_t = 0)]
+        cell: u32,
+        /// Starts cold: slower until warm, and can be pushed over.
+        #[arg(long)]
+        cold: bool,
+        /// Further figures, as a JSON object with the names of docs/rehearsal.md.
+        #[arg(long, default_value = "{}")]
+        figures: String,
+        #[arg(long, default_value_t = 0)]
+        port: u16,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// File to which what crosses its sockets is added.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Runs a stand-in engine list.
+    List {
+        /// Its first lines: a JSON file, a list as the node reads it.
+        #[arg(long)]
+        engines: Option<PathBuf>,
+        #[arg(long, default_value_t = 500.0)]
+        lag_ms: f64,
+        #[arg(long, default_value_t = 0)]
+        port: u16,
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Plays a day of traffic and faults on child processes, and judges the five rules.
+    Rehearse(rehearse::Rehearse),
+    /// Measures what the node adds, beside the same stand-ins called directly.
+    Bench(bench::Bench),
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum EngineRole {
+    Read,
+    Write,
+}
+
+/// Ends with one plain line: the file or the usage was bad.
+pub struct Unusable(pub String);
+
+impl<E: std::error::Error> From<E> for Unusable {
+    fn from(e: E) -> Self {
+        Unusable(e.to_string())
+    }
+}
+
+fn record(path: Option<PathBuf>, who: &str) -> Result<Record, Unusable> {
+    match path {
+        None => Ok(Record::default()),
+        Some(p) => Record::file(&p, who).map_err(|e| Unusable(format!("{}: {e}", p.display()))),
+    }
+}
+
+/// Binds, and says where: a parent process reads it.
+fn bind(address: &str) -> Result<TcpListener, Unusable> {
+    let listener =
+        TcpListener::bind(address).map_err(|e| Unusable(format!("{address}: cannot listen: {e}")))?;
+    println!("listening {}", listener.local_addr()?);
+    Ok(listener)
+}
+
+fn run(what: What) -> Result<ExitCode, Unusable> {
+    match what {
+        What::Up(up) => up.run(),
+        What::Rehearse(r) => r.run(),
+        What::Bench(b) => b.run(),
+        What::Check { file } => {
+            let kind = nickelgw_settings::any(&file).map_err(|p| start::problems(&p))?;
+            println!("{}: sound settings of a {kind}", file.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        What::Serve { config } => {
+            let node = nickelgw_settings::node(&config).map_err(|p| start::problems(&p))?;
+            let listener = bind(node.listen())?;
+            let start = start::start(&node, None);
+            let until = signals::ended()?;
+            smol::block_on(futures_lite::future::or(nickelgw_node::run(listener, start), until))?;
+            Ok(ExitCode::SUCCESS)
+        }
+        What::Engine { id, role, zone, cell, cold, figures, port, seed, record: to } => {
+            let wrong = |e: serde_json::Error| Unusable(format!("--figures: {e}"));
+            let mut f: nickelgw_standin::model::Figures = serde_json::from_str(&figures).map_err(wrong)?;
+            let role = match role {
+                EngineRole::Read => Role::Read,
+                EngineRole::Write => Role::Write,
+            };
+            (f.id, f.role, f.zone, f.cell, f.cold) = (id.clone(), role, zone, cell, cold);
+            let listener = bind(&format!("127.0.0.1:{port}"))?;
+            let work = nickelgw_standin::engine::run(listener, f, record(to, &id)?, seed);
+            smol::block_on(futures_lite::future::or(work, signals::ended()?))?;
+            Ok(ExitCode::SUCCESS)
+        }
+        What::List { engines, lag_ms, port, record: to } => {
+            let lines = match engines {
+                None => Vec::new(),
+                Some(p) => {
+                    let bytes = std::fs::read(&p).map_err(|e| Unusable(format!("{}: {e}", p.display())))?;
+                    let list = nickelgw_protocol::list::List::parse(&bytes);
+                    list.map_err(|e| Unusable(format!("{}: {e}", p.display())))?.engines
+                }
+            };
+            let listener = bind(&format!("127.0.0.1:{port}"))?;
+            let work = nickelgw_standin::list::run(listener, lines, lag_ms / 1e3, record(to, "list")?);
+            smol::block_on(futures_lite::future::or(work, signals::ended()?))?;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let logs = tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(cli.log_level);
+    match cli.log {
+        Log::Plain => logs.init(),
+        Log::Json => logs.json().flatten_event(true).init(),
+    }
+    match run(cli.what) {
+        Ok(code) => code,
+        Err(Unusable(why)) => {
+            eprintln!("nickelgw: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -0,0 +1,567 @@
+//! `nickelgw rehearse`: a day's traffic and faults on child processes, judged from what crossed the sockets.
+
+use crate::{start, Unusable};
+use futures_lite::{AsyncBufReadExt, StreamExt};
+use nanorand::{Rng, WyRand};
+use nickelgw_audit::{Rule, Service, Verdict};
+use nickelgw_protocol::list::{self, Line, State};
+use nickelgw_settings::check::{engine_names, node_zone};
+use nickelgw_settings::proto::{fault::Kind, EngineRole, Fault, Group, Repeat, Traffic};
+use nickelgw_settings::Day;
+use nickelgw_standin::client::{self, Ask, Leave};
+use nickelgw_standin::model::{Figures, Role};
+use nickelgw_standin::record::unix_now;
+use nickelgw_standin::Record;
+use serde_json::{json, Value};
+use smol::process::{Child, Command, Stdio};
+use smol::{LocalExecutor, Timer};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+#[derive(clap::Args)]
+pub struct Rehearse {
+    /// The day, in protobuf text format.
+    day: PathBuf,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Folder for report.json, records and logs; without it only the table is shown.
+    #[arg(long)]
+    report: Option<PathBuf>,
+}
+
+/// What is allowed for between an action and its record, and the longest that this driver itself may stall.
+const SLACK_S: f64 = 0.25;
+
+async fn rest(s: f64) {
+    Timer::after(Duration::from_secs_f64(s.max(0.0))).await;
+}
+
+/// Child processes and where they listen.
+struct Stage {
+    day: Day,
+    seed: u64,
+    dir: PathBuf,
+    list: String,
+    record: Record,
+    engines: RefCell<BTreeMap<String, (Child, String)>>,
+    /// By number; none while the node is down.
+    nodes: RefCell<Vec<Option<(Child, String)>>>,
+    begun: Instant,
+    stall: RefCell<f64>,
+}
+
+/// Starts this program again with other arguments; gives the child and the address that it listens on.
+async fn child(args: &[String], log: &Path) -> Result<(Child, String), Unusable> {
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+    let mut command = Command::new(std::env::current_exe()?);
+    command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).kill_on_drop(true);
+    let mut child = command.spawn()?;
+    let out = child.stdout.take().ok_or_else(|| Unusable("a child has no output".into()))?;
+    let mut lines = smol::io::BufReader::new(out).lines();
+    let line = futures_lite::future::or(async { lines.next().await }, async {
+        rest(10.0).await;
+        None
+    });
+    match line.await {
+        Some(Ok(l)) if l.starts_with("listening ") => Ok((child, l["listening ".len()..].to_string())),
+        _ => Err(Unusable(format!("a child did not start: {}", args.join(" ")))),
+    }
+}
+
+fn texts(args: &[&str]) -> Vec<String> {
+    args.iter().map(|a| a.to_string()).collect()
+}
+
+impl Stage {
+    fn file(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
+    fn record_of(&self, name: &str) -> String {
+        self.file(&format!("records/{name}.jsonl")).display().to_string()
+    }
+
+    /// The group of an engine and its figures.
+    fn figures(&self, name: &str) -> Option<(Figures, EngineRole)> {
+        let rules = self.day.rules.unwrap_or_default();
+        let of = |e: &&nickelgw_settings::proto::EngineGroup| {
+            (0..e.count()).any(|n| format!("{}{n}", e.name) == name)
+        };
+        let e = self.day.engines.iter().find(of)?;
+        let reader = e.role() == EngineRole::Reader;
+        let f = Figures {
+            id: name.to_string(),
+            zone: e.zone.clone(),
+            cell: e.cell(),
+            role: if reader { Role::Read } else { Role::Write },
+            slots: e.slots() as usize,
+            queue: e.queue() as usize,
+            memory_tokens: e.memory_tokens(),
+            read_s: e.read_ms() / 1e3,
+            read_tokens_per_s: e.read_tokens_per_s(),
+            step_s: e.step_ms() / 1e3,
+            step_per_stream_s: e.step_per_stream_ms() / 1e3,
+            out_tokens: e.out_tokens() as usize,
+            state_bytes_per_token: e.state_bytes_per_token(),
+            state_ttl_s: e.state_ttl_ms() / 1e3,
+            cold: false,
+            cold_from: rules.cold_share(),
+            warm_s: rules.warm_within_ms() / 1e3,
+            tip_multiple: rules.tip_multiple(),
+            tip_window_s: rules.tip_window_ms() / 1e3,
+        };
+        Some((f, e.role()))
+    }
+
+    async fn start_engine(&self, name: &str, cold: bool) -> Result<Line, Unusable> {
+        let (f, role) = self.figures(name).ok_or_else(|| Unusable(format!("no engine {name}")))?;
+        let figures = serde_json::to_string(&f)?;
+        let read = role == EngineRole::Reader;
+        let (cell, seed) = (f.cell.to_string(), self.seed.to_string());
+        let mut args = texts(&["engine", "--id", name, "--role", if read { "read" } else { "write" }]);
+        args.extend(texts(&["--zone", &f.zone, "--cell", &cell, "--figures", &figures, "--seed", &seed]));
+        args.extend(texts(&["--record", &self.record_of(name)]));
+        if cold {
+            args.push("--cold".into());
+        }
+        let (child, address) = child(&args, &self.file(&format!("logs/{name}.log"))).await?;
+        self.engines.borrow_mut().insert(name.to_string(), (child, address.clone()));
+        Ok(Line {
+            id: name.to_string(),
+            address,
+            zone: f.zone,
+            cell: f.cell,
+            role: if read { list::Role::Read } else { list::Role::Write },
+            memory_tokens: f.memory_tokens,
+            state: State::In,
+            started_at: cold.then(unix_now),
+        })
+    }
+
+    async fn start_node(&self, number: u32) -> Result<(), Unusable> {
+        let name = format!("node{number}");
+        let path = self.file(&format!("{name}.txtpb"));
+        let config = path.display().to_string();
+        let log = self.file(&format!("logs/{name}.log"));
+        let args = texts(&["serve", "--config", &config, "--log", "json", "--log-level", "debug"]);
+        let started = child(&args, &log).await?;
+        self.nodes.borrow_mut()[number as usize] = Some(started);
+        Ok(())
+    }
+
+    fn address_of(&self, engine: &str) -> Option<String> {
+        self.engines.borrow().get(engine).map(|e| e.1.clone())
+    }
+
+    async fn engine_fault(&self, engine: &str, order: Value) {
+        if let Some(address) = self.address_of(engine) {
+            client::control(&address, &order).await;
+        }
+    }
+
+    async fn fault(&self, f: &Fault) -> Result<(), Unusable> {
+        rest(f.at_s - self.begun.elapsed().as_secs_f64()).await;
+        let (name, for_s) = (f.target().to_string(), f.for_s());
+        self.record.note("plan", json!({"kind": f.kind().as_str_name(), "target": name, "for_s": for_s}));
+        let word =
+            |fault: &str| json!({"fault": fault, "for_s": for_s, "share": f.share(), "factor": f.factor()});
+        match f.kind() {
+            Kind::Die => {
+                self.engine_fault(&name, word("die")).await;
+                let dead = self.engines.borrow_mut().remove(&name);
+                if let Some((mut child, _)) = dead {
+                    let _ = child.kill();
+                    let _ = child.status().await;
+                }
+                self.record.of(&name).note("died", json!({}));
+                client::control(&self.list, &json!({"remove": name})).await;
+                if for_s > 0.0 {
+                    rest(for_s).await;
+                    let line = self.start_engine(&name, true).await?;
+                    client::control(&self.list, &json!({"line": line})).await;
+                }
+            }
+            Kind::Silence => self.engine_fault(&name, word("silence")).await,
+            Kind::Slow => self.engine_fault(&name, word("slow")).await,
+            Kind::Fail => self.engine_fault(&name, word("fail")).await,
+            Kind::Lose => self.engine_fault(&name, word("lose")).await,
+            Kind::Pause => self.engine_fault(&name, word("pause")).await,
+            Kind::Forget => self.engine_fault(&name, word("forget")).await,
+            Kind::Drain => {
+                let Some((figures, role)) = self.figures(&name) else { return Ok(()) };
+                let line = Line {
+                    id: name.clone(),
+                    address: self.address_of(&name).unwrap_or_default(),
+                    zone: figures.zone,
+                    cell: figures.cell,
+                    role: if role == EngineRole::Reader { list::Role::Read } else { list::Role::Write },
+                    memory_tokens: figures.memory_tokens,
+                    state: State::Draining,
+                    started_at: None,
+                };
+                client::control(&self.list, &json!({"line": line})).await;
+                // It turns work away once every node has had the time to hear of it.
+                rest((self.day.list_lag_ms() + self.day.drain_grace_ms()) / 1e3).await;
+                self.engine_fault(&name, word("drain")).await;
+            }
+            Kind::CutZone => {
+                let order = json!({"fault": "cut", "for_s": for_s, "zone": name});
+                for engine in engine_names(&self.day) {
+                    self.engine_fault(&engine, order.clone()).await;
+                }
+            }
+            Kind::StallList => drop(client::control(&self.list, &json!({"stall_s": for_s})).await),
+            Kind::KillNode => {
+                let number: u32 = name.trim_start_matches("node").parse().unwrap_or(0);
+                let down = self.nodes.borrow_mut()[number as usize].take();
+                if let Some((mut child, _)) = down {
+                    // SIGKILL, to its own id.
+                    let _ = child.kill();
+                    self.record.note("killed", json!({"node": name}));
+                    let _ = child.status().await;
+                }
+                if for_s > 0.0 {
+                    rest(for_s).await;
+                    self.start_node(number).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// A node that is up, each in turn; the front of today sends to no dead one for long.
+    fn node(&self, turn: usize) -> Option<(String, String)> {
+        let nodes = self.nodes.borrow();
+        let up: Vec<_> =
+            nodes.iter().enumerate().filter_map(|(n, x)| Some((n, x.as_ref()?.1.clone()))).collect();
+        up.get(turn % up.len().max(1)).map(|(n, a)| (format!("node{n}"), a.clone()))
+    }
+}
+
+fn dice(chance: &mut WyRand) -> f64 {
+    chance.generate::<u32>() as f64 / u32::MAX as f64
+}
+
+fn words(tokens: f64, salt: u64) -> String {
+    let mut text = format!("[{salt}] ");
+    while (text.len() as f64) < 4.0 * tokens - 16.0 {
+        text.push_str("line of a text ");
+    }
+    text
+}
+
+/// Open-loop arrivals of one kind of traffic: each at its time, however the earlier ones fare.
+async fn traffic(stage: Rc<Stage>, n: usize, t: Traffic, ex: Rc<LocalExecutor<'static>>) {
+    let mut chance = WyRand::new_seed(stage.seed.wrapping_mul(1000) + n as u64);
+    let route = stage.day.model_route.iter().find(|r| r.model == t.model).cloned().unwrap_or_default();
+    let key = stage.day.tenant.iter().find(|x| x.name == t.tenant()).map(|x| x.key.clone());
+    let until = t.to_s().min(stage.day.length_s);
+    let mut at = t.from_s();
+    let begun_unix = unix_now() - stage.begun.elapsed().as_secs_f64();
+    let mut clients = Vec::new();
+    for k in 0u64.. {
+        at -= dice(&mut chance).max(1e-9).ln() / t.rate_per_s;
+        if at >= until {
+            break;
+        }
+        rest(at - stage.begun.elapsed().as_secs_f64()).await;
+        let Some((node, address)) = stage.node(chance.generate::<u32>() as usize) else { continue };
+        let size = t.prompt_tokens() * (0.5 + dice(&mut chance));
+        let shared = t.beginnings() > 0;
+        let beginning = if shared { chance.generate::<u64>() % u64::from(t.beginnings()) } else { 0 };
+        let fate = dice(&mut chance);
+        let (waiting, streaming) = (t.leave_waiting_share(), t.leave_streaming_share());
+        let bad = waiting + streaming + t.malformed_share();
+        let record = stage.record.of("client");
+        if fate >= waiting + streaming && fate < bad {
+            clients.push(ex.spawn(malformed(address, k, stage.day.clone(), record)));
+            continue;
+        }
+        let leave = match fate {
+            f if f < waiting => Leave::Waiting(0.02 + 0.2 * dice(&mut chance)),
+            f if f < waiting + streaming => Leave::Streaming(1 + (10.0 * dice(&mut chance)) as usize),
+            _ => Leave::Never,
+        };
+        let per_token = route.target_per_1000_tokens_ms() / 1e6;
+        let ask = Ask {
+            req: format!("q{n}-{k}"),
+            node,
+            address,
+            model: t.model.clone(),
+            key: key.clone(),
+            system: if shared { words(0.6 * size, 1_000_000 * n as u64 + beginning) } else { String::new() },
+            prompt: words(if shared { 0.4 * size } else { size }, k),
+            max_tokens: t.max_tokens,
+            stream: dice(&mut chance) < t.stream_share() || matches!(leave, Leave::Streaming(_)),
+            timeout_s: route.route_timeout_ms / 1e3 + 2.0 * per_token * (size + 16.0),
+            target_s: route.first_token_target_ms / 1e3 + per_token * size,
+            intended: begun_unix + at,
+            leave,
+        };
+        clients.push(ex.spawn(async move { drop(client::ask(&ask, &record).await) }));
+    }
+    for c in clients {
+        c.await;
+    }
+}
+
+/// Clients that speak badly: each must get an error, and cost nothing more.
+async fn malformed(address: String, k: u64, day: Day, record: Record) {
+    let most = day.limits.unwrap_or_default().most_body_bytes();
+    let head = |len: usize| {
+        format!("POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n")
+    };
+    let (kind, pieces, rest_s) = match k % 4 {
+        0 => ("json", vec![head(9).into_bytes(), b"{\"model\":".to_vec()], 0.0),
+        1 => ("large", vec![head(most as usize + 1).into_bytes(), vec![b'x'; 1024]], 0.0),
+        2 => ("slow", vec![head(100).into_bytes(), b"{".to_vec(), b" ".to_vec(), b" ".to_vec()], 0.6),
+        _ => ("head", vec![b"POST /v1/chat".to_vec()], 0.0),
+    };
+    let pieces: Vec<&[u8]> = pieces.iter().map(Vec::as_slice).collect();
+    let patience = day.limits.unwrap_or_default().body_ms() / 1e3 + 2.0;
+    let answer = client::raw(&address, &pieces, rest_s, patience).await;
+    record.note("malformed", json!({"kind": kind, "status": client::status(&answer)}));
+}
+
+impl Rehearse {
+    pub fn run(self) -> Result<ExitCode, Unusable> {
+        let day = nickelgw_settings::day(&self.day).map_err(|p| start::problems(&p))?;
+        let (dir, kept) = match &self.report {
+            Some(d) => (d.clone(), true),
+            None => (std::env::temp_dir().join(format!("nickelgw-rehearsal-{}", std::process::id())), false),
+        };
+        let made = || -> std::io::Result<()> {
+            for d in ["records", "logs"] {
+                let d = dir.join(d);
+                if d.exists() {
+                    std::fs::remove_dir_all(&d)?;
+                }
+                std::fs::create_dir_all(d)?;
+            }
+            Ok(())
+        };
+        made().map_err(|e| Unusable(format!("{}: {e}", dir.display())))?;
+        let ex = Rc::new(LocalExecutor::new());
+        let played = smol::block_on(ex.run(play(day, self.seed, dir.clone(), ex.clone())));
+        let done = played.and_then(|stall| report(&dir, self.seed, stall, kept));
+        if !kept {
+            let _ = std::fs::remove_dir_all(&dir);
+        }
+        done
+    }
+}
+
+/// Plays the day; gives the longest stall of this driver itself.
+async fn play(day: Day, seed: u64, dir: PathBuf, ex: Rc<LocalExecutor<'static>>) -> Result<f64, Unusable> {
+    let record = Record::file(&dir.join("records/driver.jsonl"), "driver")?;
+    let listed = texts(&["list", "--lag-ms", &day.list_lag_ms().to_string()]);
+    let path = dir.join("records/list.jsonl").display().to_string();
+    let args = [listed, texts(&["--record", &path])].concat();
+    let (list_child, list_address) = child(&args, &dir.join("logs/list.log")).await?;
+    let stage = Rc::new(Stage {
+        seed,
+        dir,
+        list: list_address,
+        record,
+        engines: RefCell::default(),
+        nodes: RefCell::new((0..day.nodes()).map(|_| None).collect()),
+        begun: Instant::now(),
+        stall: RefCell::new(0.0),
+        day,
+    });
+    stage.record.note("rules", rules(&stage.day));
+    for name in engine_names(&stage.day) {
+        let line = stage.start_engine(&name, false).await?;
+        client::control(&stage.list, &json!({"line": line, "lag_s": 0.0})).await;
+    }
+    for n in 0..stage.day.nodes() {
+        let text = node_settings(&stage, n);
+        let path = stage.file(&format!("node{n}.txtpb"));
+        std::fs::write(&path, text)?;
+        nickelgw_settings::node(&path).map_err(|p| start::problems(&p))?;
+        stage.start_node(n).await?;
+    }
+    // The day begins when all nodes have heard the list.
+    let from = Instant::now();
+    while from.elapsed() < Duration::from_secs(5) {
+        let lines = std::fs::read_to_string(stage.record_of("list")).unwrap_or_default();
+        let told = |n: u32| lines.contains(&format!("\"node\":\"node{n}\""));
+        if (0..stage.day.nodes()).all(told) {
+            break;
+        }
+        rest(0.02).await;
+    }
+    let stage = match Rc::try_unwrap(stage) {
+        Ok(s) => Rc::new(Stage { begun: Instant::now(), ..s }),
+        Err(s) => s,
+    };
+    let watched = stage.clone();
+    let stalls = ex.spawn(async move {
+        loop {
+            let before = Instant::now();
+            rest(0.01).await;
+            let late = before.elapsed().as_secs_f64() - 0.01;
+            let mut most = watched.stall.borrow_mut();
+            *most = most.max(late);
+        }
+    });
+    let mut faults = Vec::new();
+    for f in stage.day.fault.clone() {
+        let stage = stage.clone();
+        faults.push(ex.spawn(async move { stage.fault(&f).await }));
+    }
+    let all = stage.day.traffic.iter().cloned().enumerate();
+    let flows: Vec<_> = all.map(|(n, t)| ex.spawn(traffic(stage.clone(), n, t, ex.clone()))).collect();
+    for flow in flows {
+        flow.await;
+    }
+    for f in faults {
+        f.await?;
+    }
+    // What is still held must be let go, and what still runs must end.
+    let hold = stage.day.rules.unwrap_or_default().hold_limit_ms() / 1e3;
+    rest(hold + 2.0).await;
+    stage.record.note("end", json!({}));
+    drop(stalls);
+    let stall = *stage.stall.borrow();
+    let mut children: Vec<Child> =
+        stage.nodes.borrow_mut().iter_mut().filter_map(Option::take).map(|n| n.0).collect();
+    children.extend(std::mem::take(&mut *stage.engines.borrow_mut()).into_values().map(|e| e.0));
+    children.push(list_child);
+    for mut c in children {
+        let _ = c.kill();
+        let _ = c.status().await;
+    }
+    Ok(stall)
+}
+
+fn rules(day: &Day) -> Value {
+    let route = |r: &nickelgw_settings::proto::ModelRoute| {
+        let repeat = match r.repeat() {
+            Repeat::Retriable => "retriable",
+            Repeat::Deduped => "deduped",
+            Repeat::NonRetriable => "non_retriable",
+        };
+        let group = match r.dedupe_group() {
+            Group::All => "all",
+            Group::Zone => "zone",
+            Group::Cell => "cell",
+        };
+        let memory = r.dedupe_memory_ms() / 1e3;
+        (r.model.clone(), json!({"repeat": repeat, "group": group, "memory_s": memory}))
+    };
+    let routes: serde_json::Map<String, Value> = day.model_route.iter().map(route).collect();
+    json!({"drain_grace_s": day.drain_grace_ms() / 1e3, "slack_s": SLACK_S, "routes": routes,
+        "hold_limit_s": day.rules.unwrap_or_default().hold_limit_ms() / 1e3})
+}
+
+/// A node's settings from the day's, as a file that `nickelgw check` reads.
+fn node_settings(stage: &Stage, number: u32) -> String {
+    use nickelgw_settings::text_of;
+    let d = &stage.day;
+    let node = nickelgw_settings::Node {
+        name: format!("node{number}"),
+        number: Some(number),
+        nodes: Some(d.nodes()),
+        seed: Some(stage.seed),
+        zone: node_zone(d, number).to_string(),
+        zones: d.zones.clone(),
+        listen: Some("127.0.0.1:0".into()),
+        list: stage.list.clone(),
+        last_list: Some(stage.file(&format!("node{number}.list")).display().to_string()),
+        model_route: d.model_route.clone(),
+        tenant: d.tenant.clone(),
+        rules: d.rules,
+        limits: d.limits,
+    };
+    text_of(&node)
+}
+
+fn report(dir: &Path, seed: u64, stall: f64, kept: bool) -> Result<ExitCode, Unusable> {
+    let lines = nickelgw_audit::read(&dir.join("records"))?;
+    let verdict = nickelgw_audit::judge(&lines);
+    let routes = nickelgw_audit::service(&lines);
+    table(&routes);
+    say(&verdict);
+    println!(
+        "longest stall of the driver itself: {:.0} ms (allowed for: {:.0} ms)",
+        1e3 * stall,
+        1e3 * SLACK_S
+    );
+    if kept {
+        let counts: serde_json::Map<String, Value> =
+            Rule::ALL.iter().map(|r| (r.name().to_string(), json!(verdict.count(*r)))).collect();
+        let route = |(name, s): (&String, &Service)| {
+            let v = json!({"taken": s.taken, "completed": s.completed, "shed": s.shed, "errored": s.errored,
+                "in_target": s.in_target, "left": s.left, "cut": s.cut,
+                "first_token_p50_s": s.quantile(0.5), "first_token_p99_s": s.quantile(0.99)});
+            (name.clone(), v)
+        };
+        let by_route: serde_json::Map<String, Value> = routes.iter().map(route).collect();
+        let breaks: Vec<Value> = verdict
+            .breaks
+            .iter()
+            .map(|b| json!({"rule": b.rule.name(), "what": b.what, "evidence": b.evidence}))
+            .collect();
+        let all = json!({"seed": seed, "rules": counts, "routes": by_route, "judged": verdict.judged,
+            "excused_states": verdict.excused, "nearest_cold": verdict.nearest_cold, "breaks": breaks,
+            "driver_stall_s": stall});
+        std::fs::write(dir.join("report.json"), serde_json::to_string_pretty(&all)?)?;
+    }
+    Ok(if verdict.breaks.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+fn table(routes: &BTreeMap<String, Service>) {
+    println!(
+        "{:<14} {:>6} {:>9} {:>5} {:>7} {:>5} {:>4} {:>9} {:>9} {:>9}",
+        "model route",
+        "taken",
+        "completed",
+        "shed",
+        "errored",
+        "left",
+        "cut",
+        "in target",
+        "first p50",
+        "p99"
+    );
+    for (name, s) in routes {
+        let ms = |q| s.quantile(q).map_or("-".into(), |x: f64| format!("{:.0} ms", 1e3 * x));
+        println!(
+            "{:<14} {:>6} {:>9} {:>5} {:>7} {:>5} {:>4} {:>9} {:>9} {:>9}",
+            name,
+            s.taken,
+            s.completed,
+            s.shed,
+            s.errored,
+            s.left,
+            s.cut,
+            s.in_target,
+            ms(0.5),
+            ms(0.99)
+        );
+    }
+}
+
+fn say(v: &Verdict) {
+    for r in Rule::ALL {
+        let judged = v.judged.get(r.name()).copied().unwrap_or(0);
+        let word = match v.count(r) {
+            0 => "kept".to_string(),
+            n => format!("BROKEN {n} times"),
+        };
+        println!("{:<7} {word}: {} ({judged} judged)", r.name(), r.says());
+    }
+    for b in v.breaks.iter().take(20) {
+        println!("  {}: {}", b.rule.name(), b.what);
+        b.evidence.iter().for_each(|e| println!("    {e}"));
+    }
+    if v.excused > 0 {
+        println!("{} states not judged: their reader was cut off, or their node dead", v.excused);
+    }
+    println!("nearest to pushing over a cold engine: {:.0}% of what it stands", 100.0 * v.nearest_cold);
+}
--- /dev/null
+++ b/crates/nickelgw-cli/src/up.rs
@@ -0,0 +1,99 @@
+//! `nickelgw up`: nodes and stand-ins in one process, to try things out.
+
+use crate::{signals, start, Unusable};
+use nickelgw_protocol::list::{self, Line, State};
+use nickelgw_standin::model::{Figures, Role};
+use nickelgw_standin::Record;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::thread;
+
+#[derive(clap::Args)]
+pub struct Up {
+    #[arg(long, default_value_t = 1)]
+    nodes: u16,
+    #[arg(long, default_value_t = 2)]
+    readers: u16,
+    #[arg(long, default_value_t = 2)]
+    writers: u16,
+    /// Port of the first node's chat API; the others follow. 0: free ones.
+    #[arg(long, default_value_t = 8080)]
+    port: u16,
+}
+
+/// Stand-ins on threads of their own; they end with the process.
+pub fn engines(readers: u16, writers: u16, figures: &Figures) -> Result<Vec<Line>, Unusable> {
+    let mut lines = Vec::new();
+    for n in 0..readers + writers {
+        let read = n < readers;
+        let (id, role) = match read {
+            true => (format!("reader{n}"), Role::Read),
+            false => (format!("writer{}", n - readers), Role::Write),
+        };
+        let f = Figures { id: id.clone(), role, ..figures.clone() };
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        lines.push(Line {
+            id,
+            address: listener.local_addr()?.to_string(),
+            zone: f.zone.clone(),
+            cell: f.cell,
+            role: if read { list::Role::Read } else { list::Role::Write },
+            memory_tokens: f.memory_tokens,
+            state: State::In,
+            started_at: None,
+        });
+        thread::spawn(move || {
+            smol::block_on(nickelgw_standin::engine::run(listener, f, Record::default(), u64::from(n)))
+        });
+    }
+    Ok(lines)
+}
+
+pub fn list(lines: Vec<Line>) -> Result<String, Unusable> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?.to_string();
+    thread::spawn(move || {
+        smol::block_on(nickelgw_standin::list::run(listener, lines, 0.0, Record::default()))
+    });
+    Ok(address)
+}
+
+pub fn settings(number: u16, nodes: u16, list: &str) -> String {
+    format!(
+        "name: 'node{number}' number: {number} nodes: {nodes} zone: 'a' zones: 'a' list: '{list}'
+         model_route {{ model: 'chat' first_token_target_ms: 1000 route_timeout_ms: 5000 }}
+         model_route {{ model: 'review' first_token_target_ms: 2500 route_timeout_ms: 10000 }}"
+    )
+}
+
+impl Up {
+    pub fn run(self) -> Result<ExitCode, Unusable> {
+        if self.nodes == 0 || self.readers == 0 || self.writers == 0 {
+            return Err(Unusable("up needs a node, a reader and a writer at least".into()));
+        }
+        let until = signals::ended()?;
+        let listed = list(engines(self.readers, self.writers, &Figures::default())?)?;
+        let mut urls = Vec::new();
+        for n in 0..self.nodes {
+            let port = if self.port == 0 { 0 } else { self.port + n };
+            let address = format!("127.0.0.1:{port}");
+            let wrong = |e| Unusable(format!("{address}: cannot listen: {e}; another --port may be free"));
+            let listener = TcpListener::bind(&address).map_err(wrong)?;
+            urls.push(format!("http://{}", listener.local_addr()?));
+            let text = settings(n, self.nodes, &listed);
+            let node = nickelgw_settings::node_text("up", &text).map_err(|p| start::problems(&p))?;
+            thread::spawn(move || smol::block_on(nickelgw_node::run(listener, start::start(&node, None))));
+        }
+        println!("{} readers and {} writers, stand-ins, behind", self.readers, self.writers);
+        urls.iter().for_each(|u| println!("  {u}/v1/chat/completions"));
+        println!("try:");
+        println!(
+            "  curl -N {}/v1/chat/completions -H 'content-type: application/json' -d \
+             '{{\"model\":\"chat\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"Hello\"}}]}}'",
+            urls[0]
+        );
+        println!("Ctrl-C ends all.");
+        smol::block_on(until)?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -196,7 +196,8 @@
                     tracing::debug!(request = %job.id, send, cause = ?end.cause, "send ended");
                 }
                 // The client's own stream is closed by the answer that follows.
-                if let (Some(sink), Some(job)) = (sink, self.jobs.remove(&ticket)) {
+                let begun = sink.and_then(|sink| Some((sink, self.jobs.remove(&ticket)?)));
+                if let Some((sink, job)) = begun {
                     let whole = end.cause == Cause::Completed;
                     self.finish(sink, &job, whole);
                     let left = end.cause == Cause::CalledOff;
--- a/crates/nickelgw-settings/src/lib.rs
+++ b/crates/nickelgw-settings/src/lib.rs
@@ -26,10 +26,20 @@
     Field { file: String, line: usize, field: String, what: String, wanted: String },
 }
 
+fn pool() -> Result<DescriptorPool, prost_reflect::DescriptorError> {
+    DescriptorPool::decode(&include_bytes!(concat!(env!("OUT_DIR"), "/settings.bin"))[..])
+}
+
+/// A node's settings as text that [`node`] reads.
+pub fn text_of(node: &Node) -> String {
+    let found = pool().ok().and_then(|p| p.get_message_by_name("nickelgw.settings.Node"));
+    let m = found.and_then(|d| DynamicMessage::decode(d, &node.encode_to_vec()[..]).ok());
+    m.map(|m| m.to_text_format()).unwrap_or_default()
+}
+
 fn parse<T: Message + Default>(file: &str, text: &str, name: &str) -> Result<T, Problem> {
     let wrong = |why: String| Problem::Text { file: file.into(), why };
-    let pool = DescriptorPool::decode(&include_bytes!(concat!(env!("OUT_DIR"), "/settings.bin"))[..]);
-    let found = pool.ok().and_then(|p| p.get_message_by_name(name));
+    let found = pool().ok().and_then(|p| p.get_message_by_name(name));
     let found = found.ok_or_else(|| wrong(format!("no message {name} is known")))?;
     let m = DynamicMessage::parse_text_format(found, text).map_err(|e| wrong(explain(text, &e)))?;
     // Required fields that are missing come out as their empty values: the checks name them.
--- a/crates/nickelgw-standin/src/engine.rs
+++ b/crates/nickelgw-standin/src/engine.rs
@@ -26,7 +26,8 @@
 #[derive(Default)]
 struct Faults {
     silent_until: f64,
-    cut_until: f64,
+    /// Until when, and the zone that is cut off from all others.
+    cut: (f64, String),
     fail: (f64, f64),
     lose: (f64, f64),
     /// Until when, how long each pause is and how often one begins.
@@ -146,8 +147,9 @@
             let now = unix_now();
             let until = {
                 let f = self.faults.borrow();
-                let other = !zone.is_empty() && zone != self.model.borrow().figures.zone;
-                let cut = if other { f.cut_until } else { 0.0 };
+                let mine = &self.model.borrow().figures.zone;
+                let parted = !zone.is_empty() && zone != mine && (f.cut.1 == zone || f.cut.1 == *mine);
+                let cut = if parted { f.cut.0 } else { 0.0 };
                 let (until, long, every) = f.pause;
                 let pause = if now < until && now % every < long { now - now % every + long } else { 0.0 };
                 f.silent_until.max(cut).max(pause)
@@ -496,7 +498,7 @@
             match fault {
                 "die" => drop(self.die.try_send(())),
                 "silence" => f.silent_until = until,
-                "cut" => f.cut_until = until,
+                "cut" => f.cut = (until, v["zone"].as_str().unwrap_or(&m.figures.zone).to_string()),
                 "slow" => m.slow = (until, v["factor"].as_f64().unwrap_or(4.0)),
                 "fail" => f.fail = (until, share),
                 "lose" => f.lose = (until, share),
--- a/crates/nickelgw-standin/src/model.rs
+++ b/crates/nickelgw-standin/src/model.rs
@@ -12,6 +12,7 @@
 
 /// Figures of one engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Figures {
     pub id: String,
     pub zone: String,
