--- a/crates/nickelgw-audit/src/judge.rs
+++ b/crates/nickelgw-audit/src/judge.rs
@@ -199,7 +199,9 @@
 }
 
 fn cold(v: &mut Verdict, lines: &[Line]) {
-    let mut started: BTreeMap<&str, (&Line, Vec<(f64, f64)>)> = BTreeMap::new();
+    /// Its start, and what came since within its window: when, and how much.
+    type Since<'a> = (&'a Line, Vec<(f64, f64)>);
+    let mut started: BTreeMap<&str, Since> = BTreeMap::new();
     for l in lines {
         let who = l.who.as_str();
         match l.ev.as_str() {
--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -42,6 +42,9 @@
         /// Its settings, in protobuf text format.
         #[arg(long)]
         config: PathBuf,
+        /// Measures itself, and writes what it measured to this file when it ends.
+        #[arg(long, hide = true)]
+        meter: Option<PathBuf>,
     },
     /// Checks a settings file of a node or a day.
     Check { file: PathBuf },
@@ -130,12 +133,17 @@
             println!("{}: sound settings of a {kind}", file.display());
             Ok(ExitCode::SUCCESS)
         }
-        What::Serve { config } => {
+        What::Serve { config, meter } => {
             let node = nickelgw_settings::node(&config).map_err(|p| start::problems(&p))?;
             let listener = bind(node.listen())?;
-            let start = start::start(&node, None);
+            let measured = meter.is_some().then(Default::default);
+            let start = start::start(&node, measured.clone());
             let until = signals::ended()?;
             smol::block_on(futures_lite::future::or(nickelgw_node::run(listener, start), until))?;
+            if let (Some(path), Some(m)) = (meter, measured) {
+                let m = m.lock().unwrap_or_else(|e| e.into_inner());
+                std::fs::write(path, m.json().to_string())?;
+            }
             Ok(ExitCode::SUCCESS)
         }
         What::Engine { id, role, zone, cell, cold, figures, port, seed, record: to } => {
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -36,7 +36,7 @@
 /// What is allowed for between an action and its record, and the longest that this driver itself may stall.
 const SLACK_S: f64 = 0.25;
 
-async fn rest(s: f64) {
+pub async fn rest(s: f64) {
     Timer::after(Duration::from_secs_f64(s.max(0.0))).await;
 }
 
@@ -55,7 +55,7 @@
 }
 
 /// Starts this program again with other arguments; gives the child and the address that it listens on.
-async fn child(args: &[String], log: &Path) -> Result<(Child, String), Unusable> {
+pub async fn child(args: &[String], log: &Path) -> Result<(Child, String), Unusable> {
     let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
     let mut command = Command::new(std::env::current_exe()?);
     command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).kill_on_drop(true);
@@ -72,7 +72,7 @@
     }
 }
 
-fn texts(args: &[&str]) -> Vec<String> {
+pub fn texts(args: &[&str]) -> Vec<String> {
     args.iter().map(|a| a.to_string()).collect()
 }
 
@@ -287,6 +287,8 @@
             _ => Leave::Never,
         };
         let per_token = route.target_per_1000_tokens_ms() / 1e6;
+        let stream = dice(&mut chance) < t.stream_share() || matches!(leave, Leave::Streaming(_));
+        let first_by = route.route_timeout_ms / 1e3 + 2.0 * per_token * (size + 16.0);
         let ask = Ask {
             req: format!("q{n}-{k}"),
             node,
@@ -296,8 +298,8 @@
             system: if shared { words(0.6 * size, 1_000_000 * n as u64 + beginning) } else { String::new() },
             prompt: words(if shared { 0.4 * size } else { size }, k),
             max_tokens: t.max_tokens,
-            stream: dice(&mut chance) < t.stream_share() || matches!(leave, Leave::Streaming(_)),
-            timeout_s: route.route_timeout_ms / 1e3 + 2.0 * per_token * (size + 16.0),
+            stream,
+            timeout_s: if stream { first_by } else { route.whole_timeout_ms() / 1e3 },
             target_s: route.first_token_target_ms / 1e3 + per_token * size,
             intended: begun_unix + at,
             leave,
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -23,6 +23,7 @@
         name: r.model.clone(),
         timeout_s: r.route_timeout_ms / 1e3,
         timeout_per_token_s: 2.0 * r.target_per_1000_tokens_ms() / 1e6,
+        whole_timeout_s: r.whole_timeout_ms() / 1e3,
     };
     let tenant = |t: &nickelgw_settings::proto::Tenant| Tenant { name: t.name.clone(), key: t.key.clone() };
     Start {
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -9,6 +9,8 @@
     /// Longest that a client waits for its first token: a constant part, and one for each prompt token.
     pub timeout_s: f64,
     pub timeout_per_token_s: f64,
+    /// Longest that a client waits for an answer that it does not stream.
+    pub whole_timeout_s: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -23,6 +25,8 @@
     pub route: usize,
     pub tenant: Option<usize>,
     pub timeout_s: f64,
+    /// For a client that does not stream: when its answer must be whole.
+    pub whole_within_s: Option<f64>,
     pub prompt_tokens: f64,
     pub prefix_tokens: f64,
     pub session: String,
@@ -101,6 +105,7 @@
             route,
             tenant,
             timeout_s: client_timeout_s.map_or(timeout, |t| t.clamp(0.0, timeout)),
+            whole_within_s: (!chat.stream).then_some(client_timeout_s.unwrap_or(m.whole_timeout_s)),
             prompt_tokens: chat.prompt_tokens,
             prefix_tokens: chat.prefix_tokens,
             session: chat.session.clone(),
@@ -118,7 +123,8 @@
     use super::*;
 
     fn door() -> Door {
-        let model = Model { name: "chat".into(), timeout_s: 5.0, timeout_per_token_s: 0.001 };
+        let model =
+            Model { name: "chat".into(), timeout_s: 5.0, timeout_per_token_s: 0.001, whole_timeout_s: 9.0 };
         let tenant = |n: &str, k: &str| Tenant { name: n.into(), key: k.into() };
         Door {
             models: vec![model],
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -12,7 +12,7 @@
 use nickelgw::interface::{Arrival, Deployment, Ending, EngineLine, Inf, Load, Outcome, Role, Standing};
 use nickelgw_protocol::list::{self, List};
 use nickelgw_protocol::load::{self, LoadReport};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 /// Names a request taken. A late word for one that is over finds nothing and is passed over.
@@ -160,6 +160,7 @@
     serial: u64,
     stage: Stage,
     due_at: f64,
+    whole_at: f64,
     sends: Vec<Sent>,
 }
 
@@ -175,6 +176,8 @@
     letgo: LetGo,
     revision: Option<u64>,
     ready: Vec<Do>,
+    /// Begun answers that clients do not stream, by the time when they must be whole (as bits: none is negative).
+    unseen: BTreeSet<(u64, Ticket)>,
     pub tally: Tally,
 }
 
@@ -200,6 +203,7 @@
             letgo: LetGo::new(figures.let_go_within_s),
             revision: None,
             ready: Vec::new(),
+            unseen: BTreeSet::new(),
             tally: Tally::default(),
             figures,
         }
@@ -291,9 +295,14 @@
         if slot >= self.taken.len() {
             self.taken.resize_with(slot + 1, || None);
         }
-        let stage = Stage::Waiting;
-        self.taken[slot] =
-            Some(Taken { serial: self.serial, stage, due_at: arrival.due_at, sends: Vec::new() });
+        let whole_at = ask.whole_within_s.map_or(f64::INFINITY, |s| now + s);
+        self.taken[slot] = Some(Taken {
+            serial: self.serial,
+            stage: Stage::Waiting,
+            due_at: arrival.due_at,
+            whole_at,
+            sends: Vec::new(),
+        });
         Ok(Ticket { inf, serial: self.serial })
     }
 
@@ -315,6 +324,12 @@
         }
         let from = s.from;
         taken.stage = Stage::Streaming(send);
+        // A begun stream has no deadline, but a client that does not stream sees none of it before its end.
+        if taken.whole_at.is_finite() {
+            let at = taken.whole_at - self.tick;
+            self.unseen.insert((at.max(0.0).to_bits(), t));
+        }
+        let Some(taken) = self.get(t) else { return false };
         // The state was fetched: the reader let go of it by itself.
         if let Some(read) = from.and_then(|n| taken.sends.get_mut(n as usize)) {
             read.held = false;
@@ -376,10 +391,21 @@
         }
     }
 
-    fn leave(&mut self, t: Ticket) -> bool {
+    /// The request is over, if it was not before.
+    fn close(&mut self, t: Ticket) -> bool {
+        let tick = self.tick;
         let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { return false };
         taken.stage = Stage::Over;
+        let at = (taken.whole_at - tick).max(0.0).to_bits();
+        self.unseen.remove(&(at, t));
         self.open -= 1;
+        true
+    }
+
+    fn leave(&mut self, t: Ticket) -> bool {
+        if !self.close(t) {
+            return false;
+        }
         self.tally.left += 1;
         true
     }
@@ -394,9 +420,9 @@
     }
 
     fn answer(&mut self, t: Ticket, answer: Answer) {
-        let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { return };
-        taken.stage = Stage::Over;
-        self.open -= 1;
+        if !self.close(t) {
+            return;
+        }
         match answer {
             Answer::Completed => self.tally.completed += 1,
             Answer::Shed { .. } => self.tally.shed += 1,
@@ -430,6 +456,10 @@
 
     /// What to do after a batch of calls.
     pub fn act(&mut self, now: f64) -> Actions {
+        while let Some(&(at, t)) = self.unseen.first().filter(|u| f64::from_bits(u.0) <= now) {
+            self.unseen.remove(&(at, t));
+            self.answer(t, Answer::Errored(Why::TimeUp));
+        }
         let d = self.router.decide(now);
         let mut todo = std::mem::take(&mut self.ready);
         for &(inf, send) in &d.cancelled {
@@ -484,7 +514,8 @@
         }
         let (calls, let_go_at) = self.letgo.due(now);
         todo.extend(calls.into_iter().map(|(call, state)| Do::LetGo { call, state }));
-        let wake_at = [d.wake_at, let_go_at].into_iter().flatten().min_by(f64::total_cmp);
+        let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
+        let wake_at = [d.wake_at, let_go_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
         Actions { todo, wake_at }
     }
 
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -71,6 +71,7 @@
         route,
         tenant: Some(0),
         timeout_s: 2.0,
+        whole_within_s: None,
         prompt_tokens: 200.0,
         prefix_tokens: 0.0,
         session: "s".into(),
@@ -369,6 +370,24 @@
     assert!(!c.began(1.4, t, write.send) && c.is_quiet());
 }
 
+#[test]
+fn an_answer_that_is_not_streamed_must_be_whole_in_time() {
+    let mut c = core(4);
+    let t = c.take(1.0, &Ask { whole_within_s: Some(3.0), ..ask(0) }).unwrap();
+    c.act(1.0);
+    let read = first_send(&mut c, 1.02);
+    c.ended(1.1, t, read.send, end(Cause::Read));
+    let write = first_send(&mut c, 1.1);
+    assert!(c.began(1.2, t, write.send));
+    let wake = c.act(1.2).wake_at.unwrap();
+    assert!(wake < 4.0);
+    let todo = c.act(wake).todo;
+    assert!(todo.contains(&Do::Answer { ticket: t, answer: Answer::Errored(Why::TimeUp) }));
+    assert!(todo.contains(&Do::CallOff { ticket: t, send: write.send }));
+    c.ended(wake, t, write.send, end(Cause::CalledOff));
+    assert!(c.act(wake).todo.is_empty() && c.is_quiet());
+}
+
 // A read whose answer was lost has left a state that nobody will fetch.
 #[test_case(Cause::NoAnswer, true; "no answer")]
 #[test_case(Cause::Lost, true; "connection lost")]
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -254,7 +254,12 @@
     /// Does what the core says until it has no more to say for now; gives its next wake.
     fn act(&mut self, now: f64) -> Option<f64> {
         loop {
+            let begun = Instant::now();
             let actions = self.core.act(now);
+            if let Some(meter) = &self.meter {
+                let mut m = meter.lock().unwrap_or_else(|e| e.into_inner());
+                Meter::note(&mut m.act, begun.elapsed());
+            }
             let mut again = false;
             for d in actions.todo {
                 match d {
--- a/crates/nickelgw-node/src/meter.rs
+++ b/crates/nickelgw-node/src/meter.rs
@@ -6,7 +6,9 @@
 pub struct Meter {
     /// From the event's reading at its socket to the end of the core's decision on it.
     pub to_decision: Histogram<u64>,
-    /// A round of decisions, the module's part of it included.
+    /// One call for decisions: the core's part and the module's.
+    pub act: Histogram<u64>,
+    /// A round of the driver: words heard, decisions, what they ask for begun.
     pub round: Histogram<u64>,
     pub words: u64,
 }
@@ -14,11 +16,21 @@
 impl Default for Meter {
     fn default() -> Self {
         let h = Histogram::new(3).expect("three digits are allowed");
-        Meter { to_decision: h.clone(), round: h, words: 0 }
+        Meter { to_decision: h.clone(), act: h.clone(), round: h, words: 0 }
     }
 }
 
 impl Meter {
+    /// Quantiles in microseconds, as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        let of = |h: &Histogram<u64>| {
+            let us = |q: f64| h.value_at_quantile(q) as f64 / 1e3;
+            serde_json::json!({"p50_us": us(0.5), "p99_us": us(0.99), "max_us": us(1.0), "count": h.len()})
+        };
+        serde_json::json!({"words": self.words, "to_decision": of(&self.to_decision), "act": of(&self.act),
+            "round": of(&self.round)})
+    }
+
     pub(crate) fn note(h: &mut Histogram<u64>, d: Duration) {
         h.saturating_record(d.as_nanos().min(u64::MAX as u128) as u64);
     }
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -84,7 +84,12 @@
         tip_multiple: 3.0,
         tip_window_s: 2.0,
     };
-    let model = |name: &str| Model { name: name.into(), timeout_s: 4.0, timeout_per_token_s: 0.0 };
+    let model = |name: &str| Model {
+        name: name.into(),
+        timeout_s: 4.0,
+        timeout_per_token_s: 0.0,
+        whole_timeout_s: 8.0,
+    };
     Start {
         name: "node0".into(),
         zone: "a".into(),
--- a/crates/nickelgw-protocol/src/chat.rs
+++ b/crates/nickelgw-protocol/src/chat.rs
@@ -74,10 +74,10 @@
             wanted: &str,
         ) -> Result<Option<T>, Malformed> {
             let value = fields.get(name).filter(|v| v.get() != "null");
-            let read = |v: &Box<RawValue>| {
+            let read = |v: &RawValue| {
                 serde_json::from_str(v.get()).map_err(|_| Malformed::field(name, format!("must be {wanted}")))
             };
-            value.map(read).transpose()
+            value.map(|v| read(v)).transpose()
         }
         let model: String =
             get(&fields, "model", "text")?.ok_or(Malformed::field("model", "you must provide a model"))?;
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -121,6 +121,10 @@
             if r.route_timeout_ms < r.first_token_target_ms {
                 self.wrong(timeout, "is below the first-token target", "the target or more");
             }
+            if r.whole_timeout_ms().is_nan() || r.whole_timeout_ms() < r.route_timeout_ms {
+                let what = format!("is {}", r.whole_timeout_ms());
+                self.wrong(&[at, ("whole_timeout_ms", 0)], what, "the route timeout or more");
+            }
             let memory = &[at, ("dedupe_memory_ms", 0)];
             match (r.repeat(), r.dedupe_memory_ms) {
                 (Repeat::Deduped, None) => {
--- a/crates/nickelgw-standin/src/engine.rs
+++ b/crates/nickelgw-standin/src/engine.rs
@@ -172,10 +172,11 @@
         if !free {
             let (mine, turn) = async_channel::bounded(1);
             self.line.borrow_mut().push_back((memory, mine));
-            let mut m = self.model.borrow_mut();
-            m.waiting += 1;
-            m.waiting_tokens += tokens;
-            drop(m);
+            {
+                let mut m = self.model.borrow_mut();
+                m.waiting += 1;
+                m.waiting_tokens += tokens;
+            }
             let waiting = Waiting(self, tokens);
             let _ = turn.recv().await;
             drop(waiting);
