--- a/crates/nickelgw-cli/src/bench.rs
+++ b/crates/nickelgw-cli/src/bench.rs
@@ -286,9 +286,10 @@
         let mut added: Vec<[f64; 4]> = Vec::new();
         for _ in 0..self.runs {
             let p = load(&ex, &f.lane, 200.0, self.seconds, 20, &[true, false]).await;
-            let diff = |h: fn(&Point) -> &Histogram<u64>, q| Point::us(h(&p[0]), q) - Point::us(h(&p[1]), q);
-            let (first, whole) = (|p: &Point| &p.first, |p: &Point| &p.whole);
-            added.push([diff(first, 0.5), diff(first, 0.99), diff(whole, 0.5), diff(whole, 0.99)]);
+            let diff = |a: &Histogram<u64>, b: &Histogram<u64>, q| Point::us(a, q) - Point::us(b, q);
+            let first = |q| diff(&p[0].first, &p[1].first, q);
+            let whole = |q| diff(&p[0].whole, &p[1].whole, q);
+            added.push([first(0.5), first(0.99), whole(0.5), whole(0.99)]);
             let of =
                 |p: &Point| [Point::us(&p.first, 0.5), Point::us(&p.first, 0.99), Point::us(&p.whole, 0.5)];
             println!(
@@ -311,7 +312,7 @@
         println!("rate on one core, 4 tokens an answer, until the first token's p99 doubles:");
         let f = fleet(&ex, "rate", 2, quick.clone()).await?;
         load(&ex, &f.lane, 200.0, 1.0, 4, &[true]).await;
-        let mut base = 0.0;
+        let (mut base, mut rates) = (0.0, Vec::new());
         for rate in [250.0, 500.0, 1000.0, 1500.0, 2000.0, 2500.0, 3000.0, 4000.0, 5000.0] {
             let before = f.node_uses().0;
             let begun = Instant::now();
@@ -329,16 +330,14 @@
                 p.failed,
                 100.0 * busy
             );
-            out["rates"].as_array_mut().map_or_else(|| out["rates"] = json!([]), |_| ());
-            if let Some(a) = out["rates"].as_array_mut() {
-                a.push(json!({"rate": rate, "first_p50_us": p50, "first_p99_us": p99, "failed": p.failed,
-                    "core": busy, "us_each": each}));
-            }
+            rates.push(json!({"rate": rate, "first_p50_us": p50, "first_p99_us": p99, "failed": p.failed,
+                "core": busy, "us_each": each}));
             if p99 > 2.0 * base || p.failed > 0 {
                 break;
             }
             out["rate_kept"] = json!(rate);
         }
+        out["rates"] = json!(rates);
         out["meter_rate"] = f.end().await;
         println!("  in the node: {}", out["meter_rate"]);
 
