--- a/crates/nickelgw-node/src/client.rs
+++ b/crates/nickelgw-node/src/client.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use smol::{LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
@@ -33,6 +33,8 @@
     idle_s: f64,
 }
 
+/// Bytes read at once from an engine.
+const READ_BUFFER: usize = 4096;
 /// Bodies that are read whole from peers: errors, read answers, lists.
 pub const LONGEST_BODY: usize = 4 << 20;
 
@@ -74,7 +76,10 @@
     async fn open(&self, address: &str) -> Option<Connection> {
         let stream = within(self.connect_s, smol::net::TcpStream::connect(address)).await?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (sender, conn) = handshake(FuturesIo::new(stream)).await.ok()?;
+        // Buffers that fit a few events: thousands of streams hold one each.
+        let mut http = Builder::new();
+        http.read_buf_exact_size(Some(READ_BUFFER));
+        let (sender, conn) = http.handshake(FuturesIo::new(stream)).await.ok()?;
         let task = self.ex.spawn(async move {
             // What went wrong is told to the call that waits on it.
             let _ = conn.await;
