TLS to engines: generations of keys and trust, and connections as a budgeted resource

Need: traffic between zones is to be encrypted and verified, and certificates change in service.

nickelgw-tls: I/O-free cores for generations (checked whole, else the old stays), tickets and the pool of connections (handshake budgets of node and engine, waiting, rests after failures, paced retirement); rustls sides made from them. The node's connections all go by the pool; stand-ins serve and fetch in TLS, with a test authority.

--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -88,6 +88,13 @@
     Rehearse(rehearse::Rehearse),
     /// Judges the records of an earlier rehearsal: its folder, or any with such records.
     Audit { dir: PathBuf },
+    /// Makes a test authority's root, intermediate and certificates, sound ones and bad ones.
+    Authority {
+        dir: PathBuf,
+        /// Name of an engine or node to make a certificate for; more than one may be given.
+        #[arg(long)]
+        name: Vec<String>,
+    },
     /// Measures what the node adds, beside the same stand-ins called directly.
     Bench(bench::Bench),
 }
@@ -127,6 +134,12 @@
         What::Up(up) => up.run(),
         What::Rehearse(r) => r.run(),
         What::Bench(b) => b.run(),
+        What::Authority { dir, name } => {
+            let made = nickelgw_standin::authority::write_all(&dir, &name);
+            let made = made.map_err(|e| Unusable(format!("{}: {e}", dir.display())))?;
+            made.iter().for_each(|f| println!("{}", f.display()));
+            Ok(ExitCode::SUCCESS)
+        }
         What::Audit { dir } => rehearse::audit(&dir),
         What::Check { file } => {
             let kind = nickelgw_settings::any(&file).map_err(|p| start::problems(&p))?;
@@ -135,9 +148,10 @@
         }
         What::Serve { config, meter } => {
             let node = nickelgw_settings::node(&config).map_err(|p| start::problems(&p))?;
-            let listener = bind(node.listen())?;
             let measured = meter.is_some().then(Default::default);
-            let start = start::start(&node, measured.clone());
+            // Whatever is wrong is said before anything listens.
+            let start = start::start(&node, measured.clone())?;
+            let listener = bind(node.listen())?;
             let until = signals::ended()?;
             smol::block_on(futures_lite::future::or(nickelgw_node::run(listener, start), until))?;
             if let (Some(path), Some(m)) = (meter, measured) {
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -113,6 +113,7 @@
             warm_s: rules.warm_within_ms() / 1e3,
             tip_multiple: rules.tip_multiple(),
             tip_window_s: rules.tip_window_ms() / 1e3,
+            tls: None,
         };
         Some((f, e.role()))
     }
@@ -139,6 +140,7 @@
             memory_tokens: f.memory_tokens,
             state: State::In,
             started_at: cold.then(unix_now),
+            tls_name: None,
         })
     }
 
@@ -202,6 +204,7 @@
                     memory_tokens: figures.memory_tokens,
                     state: State::Draining,
                     started_at: None,
+                    tls_name: None,
                 };
                 client::control(&self.list, &json!({"line": line})).await;
                 // It turns work away once every node has had the time to hear of it.
@@ -479,6 +482,8 @@
         tenant: d.tenant.clone(),
         rules: d.rules,
         limits: d.limits,
+        engine_tls: None,
+        chat_tls: None,
     };
     text_of(&node)
 }
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -3,9 +3,10 @@
 use crate::Unusable;
 use nickelgw_node::core::door::{Model, Tenant};
 use nickelgw_node::core::{Door, Figures};
-use nickelgw_node::{Limits, Meter, Start};
+use nickelgw_node::{Limits, Meter, Start, TlsStart};
 use nickelgw_settings::{check, Node, Problem};
 use nickelgw_standin::record::unix_now;
+use nickelgw_tls::{Files, Said, Versions};
 use std::sync::{Arc, Mutex};
 
 pub fn problems(all: &[Problem]) -> Unusable {
@@ -16,7 +17,48 @@
 /// How long a let-go call is repeated: a reader back from a longer cut frees its states by itself.
 const LET_GO_WITHIN_S: f64 = 15.0;
 
-pub fn start(n: &Node, meter: Option<Arc<Mutex<Meter>>>) -> Start {
+/// Keys and trust as the settings name them, looked at once: unsound, the node does not start.
+fn tls(n: &Node) -> Result<TlsStart, Unusable> {
+    let path = |p: &Option<String>| p.as_ref().map(Into::into);
+    let versions = |old| if old { Versions::From12 } else { Versions::Only13 };
+    let sound = |said: Vec<Said>, any: bool| match said.into_iter().next() {
+        _ if any => Ok(()),
+        Some(Said::Unreadable(p)) => Err(Unusable(p.to_string())),
+        Some(Said::Refused(why)) => Err(Unusable(format!("keys and trust: {why}"))),
+        _ => Err(Unusable("keys and trust: cannot be used".into())),
+    };
+    let mut out = TlsStart { reload_s: 1.0, at_once: 16, at_once_engine: 2, ..TlsStart::default() };
+    if let Some(t) = &n.engine_tls {
+        let files = Files { chain: path(&t.chain), key: path(&t.key), trust: Some((&t.trust).into()) };
+        let mut c = nickelgw_tls::Client::new(files, versions(t.allow_tls12()), t.trust_overlap_ms() / 1e3);
+        c.resume = t.resume();
+        let said = c.look(unix_now());
+        sound(said, c.config().is_some())?;
+        out = TlsStart {
+            engines: Some(c),
+            chat: None,
+            reload_s: t.reload_ms() / 1e3,
+            at_once: t.handshakes_at_once() as usize,
+            at_once_engine: t.handshakes_at_once_engine() as usize,
+            retire_gap_s: t.retire_gap_ms() / 1e3,
+        };
+    }
+    if let Some(t) = &n.chat_tls {
+        let (chain, key) = (Some((&t.chain).into()), Some((&t.key).into()));
+        let files = Files { chain, key, trust: path(&t.client_trust) };
+        let mutual = t.client_trust.is_some();
+        let mut s = nickelgw_tls::Server::new(files, versions(t.allow_tls12()), OVERLAP_S, mutual);
+        let said = s.look(unix_now());
+        sound(said, s.config().is_some())?;
+        out.chat = Some(s);
+    }
+    Ok(out)
+}
+
+/// Roots for clients' certificates that a new file leaves out are trusted for so long still.
+const OVERLAP_S: f64 = 600.0;
+
+pub fn start(n: &Node, meter: Option<Arc<Mutex<Meter>>>) -> Result<Start, Unusable> {
     let l = n.limits.unwrap_or_default();
     let epoch = unix_now();
     let model = |r: &nickelgw_settings::proto::ModelRoute| Model {
@@ -26,7 +68,8 @@
         whole_timeout_s: r.whole_timeout_ms() / 1e3,
     };
     let tenant = |t: &nickelgw_settings::proto::Tenant| Tenant { name: t.name.clone(), key: t.key.clone() };
-    Start {
+    Ok(Start {
+        tls: tls(n)?,
         name: n.name.clone(),
         zone: n.zone.clone(),
         deployment: check::deployment(n),
@@ -60,5 +103,5 @@
         list: n.list.clone(),
         last_list: n.last_list.as_ref().map(Into::into),
         meter,
-    }
+    })
 }
--- a/crates/nickelgw-cli/src/up.rs
+++ b/crates/nickelgw-cli/src/up.rs
@@ -41,6 +41,7 @@
             memory_tokens: f.memory_tokens,
             state: State::In,
             started_at: None,
+            tls_name: None,
         });
         thread::spawn(move || {
             smol::block_on(nickelgw_standin::engine::run(listener, f, Record::default(), u64::from(n)))
@@ -82,7 +83,10 @@
             urls.push(format!("http://{}", listener.local_addr()?));
             let text = settings(n, self.nodes, &listed);
             let node = nickelgw_settings::node_text("up", &text).map_err(|p| start::problems(&p))?;
-            thread::spawn(move || smol::block_on(nickelgw_node::run(listener, start::start(&node, None))));
+            thread::spawn(move || match start::start(&node, None) {
+                Ok(s) => drop(smol::block_on(nickelgw_node::run(listener, s))),
+                Err(Unusable(why)) => eprintln!("nickelgw: {why}"),
+            });
         }
         println!("{} readers and {} writers, stand-ins, behind", self.readers, self.writers);
         urls.iter().for_each(|u| println!("  {u}/v1/chat/completions"));
--- a/crates/nickelgw-node/src/client.rs
+++ b/crates/nickelgw-node/src/client.rs
@@ -1,132 +1,343 @@
-//! HTTP/1.1 towards engines and the list: connections kept for the next call, and what a failure proves.
+//! HTTP/1.1 towards engines and the list: connections as the pool's core grants them, in TLS where set, and what a
+//! failure proves.
 
 use crate::core::Cause;
-use crate::{seconds, within};
+use crate::{seconds, unix_now, within};
+use async_channel::{Receiver, Sender};
 use bytes::Bytes;
+use futures_rustls::pki_types::ServerName;
+use futures_rustls::rustls::ClientConfig;
+use futures_rustls::TlsConnector;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
-use smol::{LocalExecutor, Task};
+use nickelgw_tls::core::pool::{self, Answer, Asker, Conn, Do, Failure, Figures};
+use nickelgw_tls::{why, Said, Why};
+use smol::net::TcpStream;
+use smol::{LocalExecutor, Task, Timer};
 use smol_hyper::rt::FuturesIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-/// A connection; dropped in the middle of a call it closes, by which the peer knows that nobody waits.
-pub struct Connection {
+/// Bytes read at once from an engine.
+const READ_BUFFER: usize = 4096;
+/// Bodies that are read whole from peers: errors, read answers, lists.
+pub const LONGEST_BODY: usize = 4 << 20;
+
+/// Whom to call, and by which name its certificate is verified.
+#[derive(Clone, Copy)]
+pub struct Peer<'a> {
+    pub address: &'a str,
+    /// None: plain.
+    pub name: Option<&'a str>,
+}
+
+impl<'a> Peer<'a> {
+    pub fn plain(address: &'a str) -> Self {
+        Peer { address, name: None }
+    }
+
+    fn lane(&self) -> String {
+        match self.name {
+            None => self.address.to_string(),
+            Some(n) => format!("{} {n}", self.address),
+        }
+    }
+}
+
+/// TLS towards engines: its files are looked at off this thread.
+#[derive(Clone)]
+pub struct Tls(pub Arc<Mutex<nickelgw_tls::Client>>);
+
+impl Tls {
+    fn config(&self) -> Option<(Arc<ClientConfig>, u64)> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner()).config()
+    }
+}
+
+struct Inner {
     sender: SendRequest<Full<Bytes>>,
     _task: Task<()>,
 }
 
-struct Idle {
-    conn: Connection,
-    since: Instant,
+/// A connection handed out; dropped in the middle of a call it closes, by which the peer knows that nobody waits.
+pub struct Connection {
+    pool: Rc<Pool>,
+    lane: String,
+    id: Conn,
+    inner: Option<Inner>,
+    /// Made for this call: nothing was ever answered on it.
+    fresh: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.inner.take().is_some() {
+            self.pool.core.borrow_mut().closed(self.pool.now(), &self.lane, self.id);
+            self.pool.settle();
+        }
+    }
+}
+
+/// An asker that goes away tells so, and gives back what it was granted unheard.
+struct Asking<'a> {
+    pool: &'a Pool,
+    lane: &'a str,
+    asker: Option<Asker>,
+    told: Option<Receiver<Answer>>,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        let Some(asker) = self.asker else { return };
+        let now = self.pool.now();
+        self.pool.waiting.borrow_mut().remove(&asker);
+        match self.told.as_ref().and_then(|t| t.try_recv().ok()) {
+            Some(Answer::Reuse(id)) => self.pool.core.borrow_mut().returned(now, self.lane, id),
+            _ => self.pool.core.borrow_mut().gave_up(now, asker),
+        }
+        self.pool.settle();
+    }
 }
 
 pub struct Pool {
     ex: Rc<LocalExecutor<'static>>,
-    idle: RefCell<HashMap<String, Vec<Idle>>>,
+    core: RefCell<pool::Pool>,
+    standing: RefCell<HashMap<Conn, Inner>>,
+    waiting: RefCell<HashMap<Asker, Sender<Answer>>>,
+    next: Cell<u64>,
+    began: Instant,
     connect_s: f64,
-    most_idle: usize,
-    idle_s: f64,
+    pub tls: Option<Tls>,
 }
 
-/// Bytes read at once from an engine.
-const READ_BUFFER: usize = 4096;
-/// Bodies that are read whole from peers: errors, read answers, lists.
-pub const LONGEST_BODY: usize = 4 << 20;
-
 impl Pool {
-    pub fn new(ex: Rc<LocalExecutor<'static>>, connect_s: f64, most_idle: usize, idle_s: f64) -> Pool {
-        Pool { ex, idle: RefCell::default(), connect_s, most_idle, idle_s }
+    pub fn new(
+        ex: Rc<LocalExecutor<'static>>,
+        connect_s: f64,
+        figures: Figures,
+        tls: Option<Tls>,
+    ) -> Rc<Pool> {
+        let mut core = pool::Pool::new(figures);
+        core.rotate(0.0, tls.as_ref().and_then(Tls::config).map_or(0, |c| c.1));
+        Rc::new(Pool {
+            ex,
+            core: RefCell::new(core),
+            standing: RefCell::default(),
+            waiting: RefCell::default(),
+            next: Cell::new(0),
+            began: Instant::now(),
+            connect_s,
+            tls,
+        })
     }
 
-    fn kept(&self, address: &str) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(address)?;
-        let found = loop {
-            let i = list.pop()?;
-            if !i.conn.sender.is_closed() && i.since.elapsed() < seconds(self.idle_s) {
-                break i.conn;
-            }
-        };
-        Some(found)
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
     }
 
-    /// A connection whose last answer was read to its end waits for the next call.
-    pub fn give_back(&self, address: &str, conn: Connection) {
-        if conn.sender.is_closed() {
-            return;
+    /// Handshakes made, connections reused, askers refused.
+    pub fn counts(&self) -> (u64, u64, u64) {
+        let c = self.core.borrow();
+        (c.handshakes, c.reuses, c.refused)
+    }
+
+    /// Looks after time's own matters: idle connections, rotations, files. Runs until dropped.
+    pub async fn tend(self: Rc<Self>, reload_s: f64) {
+        let mut look_at = reload_s;
+        loop {
+            let (todo, wake) = self.core.borrow_mut().due(self.now());
+            self.act(todo);
+            let wake = wake.map_or(0.25, |w| (w - self.now()).clamp(0.01, 0.25));
+            Timer::after(seconds(wake)).await;
+            if let Some(tls) = self.tls.clone().filter(|_| self.now() >= look_at) {
+                look_at = self.now() + reload_s;
+                let looked = tls.clone();
+                let now = unix_now();
+                let said =
+                    smol::unblock(move || looked.0.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
+                say("engines", &said);
+                if let Some((_, generation)) = tls.config() {
+                    if said.iter().any(|s| !matches!(s, Said::Unreadable(_) | Said::Refused(_))) {
+                        self.core.borrow_mut().rotate(self.now(), generation);
+                    }
+                }
+            }
         }
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.entry(address.to_string()).or_default();
-        list.retain(|i| !i.conn.sender.is_closed() && i.since.elapsed() < seconds(self.idle_s));
-        if list.len() < self.most_idle {
-            list.push(Idle { conn, since: Instant::now() });
+    }
+
+    fn settle(&self) {
+        let todo = self.core.borrow_mut().ready();
+        self.act(todo);
+    }
+
+    fn act(&self, todo: Vec<Do>) {
+        for d in todo {
+            match d {
+                Do::Close(c) => drop(self.standing.borrow_mut().remove(&c)),
+                Do::Tell(asker, answer) => {
+                    let told = self.waiting.borrow_mut().remove(&asker);
+                    // The channel holds the one answer; if nobody reads it any more its guard gives all back.
+                    if let Some(to) = told {
+                        let _ = to.try_send(answer);
+                    }
+                }
+            }
         }
     }
 
     /// Addresses that are no longer listed keep nothing open.
     pub fn forget_others(&self, wanted: impl Fn(&str) -> bool) {
-        self.idle.borrow_mut().retain(|address, _| wanted(address));
+        self.core.borrow_mut().keep_only(|lane| wanted(lane.split(' ').next().unwrap_or(lane)));
+        self.settle();
+    }
+
+    async fn connection(self: &Rc<Self>, peer: Peer<'_>) -> Result<Connection, Cause> {
+        let lane = peer.lane();
+        let asker = Asker(self.next.replace(self.next.get() + 1));
+        let mut answer = self.core.borrow_mut().want(self.now(), &lane, asker);
+        let mut asking = Asking { pool: self, lane: &lane, asker: Some(asker), told: None };
+        if answer == Answer::Wait {
+            let (to, from) = async_channel::bounded(1);
+            self.waiting.borrow_mut().insert(asker, to);
+            asking.told = Some(from.clone());
+            // What is granted in the last moment goes to the next, by the guard.
+            let Some(Ok(told)) = within(self.connect_s, from.recv()).await else {
+                return Err(Cause::NoConnection);
+            };
+            answer = told;
+        }
+        match answer {
+            Answer::Reuse(id) => {
+                asking.asker = None;
+                let inner = self.standing.borrow_mut().remove(&id).filter(|i| !i.sender.is_closed());
+                match inner {
+                    Some(inner) => {
+                        drop(asking);
+                        Ok(Connection { pool: self.clone(), lane, id, inner: Some(inner), fresh: false })
+                    }
+                    None => {
+                        self.core.borrow_mut().closed(self.now(), &lane, id);
+                        self.settle();
+                        Box::pin(self.connection(peer)).await
+                    }
+                }
+            }
+            Answer::Open => {
+                let generation = self.tls.as_ref().and_then(Tls::config).map_or(0, |c| c.1);
+                let opened = within(self.connect_s, self.open(peer)).await;
+                let late = || Err(Why::Connection("not in time".into()));
+                let opened = opened.unwrap_or_else(late);
+                asking.asker = None;
+                match opened {
+                    Ok(inner) => {
+                        let id = self.core.borrow_mut().opened(self.now(), asker, generation);
+                        self.settle();
+                        let id = id.ok_or(Cause::NoConnection)?;
+                        drop(asking);
+                        Ok(Connection { pool: self.clone(), lane, id, inner: Some(inner), fresh: true })
+                    }
+                    Err(why) => {
+                        tracing::debug!(engine = lane, ?why, "no connection");
+                        self.core.borrow_mut().failed(self.now(), asker, why.failure());
+                        self.settle();
+                        Err(Cause::NoConnection)
+                    }
+                }
+            }
+            Answer::Refused | Answer::Wait => {
+                asking.asker = None;
+                Err(Cause::NoConnection)
+            }
+        }
     }
 
-    async fn open(&self, address: &str) -> Option<Connection> {
-        let stream = within(self.connect_s, smol::net::TcpStream::connect(address)).await?.ok()?;
-        stream.set_nodelay(true).ok()?;
+    /// Connects, and verifies: no byte of a request leaves before that.
+    async fn open(&self, peer: Peer<'_>) -> Result<Inner, Why> {
+        let io = |e: std::io::Error| why(&e);
+        let stream = TcpStream::connect(peer.address).await.map_err(io)?;
+        stream.set_nodelay(true).map_err(io)?;
         // Buffers that fit a few events: thousands of streams hold one each.
         let mut http = Builder::new();
         http.read_buf_exact_size(Some(READ_BUFFER));
-        let (sender, conn) = http.handshake(FuturesIo::new(stream)).await.ok()?;
-        let task = self.ex.spawn(async move {
-            // What went wrong is told to the call that waits on it.
-            let _ = conn.await;
-        });
-        Some(Connection { sender, _task: task })
+        let gone = |e: hyper::Error| why(&e);
+        let Some(name) = peer.name else {
+            let (sender, conn) = http.handshake(FuturesIo::new(stream)).await.map_err(gone)?;
+            let _task = self.ex.spawn(async move { drop(conn.await) });
+            return Ok(Inner { sender, _task });
+        };
+        let config = self.tls.as_ref().and_then(Tls::config);
+        let (config, _) = config.ok_or_else(|| Why::Protocol("no keys and trust in force".into()))?;
+        let name = ServerName::try_from(name.to_string());
+        let name = name.map_err(|_| Why::Certificate("the engine's name is none".into()))?;
+        let stream = TlsConnector::from(config).connect(name, stream).await.map_err(io)?;
+        let (sender, conn) = http.handshake(FuturesIo::new(stream)).await.map_err(gone)?;
+        let _task = self.ex.spawn(async move { drop(conn.await) });
+        Ok(Inner { sender, _task })
+    }
+
+    /// A connection whose last answer was read to its end waits for the next call.
+    pub fn give_back(&self, mut conn: Connection) {
+        let Some(inner) = conn.inner.take() else { return };
+        if inner.sender.is_closed() {
+            self.core.borrow_mut().closed(self.now(), &conn.lane, conn.id);
+        } else {
+            self.standing.borrow_mut().insert(conn.id, inner);
+            self.core.borrow_mut().returned(self.now(), &conn.lane, conn.id);
+        }
+        self.settle();
     }
 
     /// Makes the call; the answer's head, and the connection to give back once the body is read.
     pub async fn call(
-        &self,
-        address: &str,
+        self: &Rc<Self>,
+        peer: Peer<'_>,
         request: &Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), Cause> {
         loop {
-            let kept = self.kept(address);
-            let reused = kept.is_some();
-            let mut conn = match kept {
-                Some(c) => c,
-                None => self.open(address).await.ok_or(Cause::NoConnection)?,
-            };
-            if conn.sender.ready().await.is_err() {
-                if reused {
+            let mut conn = self.connection(peer).await?;
+            let Some(inner) = &mut conn.inner else { return Err(Cause::NoConnection) };
+            if inner.sender.ready().await.is_err() {
+                if !conn.fresh {
                     continue;
                 }
                 return Err(Cause::NoConnection);
             }
-            match conn.sender.send_request(request.clone()).await {
+            let e = match inner.sender.send_request(request.clone()).await {
                 Ok(response) => return Ok((response, conn)),
+                Err(e) => e,
+            };
+            // TLS 1.3: the far side verifies us after we may have written. Its certificate alert says that its
+            // handshake never ended, so it has read nothing of what came after: proven not to have run.
+            if conn.fresh && peer.name.is_some() && matches!(why(&e), Why::OursRefused(_)) {
+                self.core.borrow_mut().broke(self.now(), &conn.lane, Failure::Untrusted);
+                tracing::warn!(engine = conn.lane, "our certificate is not accepted, or missing");
+                return Err(Cause::NoConnection);
+            }
+            match e {
                 // Closed before a byte went out: proven not to have run, another connection may carry it.
-                Err(e) if e.is_canceled() && reused => continue,
-                Err(e) if e.is_canceled() => return Err(Cause::NoConnection),
-                Err(e) if e.is_parse() => return Err(Cause::Garbled),
-                Err(_) => return Err(Cause::Lost),
+                e if e.is_canceled() && !conn.fresh => continue,
+                e if e.is_canceled() => return Err(Cause::NoConnection),
+                e if e.is_parse() => return Err(Cause::Garbled),
+                _ => return Err(Cause::Lost),
             }
         }
     }
 
     /// Makes the call and reads the answer whole: its status, head and body.
     pub async fn fetch(
-        &self,
-        address: &str,
+        self: &Rc<Self>,
+        peer: Peer<'_>,
         request: &Request<Full<Bytes>>,
     ) -> Result<(u16, hyper::HeaderMap, Bytes), Cause> {
-        let (response, conn) = self.call(address, request).await?;
+        let (response, conn) = self.call(peer, request).await?;
         let (head, body) = response.into_parts();
         let body = whole(body).await?;
-        self.give_back(address, conn);
+        self.give_back(conn);
         Ok((head.status.as_u16(), head.headers, body))
     }
 }
@@ -138,3 +349,17 @@
         Err(_) => Err(Cause::Lost),
     }
 }
+
+/// What a look at keys and trust brought, for operators.
+pub(crate) fn say(side: &str, said: &[Said]) {
+    for s in said {
+        match s {
+            Said::InForce { generation } => tracing::info!(side, generation, "keys and trust in force"),
+            Said::Unreadable(p) => {
+                tracing::warn!(side, problem = %p, "keys and trust not read; the old stay")
+            }
+            Said::Refused(why) => tracing::warn!(side, %why, "keys and trust refused; the old stay"),
+            Said::Notice(n) => tracing::warn!(side, notice = ?n, "certificate"),
+        }
+    }
+}
--- a/crates/nickelgw-node/src/core/letgo.rs
+++ b/crates/nickelgw-node/src/core/letgo.rs
@@ -78,7 +78,7 @@
     use std::rc::Rc;
 
     fn state(n: usize) -> HeldState {
-        let reader = Rc::new(Place { id: "r".into(), address: "a".into() });
+        let reader = Rc::new(Place { id: "r".into(), address: "a".into(), tls_name: None });
         HeldState { name: format!("s{n}"), reader }
     }
 
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -27,6 +27,8 @@
 pub struct Place {
     pub id: String,
     pub address: String,
+    /// The name that its certificate must stand for; none: the host in the address.
+    pub tls_name: Option<String>,
 }
 
 /// A state that waits at a reader.
@@ -242,9 +244,16 @@
                 list::State::Draining => Standing::Draining,
                 list::State::Gone => Standing::Gone,
             };
-            let known = self.places.get(&l.id).filter(|(p, _)| p.address == l.address);
+            let known =
+                self.places.get(&l.id).filter(|(p, _)| p.address == l.address && p.tls_name == l.tls_name);
             let place = known.map_or_else(
-                || Rc::new(Place { id: l.id.clone(), address: l.address.clone() }),
+                || {
+                    Rc::new(Place {
+                        id: l.id.clone(),
+                        address: l.address.clone(),
+                        tls_name: l.tls_name.clone(),
+                    })
+                },
                 |(p, _)| p.clone(),
             );
             self.places.insert(l.id.clone(), (place, role));
@@ -526,7 +535,7 @@
         let (boot, idle_s) = (self.figures.boot.clone(), self.figures.stream_idle_s);
         let (eng, role) = match self.places.get(&id) {
             Some((place, role)) => (place.clone(), *role),
-            None => (Rc::new(Place { id, address: String::new() }), Role::Read),
+            None => (Rc::new(Place { id, address: String::new(), tls_name: None }), Role::Read),
         };
         let taken = self.get(ticket)?;
         let send = taken.sends.len() as u32;
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -48,6 +48,7 @@
         memory_tokens: 1e5,
         state,
         started_at: None,
+        tls_name: None,
     };
     List { revision, engines: states.iter().enumerate().map(line).collect() }
 }
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -100,6 +100,8 @@
     /// Sends out; dropped, a send is called off.
     pub sends: HashMap<(Ticket, u32), Task<()>>,
     pub meter: Option<Arc<Mutex<Meter>>>,
+    /// Address of the engine list, whose connection is kept too.
+    pub list: String,
 }
 
 fn failed(why: Why) -> ApiError {
@@ -218,7 +220,9 @@
             Said::LetGo { call, done } => self.core.let_go(now, call, done),
             Said::List(list) => {
                 self.core.list(now, &list);
-                self.engines.pool.forget_others(|a| list.engines.iter().any(|l| l.address == a));
+                let list_address = self.list.clone();
+                let wanted = |a: &str| a == list_address || list.engines.iter().any(|l| l.address == a);
+                self.engines.pool.forget_others(wanted);
             }
             Said::ListFailed => self.core.list_failed(now),
         }
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -1,6 +1,6 @@
 //! Sends to engines: what the core orders is put on the wire, and how it ended is read off it.
 
-use crate::client::{whole, Connection, Pool};
+use crate::client::{whole, Connection, Peer, Pool};
 use crate::core::{Cause, End, HeldState, Order, Place, Work};
 use crate::driver::{Sink, Word};
 use crate::{seconds, within, Limits};
@@ -15,11 +15,11 @@
 use nickelgw_protocol::load::LoadReport;
 use nickelgw_protocol::sse::{Event, Events};
 use nickelgw_protocol::{LOAD, LOAD_FORMAT, NODE, REQUEST_ID, SEND_ID, ZONE};
-use smol::{LocalExecutor, Timer};
+use smol::Timer;
 use std::rc::Rc;
 
 pub struct Engines {
-    pub pool: Pool,
+    pub pool: Rc<Pool>,
     node: String,
     zone: String,
     pub limits: Rc<Limits>,
@@ -34,11 +34,16 @@
 type Ended = (Cause, Option<LoadReport>);
 
 impl Engines {
-    pub fn new(ex: Rc<LocalExecutor<'static>>, node: &str, zone: &str, limits: Rc<Limits>) -> Rc<Engines> {
-        let pool = Pool::new(ex, limits.connect_s, limits.most_idle, limits.idle_s);
+    pub fn new(pool: Rc<Pool>, node: &str, zone: &str, limits: Rc<Limits>) -> Rc<Engines> {
         Rc::new(Engines { pool, node: node.into(), zone: zone.into(), limits })
     }
 
+    fn peer<'a>(&self, place: &'a Place) -> Peer<'a> {
+        let host = || place.address.rsplit_once(':').map_or(&*place.address, |a| a.0);
+        let name = self.pool.tls.is_some().then(|| place.tls_name.as_deref().unwrap_or_else(host));
+        Peer { address: &place.address, name }
+    }
+
     pub fn request(&self, method: Method, address: &str, path: &str) -> hyper::http::request::Builder {
         let b = Request::builder().method(method).uri(path).header(HOST, address);
         b.header(NODE, &self.node).header(ZONE, &self.zone).header(LOAD_FORMAT, "JSON")
@@ -66,7 +71,7 @@
     async fn read(&self, order: &Order, id: &str, chat: &ChatRequest) -> End {
         let request = read_body(chat).ok().and_then(|body| self.completion(order, id, body));
         let Some(request) = request else { return End::default() };
-        let answer = within(order.patience_s, self.pool.fetch(&order.eng.address, &request)).await;
+        let answer = within(order.patience_s, self.pool.fetch(self.peer(&order.eng), &request)).await;
         let (status, headers, body) = match answer {
             None => return End { cause: Cause::NoAnswer, ..End::default() },
             Some(Err(cause)) => return End { cause, ..End::default() },
@@ -100,16 +105,16 @@
             remote_request_id: Some(s.name.clone()),
             remote_engine_id: Some(s.reader.id.clone()),
             remote_host: Some(s.reader.address.clone()),
+            remote_tls_name: s.reader.tls_name.clone(),
             ..KvTransfer::default()
         });
         let request = write_body(chat, kv.as_ref()).ok().and_then(|body| self.completion(order, id, body));
         let Some(request) = request else { return ended(Cause::NotSent, None) };
         let mut patience = Timer::after(seconds(order.patience_s));
-        let begun =
-            futures_lite::future::or(async { Some(self.begin(&order.eng.address, &request).await) }, async {
-                (&mut patience).await;
-                None
-            });
+        let begun = futures_lite::future::or(async { Some(self.begin(&order.eng, &request).await) }, async {
+            (&mut patience).await;
+            None
+        });
         let mut stream = match begun.await {
             None => return ended(Cause::NoAnswer, None),
             Some(Err((cause, load))) => return ended(cause, load),
@@ -126,20 +131,20 @@
         let stall = self.limits.client_stall_s;
         let (cause, load) = stream.pump(&mut sink, idle_s, stall).await;
         if cause == Cause::Completed {
-            self.pool.give_back(&order.eng.address, stream.conn);
+            self.pool.give_back(stream.conn);
         }
         (End { cause, load, kept: 0.0 }, Some(sink))
     }
 
     /// Up to the first event of the stream.
-    async fn begin(&self, address: &str, request: &Request<Full<Bytes>>) -> Result<Stream, Ended> {
-        let (response, conn) = self.pool.call(address, request).await.map_err(|c| (c, None))?;
+    async fn begin(&self, place: &Place, request: &Request<Full<Bytes>>) -> Result<Stream, Ended> {
+        let (response, conn) = self.pool.call(self.peer(place), request).await.map_err(|c| (c, None))?;
         let (head, body) = response.into_parts();
         let load = report(&head.headers);
         let status = head.status.as_u16();
         if status != 200 {
             let body = whole(body).await.map_err(|c| (c, load.clone()))?;
-            self.pool.give_back(address, conn);
+            self.pool.give_back(conn);
             return Err((Cause::of_status(status, &body), load));
         }
         let kind = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or("");
@@ -159,7 +164,7 @@
         let built = self.request(Method::GET, &place.address, "/health").body(Full::default());
         let (cause, load) = match built {
             Err(_) => (Cause::NoConnection, None),
-            Ok(r) => match within(self.limits.probe_s, self.pool.fetch(&place.address, &r)).await {
+            Ok(r) => match within(self.limits.probe_s, self.pool.fetch(self.peer(&place), &r)).await {
                 None => (Cause::NoAnswer, None),
                 Some(Err(cause)) => (cause, None),
                 Some(Ok((200, headers, _))) => (Cause::Completed, report(&headers)),
@@ -175,7 +180,7 @@
         let done = match self.request(Method::DELETE, address, &path).body(Full::default()) {
             Err(_) => false,
             Ok(r) => {
-                let answer = within(self.limits.probe_s, self.pool.fetch(address, &r)).await;
+                let answer = within(self.limits.probe_s, self.pool.fetch(self.peer(&state.reader), &r)).await;
                 // Not found is let go too: fetched, or never there.
                 matches!(answer, Some(Ok((200 | 204 | 404, _, _))))
             }
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -14,6 +14,7 @@
 use crate::core::{Core, Door, Figures};
 use async_channel::{bounded, unbounded};
 use nickelgw::interface::Deployment;
+use nickelgw_tls::core::pool;
 use smol::{LocalExecutor, Timer};
 use std::cell::RefCell;
 use std::net::TcpListener;
@@ -55,6 +56,27 @@
     pub list: String,
     pub last_list: Option<PathBuf>,
     pub meter: Option<Arc<Mutex<Meter>>>,
+    pub tls: TlsStart,
+}
+
+/// Keys and trust, looked at once already: what was not sound then keeps the node from starting.
+#[derive(Default)]
+pub struct TlsStart {
+    /// Towards engines; none: plain.
+    pub engines: Option<nickelgw_tls::Client>,
+    /// On the chat port; none: plain.
+    pub chat: Option<nickelgw_tls::Server>,
+    pub reload_s: f64,
+    /// Handshakes under way at once: of the node, and towards one engine.
+    pub at_once: usize,
+    pub at_once_engine: usize,
+    pub retire_gap_s: f64,
+}
+
+/// Seconds since 1970.
+pub(crate) fn unix_now() -> f64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0.0, |d| d.as_secs_f64())
 }
 
 /// Seconds since the node began.
@@ -90,14 +112,28 @@
     let (gone, left) = unbounded();
     let (poke, poked) = bounded(1);
     let limits = Rc::new(start.limits);
-    let engines = engines::Engines::new(ex.clone(), &start.name, &start.zone, limits.clone());
+    let tls = start.tls.engines.map(|c| client::Tls(Arc::new(Mutex::new(c))));
+    let plain = tls.is_none();
+    let figures = pool::Figures {
+        // A connection without a handshake costs little; engines' own limits bound it.
+        at_once: if plain { 1024 } else { start.tls.at_once },
+        at_once_engine: if plain { 256 } else { start.tls.at_once_engine },
+        most_idle: limits.most_idle,
+        idle_s: limits.idle_s,
+        retire_gap_s: start.tls.retire_gap_s,
+        ..pool::Figures::default()
+    };
+    let connections = client::Pool::new(ex.clone(), limits.connect_s, figures, tls);
+    let reload_s = start.tls.reload_s;
+    let tending = ex.spawn(connections.clone().tend(reload_s));
+    let engines = engines::Engines::new(connections, &start.name, &start.zone, limits.clone());
     let mut core = Core::new(start.deployment, start.figures);
     if let Some(list) = watch::last(start.last_list.as_deref()) {
         tracing::info!(engines = list.engines.len(), revision = list.revision, "served from the last list");
         core.list_unproved(clock.now(), &list);
     }
     let watch = watch::Watch {
-        address: start.list,
+        address: start.list.clone(),
         node: start.name.clone(),
         last: start.last_list,
         words: to_core.clone(),
@@ -120,6 +156,7 @@
         jobs: Default::default(),
         sends: Default::default(),
         meter: start.meter,
+        list: start.list,
     };
     let driving = ex.spawn(driver.run());
     let server = Rc::new(server::Server {
@@ -132,8 +169,10 @@
         serial: RefCell::new(0),
         models: names,
         connections: std::cell::Cell::new(0),
+        tls: start.tls.chat.map(|s| Arc::new(Mutex::new(s))),
     });
+    let looking = ex.spawn(server::look(server.clone(), reload_s));
     let result = ex.run(server::accept(listener, server, ex.clone())).await;
-    drop((watching, driving));
+    drop((watching, driving, tending, looking));
     result
 }
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -1,10 +1,13 @@
 //! The chat API's sockets: requests are read within limits and handed to the core, answers written as they come.
 
+use crate::client::say;
 use crate::core::{Door, Refusal, Ticket};
 use crate::driver::{Job, Reply, Said, Word};
-use crate::{seconds, within, Limits};
+use crate::{seconds, unix_now, within, Limits};
 use async_channel::{bounded, Receiver, Sender};
 use bytes::Bytes;
+use futures_rustls::rustls::ServerConfig;
+use futures_rustls::TlsAcceptor;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming};
@@ -20,6 +23,7 @@
 use std::net::TcpListener;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Instant;
 
@@ -33,6 +37,7 @@
     pub serial: RefCell<u64>,
     pub models: Rc<Vec<String>>,
     pub connections: Cell<usize>,
+    pub tls: Option<Arc<Mutex<nickelgw_tls::Server>>>,
 }
 
 type Answer = Response<BoxBody<Bytes, Infallible>>;
@@ -143,7 +148,21 @@
             let mut http = hyper::server::conn::http1::Builder::new();
             http.timer(SmolTimer::new()).header_read_timeout(seconds(server.limits.head_s));
             http.max_buf_size(64 * 1024);
-            if let Err(e) = http.serve_connection(FuturesIo::new(stream), service).await {
+            let served = match server.accepted() {
+                None => http.serve_connection(FuturesIo::new(stream), service).await,
+                Some(config) => {
+                    let hands = TlsAcceptor::from(config).accept(stream);
+                    match within(server.limits.head_s, hands).await {
+                        Some(Ok(stream)) => http.serve_connection(FuturesIo::new(stream), service).await,
+                        other => {
+                            let why = other.and_then(|o| o.err()).map(|e| e.to_string());
+                            tracing::debug!(why, "no handshake on the chat port");
+                            Ok(())
+                        }
+                    }
+                }
+            };
+            if let Err(e) = served {
                 tracing::debug!(error = %e, "connection ended");
             }
             server.connections.set(server.connections.get() - 1);
@@ -152,7 +171,23 @@
     }
 }
 
+/// Looks at the chat port's files until dropped; connections that stand keep what they began with.
+pub async fn look(server: Rc<Server>, reload_s: f64) {
+    let Some(tls) = server.tls.clone() else { return };
+    loop {
+        smol::Timer::after(seconds(reload_s)).await;
+        let (tls, now) = (tls.clone(), unix_now());
+        let said = smol::unblock(move || tls.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
+        say("chat", &said);
+    }
+}
+
 impl Server {
+    /// What a new connection's handshake is made with; none: the port is plain.
+    fn accepted(&self) -> Option<Arc<ServerConfig>> {
+        self.tls.as_ref()?.lock().unwrap_or_else(|e| e.into_inner()).config()
+    }
+
     async fn serve(&self, request: Request<Incoming>) -> Answer {
         let id = request.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok()).filter(|id| plain_id(id));
         let id: Rc<str> = match id {
--- a/crates/nickelgw-node/src/watch.rs
+++ b/crates/nickelgw-node/src/watch.rs
@@ -1,5 +1,6 @@
 //! Follows the engine list by long polls, and keeps the last one on disk for the next start.
 
+use crate::client::Peer;
 use crate::driver::{Said, Word};
 use crate::engines::Engines;
 use crate::{within, Clock};
@@ -56,7 +57,7 @@
             let path = format!("/v1/engines?after={after}&wait_s={wait}&node={}", self.node);
             let request = engines.request(Method::GET, &self.address, &path).body(Full::default());
             let Ok(request) = request else { return };
-            let answer = within(POLL_S + 1.0, engines.pool.fetch(&self.address, &request)).await;
+            let answer = within(POLL_S + 1.0, engines.pool.fetch(Peer::plain(&self.address), &request)).await;
             let list = match answer {
                 Some(Ok((200, _, body))) => List::parse(&body).map_err(|e| e.to_string()).map(|l| (l, body)),
                 Some(Ok((204, _, _))) => {
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use nickelgw_audit::{judge, Line, Verdict};
 use nickelgw_node::core::door::{Model, Tenant};
 use nickelgw_node::core::{Door, Figures};
-use nickelgw_node::{Limits, Start};
+use nickelgw_node::{Limits, Start, TlsStart};
 use nickelgw_protocol::list::{self, State};
 use nickelgw_standin::client::{self, Ask, Leave, Seen};
 use nickelgw_standin::model::{self, Role};
@@ -50,6 +50,7 @@
         memory_tokens: f.memory_tokens,
         state: State::In,
         started_at: None,
+        tls_name: None,
     }
 }
 
@@ -123,6 +124,7 @@
         list: list.into(),
         last_list: None,
         meter: None,
+        tls: TlsStart { reload_s: 0.05, at_once: 16, at_once_engine: 2, ..TlsStart::default() },
     }
 }
 
--- a/crates/nickelgw-protocol/src/engine.rs
+++ b/crates/nickelgw-protocol/src/engine.rs
@@ -20,6 +20,9 @@
     /// host:port of the reader.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub remote_host: Option<String>,
+    /// The name that the reader's certificate stands for, where it is spoken to by TLS.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub remote_tls_name: Option<String>,
 }
 
 impl KvTransfer {
--- a/crates/nickelgw-protocol/src/list.rs
+++ b/crates/nickelgw-protocol/src/list.rs
@@ -24,6 +24,9 @@
     pub id: String,
     /// host:port.
     pub address: String,
+    /// The name that its certificate must stand for; left out: the host in the address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tls_name: Option<String>,
     pub zone: String,
     #[serde(default)]
     pub cell: u32,
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -93,9 +93,33 @@
         self.tenants(&n.tenant);
         self.rules(&n.rules.unwrap_or_default(), &n.model_route);
         self.limits(&n.limits.unwrap_or_default());
+        self.tls(n);
         self.done()
     }
 
+    fn tls(&mut self, n: &Node) {
+        if let Some(t) = &n.engine_tls {
+            let at = ("engine_tls", 0);
+            self.named(&[at, ("trust", 0)], &t.trust);
+            if t.chain.is_some() != t.key.is_some() {
+                self.wrong(&[at, ("chain", 0)], "chain and key belong together", "both, or neither");
+            }
+            self.not_negative(&[at, ("trust_overlap_ms", 0)], t.trust_overlap_ms());
+            self.above_zero(&[at, ("reload_ms", 0)], t.reload_ms());
+            self.not_negative(&[at, ("retire_gap_ms", 0)], t.retire_gap_ms());
+            self.above_zero(&[at, ("handshakes_at_once", 0)], f64::from(t.handshakes_at_once()));
+            let engine = &[at, ("handshakes_at_once_engine", 0)];
+            self.above_zero(engine, f64::from(t.handshakes_at_once_engine()));
+            if t.handshakes_at_once_engine() > t.handshakes_at_once() {
+                self.wrong(engine, "is above the node's", "handshakes_at_once or less");
+            }
+        }
+        if let Some(t) = &n.chat_tls {
+            self.named(&[("chat_tls", 0), ("chain", 0)], &t.chain);
+            self.named(&[("chat_tls", 0), ("key", 0)], &t.key);
+        }
+    }
+
     fn zones(&mut self, zones: &[String]) {
         if zones.is_empty() {
             self.wrong(&[("zones", 0)], "none is given", "the deployment's zones");
--- a/crates/nickelgw-standin/src/list.rs
+++ b/crates/nickelgw-standin/src/list.rs
@@ -54,7 +54,7 @@
     let lines = Lines { revision: 1, shown, coming: Vec::new(), stalled_until: 0.0 };
     let lines = Rc::new(RefCell::new(lines));
     let handle = move |r| handle(r, lines.clone(), lag_s, record.clone());
-    serve(listener, Rc::new(handle)).await
+    serve(listener, None, Rc::new(handle)).await
 }
 
 async fn handle(
--- a/crates/nickelgw-standin/src/model.rs
+++ b/crates/nickelgw-standin/src/model.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
+use std::path::PathBuf;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -36,6 +37,19 @@
     pub warm_s: f64,
     pub tip_multiple: f64,
     pub tip_window_s: f64,
+    /// Serves, and fetches from readers, in TLS.
+    pub tls: Option<TlsFiles>,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct TlsFiles {
+    /// The name that its certificate stands for.
+    pub name: String,
+    pub chain: PathBuf,
+    pub key: PathBuf,
+    pub trust: PathBuf,
+    /// Nodes and writers must show a certificate.
+    pub mutual: bool,
 }
 
 impl Default for Figures {
@@ -60,6 +74,7 @@
             warm_s: 10.0,
             tip_multiple: 3.0,
             tip_window_s: 2.0,
+            tls: None,
         }
     }
 }
--- a/crates/nickelgw-standin/src/serve.rs
+++ b/crates/nickelgw-standin/src/serve.rs
@@ -1,5 +1,6 @@
 //! The stand-ins' own HTTP: small helpers over hyper.
 
+use crate::tls::Tls;
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, Limited};
@@ -45,7 +46,7 @@
 }
 
 /// Serves each connection until it ends or the future is dropped.
-pub async fn serve<F, R>(listener: TcpListener, handle: Rc<F>) -> std::io::Result<()>
+pub async fn serve<F, R>(listener: TcpListener, tls: Option<Rc<Tls>>, handle: Rc<F>) -> std::io::Result<()>
 where
     F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Result<Answer, Cut>> + 'static,
@@ -59,11 +60,18 @@
                 continue;
             };
             let _ = stream.get_ref().set_nodelay(true);
-            let handle = handle.clone();
+            let (handle, tls) = (handle.clone(), tls.clone());
             ex.spawn(async move {
                 let service = hyper::service::service_fn(move |r| handle(r));
                 let http = hyper::server::conn::http1::Builder::new();
-                let _ = http.serve_connection(FuturesIo::new(stream), service).await;
+                match tls {
+                    None => drop(http.serve_connection(FuturesIo::new(stream), service).await),
+                    Some(tls) => {
+                        if let Some(s) = tls.accept(stream).await {
+                            let _ = http.serve_connection(FuturesIo::new(s), service).await;
+                        }
+                    }
+                }
             })
             .detach();
         }
