--- a/crates/nickelgw-audit/src/judge.rs
+++ b/crates/nickelgw-audit/src/judge.rs
@@ -236,7 +236,9 @@
 /// When an engine could not be reached by all: from its faults, as it recorded them.
 fn unreachable(lines: &[Line], engine: &str) -> Vec<(f64, f64)> {
     let of = lines.iter().filter(|l| l.ev == "fault" && l.who == engine);
-    of.filter(|l| matches!(l.text("fault"), "cut" | "silence")).map(|l| (l.t, l.t + l.num("for_s"))).collect()
+    of.filter(|l| matches!(l.text("fault"), "cut" | "silence" | "handshake_cut" | "handshake_slow"))
+        .map(|l| (l.t, l.t + l.num("for_s")))
+        .collect()
 }
 
 fn pinned(v: &mut Verdict, f: &Figures, lines: &[Line], killed: &[&Line]) {
--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `nickelgw` command.
 
 mod bench;
+mod bench_tls;
 mod rehearse;
 mod signals;
 mod start;
@@ -97,6 +98,8 @@
     },
     /// Measures what the node adds, beside the same stand-ins called directly.
     Bench(bench::Bench),
+    /// Measures what TLS costs, and the rush after a rotation with and without a budget.
+    BenchTls(bench_tls::BenchTls),
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -134,6 +137,7 @@
         What::Up(up) => up.run(),
         What::Rehearse(r) => r.run(),
         What::Bench(b) => b.run(),
+        What::BenchTls(b) => b.run(),
         What::Authority { dir, name } => {
             let made = nickelgw_standin::authority::write_all(&dir, &name);
             let made = made.map_err(|e| Unusable(format!("{}: {e}", dir.display())))?;
--- a/crates/nickelgw-node/tests/tls.rs
+++ b/crates/nickelgw-node/tests/tls.rs
@@ -294,6 +294,26 @@
     w.assert_sound();
 }
 
+#[test]
+fn a_connection_opened_again_resumes_where_keys_and_trust_stand() {
+    let c = Certs::new("resume");
+    let w = World::with(vec![c.engine("r0a", true), c.engine("w0a", true)], |s| {
+        (s.tls, s.limits.idle_s) = (c.start(true), 0.1);
+    });
+    assert_eq!(w.play(w.ask("first", "chat")).how, "completed");
+    thread::sleep(Duration::from_millis(700));
+    assert_eq!(w.play(w.ask("second", "chat")).how, "completed");
+    assert!(handshakes(&w, "w0a", "resumed") >= 1);
+    // Tickets do not cross generations.
+    c.make("node0", "node0.example.org", Fault::None);
+    thread::sleep(Duration::from_millis(700));
+    let full = |w: &World| handshakes(w, "w0a", "ok") - handshakes(w, "w0a", "resumed");
+    let before = full(&w);
+    assert_eq!(w.play(w.ask("third", "chat")).how, "completed");
+    assert!(full(&w) > before);
+    w.assert_sound();
+}
+
 #[test]
 fn an_engine_that_forgets_its_tickets_gets_full_handshakes() {
     let c = Certs::new("tickets");
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -315,8 +315,13 @@
         self.share(&[at, ("share", 0)], f.share());
         self.above_zero(&[at, ("factor", 0)], f.factor());
         let target = &[at, ("target", 0)];
+        use Kind::{CaRotate, CertExpire, CertRotate, CertWrongName, HandshakeCut, HandshakeSlow};
+        let of_tls = [CaRotate, CertExpire, CertRotate, CertWrongName, HandshakeCut, HandshakeSlow];
+        if of_tls.contains(&f.kind()) && !d.tls() {
+            self.wrong(&[at, ("kind", 0)], "is a fault of TLS", "tls: true in the day");
+        }
         let wanted = match f.kind() {
-            Kind::StallList => return,
+            Kind::StallList | Kind::CaRotate => return,
             Kind::CutZone if !d.zones.iter().any(|z| z == f.target()) => "one of zones",
             Kind::KillNode if !(0..d.nodes()).any(|n| format!("node{n}") == f.target()) => "node0 and so on",
             Kind::CutZone | Kind::KillNode => return,
--- a/crates/nickelgw-settings/src/tests.rs
+++ b/crates/nickelgw-settings/src/tests.rs
@@ -12,6 +12,15 @@
     assert!(d.length_s < 60.0 && d.nodes() == 3 && check::engine_names(&d).len() >= 12);
 }
 
+#[test]
+fn a_tls_fault_needs_a_tls_day() {
+    let text = include_str!("../../../examples/bad-day-tls.txtpb");
+    assert!(day_text("t", text).unwrap().tls());
+    assert!(day_text("t", &text.replacen("tls: true", "", 1)).unwrap_err()[0]
+        .to_string()
+        .contains("tls: true"));
+}
+
 #[test_case("number: 0", "number: 9", "number", "below nodes"; "impossible number")]
 #[test_case("route_timeout_ms: 5000", "route_timeout_ms: 50", "model_route.route_timeout_ms", "target or more"; "timeout below target")]
 #[test_case("zone: \"north\"", "zone: \"nowhere\"", "zone", "one of zones"; "unknown zone")]
