Repeated requests run once and are heard by all; a budget of retries

Need: clients retry by themselves; a retry must not become a second effect, nor a storm.

On sockets: repeats join, take over or hear the record; tickets are not yet on the wire. /healthz says 503 until a list is heard, and up waits for it: a test asked too early, was shed, and its child, left behind, held the run's output open for ten minutes; children now end with their tests.

--- /dev/null
+++ b/crates/nickelgw-chat/src/core/repeats.rs
@@ -0,0 +1,280 @@
+//! Repeated requests: the same `Idempotency-Key` joins what still runs, or gets the answer that was recorded. One
+//! that may have had an effect is never run again by a repeat. Bounded in entries, bytes and time.
+
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+pub struct Figures {
+    pub most_entries: usize,
+    /// Bytes of answers recorded, in all and for one.
+    pub most_bytes: usize,
+    pub most_bytes_each: usize,
+    /// How long an answer is kept after its end.
+    pub keep_s: f64,
+    /// How long what runs is kept running when its last client has gone: the repeat may be on its way.
+    pub takeover_s: f64,
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        Figures {
+            most_entries: 16_384,
+            most_bytes: 64 << 20,
+            most_bytes_each: 256 << 10,
+            keep_s: 60.0,
+            takeover_s: 2.0,
+        }
+    }
+}
+
+/// Tenant and key in one digest: fixed in size, and the key itself is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key(pub [u8; 32]);
+
+impl Key {
+    pub fn of(tenant: &str, key: &str) -> Key {
+        let mut h = blake3::Hasher::new();
+        h.update(&(tenant.len() as u64).to_le_bytes()).update(tenant.as_bytes()).update(key.as_bytes());
+        Key(*h.finalize().as_bytes())
+    }
+}
+
+/// Names an entry; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Serial(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Enter {
+    /// Not seen: it runs, as this entry.
+    New(Serial),
+    /// The same still runs: its answer is this one's too, from the beginning.
+    Join(Serial),
+    /// It has ended, and its answer is here.
+    Recorded(Serial),
+    /// It has ended or runs, may have had its effect, and its answer is too long to have been kept.
+    NotKept,
+    /// The key was used with another body.
+    Mismatch,
+    /// No place is left in which a repeat of it would be known.
+    Full,
+    /// No place is left, but it may run again: it runs unrecorded.
+    Unrecorded,
+}
+
+/// How an entry ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Completed,
+    /// Nothing has run: a repeat runs anew.
+    Shed,
+    Errored,
+    /// Called off, as no client was left.
+    CalledOff,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// Clients that hear it, and since when there are none.
+    Running {
+        heard_by: usize,
+        alone_since: f64,
+    },
+    Done {
+        at: f64,
+        how: Ended,
+    },
+}
+
+struct Entry {
+    key: Key,
+    body: [u8; 32],
+    may_repeat: bool,
+    stage: Stage,
+    bytes: usize,
+    /// The record is whole so far.
+    whole: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Do {
+    /// Nobody has come for it: it is called off.
+    CallOff(Serial),
+    /// Its record is dropped.
+    Forget(Serial),
+}
+
+pub struct Repeats {
+    figures: Figures,
+    by_key: BTreeMap<Key, Serial>,
+    entries: BTreeMap<Serial, Entry>,
+    bytes: usize,
+    next: u64,
+    ready: Vec<Do>,
+    pub joined: u64,
+    pub replayed: u64,
+}
+
+impl Repeats {
+    pub fn new(figures: Figures) -> Self {
+        Repeats {
+            figures,
+            by_key: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            bytes: 0,
+            next: 0,
+            ready: Vec::new(),
+            joined: 0,
+            replayed: 0,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// A request with a key. `body`: digest of what is asked. `may_repeat`: its model route may run again.
+    pub fn enter(&mut self, now: f64, key: Key, body: [u8; 32], may_repeat: bool) -> Enter {
+        self.expire(now);
+        if let Some(&serial) = self.by_key.get(&key) {
+            if let Some(e) = self.entries.get_mut(&serial) {
+                if e.body != body {
+                    return Enter::Mismatch;
+                }
+                match &mut e.stage {
+                    Stage::Running { heard_by, .. } if e.whole => {
+                        *heard_by += 1;
+                        self.joined += 1;
+                        return Enter::Join(serial);
+                    }
+                    Stage::Done { .. } if e.whole => {
+                        self.replayed += 1;
+                        return Enter::Recorded(serial);
+                    }
+                    // What is not whole cannot be heard from its beginning. Where it may, it runs anew beside.
+                    _ if e.may_repeat => return Enter::Unrecorded,
+                    _ => return Enter::NotKept,
+                }
+            }
+        }
+        if self.entries.len() >= self.figures.most_entries && !self.make_room() {
+            return if may_repeat { Enter::Unrecorded } else { Enter::Full };
+        }
+        self.next += 1;
+        let serial = Serial(self.next);
+        let stage = Stage::Running { heard_by: 1, alone_since: now };
+        self.by_key.insert(key, serial);
+        self.entries.insert(serial, Entry { key, body, may_repeat, stage, bytes: 0, whole: true });
+        Enter::New(serial)
+    }
+
+    /// The oldest ended one that may repeat goes first: forgetting it costs work, never a second effect. One that
+    /// may not repeat stays until its time is up.
+    fn make_room(&mut self) -> bool {
+        let ended = |e: &Entry| matches!(e.stage, Stage::Done { .. }) && e.may_repeat;
+        let oldest = self.entries.iter().find(|(_, e)| ended(e)).map(|(s, _)| *s);
+        oldest.is_some_and(|s| {
+            self.forget(s);
+            true
+        })
+    }
+
+    fn forget(&mut self, serial: Serial) {
+        if let Some(e) = self.entries.remove(&serial) {
+            self.bytes -= e.bytes;
+            if self.by_key.get(&e.key) == Some(&serial) {
+                self.by_key.remove(&e.key);
+            }
+            self.ready.push(Do::Forget(serial));
+        }
+    }
+
+    /// More of an answer has come. False: it is not recorded (any more), and what was is dropped.
+    pub fn record(&mut self, serial: Serial, bytes: usize) -> bool {
+        let f = &self.figures;
+        let Some(e) = self.entries.get_mut(&serial).filter(|e| e.whole) else { return false };
+        if e.bytes + bytes > f.most_bytes_each || self.bytes + bytes > f.most_bytes {
+            e.whole = false;
+            self.bytes -= e.bytes;
+            e.bytes = 0;
+            return false;
+        }
+        e.bytes += bytes;
+        self.bytes += bytes;
+        true
+    }
+
+    /// A client that heard it has gone.
+    pub fn left(&mut self, now: f64, serial: Serial) {
+        if let Some(e) = self.entries.get_mut(&serial) {
+            if let Stage::Running { heard_by, alone_since } = &mut e.stage {
+                *heard_by = heard_by.saturating_sub(1);
+                if *heard_by == 0 {
+                    *alone_since = now;
+                }
+            }
+        }
+    }
+
+    /// It has ended. What a repeat may run again is kept only if its answer is whole and good.
+    pub fn ended(&mut self, now: f64, serial: Serial, how: Ended) {
+        let Some(e) = self.entries.get_mut(&serial) else { return };
+        e.stage = Stage::Done { at: now, how };
+        let again = match how {
+            Ended::Shed => true,
+            Ended::Completed => e.may_repeat && !e.whole,
+            Ended::Errored | Ended::CalledOff => e.may_repeat,
+        };
+        // Called off, nothing of an answer is there to be heard.
+        if how == Ended::CalledOff {
+            e.whole = false;
+        }
+        if again {
+            self.forget(serial);
+        }
+    }
+
+    pub fn how(&self, serial: Serial) -> Option<Ended> {
+        match self.entries.get(&serial)?.stage {
+            Stage::Done { how, .. } => Some(how),
+            Stage::Running { .. } => None,
+        }
+    }
+
+    fn expire(&mut self, now: f64) {
+        let keep_s = self.figures.keep_s;
+        let old = |e: &Entry| matches!(e.stage, Stage::Done { at, .. } if now - at >= keep_s);
+        let gone: Vec<Serial> = self.entries.iter().filter(|(_, e)| old(e)).map(|(s, _)| *s).collect();
+        gone.into_iter().for_each(|s| self.forget(s));
+    }
+
+    /// What to do now, and when to look again.
+    pub fn due(&mut self, now: f64) -> (Vec<Do>, Option<f64>) {
+        self.expire(now);
+        let mut wake: Option<f64> = None;
+        for (s, e) in &self.entries {
+            let at = match e.stage {
+                Stage::Running { heard_by: 0, alone_since } => alone_since + self.figures.takeover_s,
+                Stage::Running { .. } => continue,
+                Stage::Done { at, .. } => at + self.figures.keep_s,
+            };
+            if at <= now {
+                self.ready.push(Do::CallOff(*s));
+            } else {
+                wake = Some(wake.map_or(at, |w| w.min(at)));
+            }
+        }
+        (std::mem::take(&mut self.ready), wake)
+    }
+}
+
+#[cfg(test)]
+#[path = "repeats_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/nickelgw-chat/src/core/repeats_tests.rs
@@ -0,0 +1,133 @@
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeSet;
+use test_case::test_case;
+
+fn figures() -> Figures {
+    Figures { most_entries: 4, most_bytes: 300, most_bytes_each: 100, keep_s: 10.0, takeover_s: 2.0 }
+}
+
+fn key(n: u8) -> Key {
+    Key::of("t", &n.to_string())
+}
+
+fn new(r: &mut Repeats, now: f64, n: u8, may_repeat: bool) -> Serial {
+    match r.enter(now, key(n), [n; 32], may_repeat) {
+        Enter::New(s) => s,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_repeat_joins_what_runs_and_hears_what_was_recorded() {
+    let mut r = Repeats::new(figures());
+    let s = new(&mut r, 0.0, 1, true);
+    assert!(r.record(s, 50));
+    assert_eq!(r.enter(1.0, key(1), [1; 32], true), Enter::Join(s));
+    r.ended(2.0, s, Ended::Completed);
+    assert_eq!(r.enter(3.0, key(1), [1; 32], true), Enter::Recorded(s));
+    assert_eq!(r.enter(3.0, key(1), [9; 32], true), Enter::Mismatch);
+    // Another tenant's key of the same text is another key.
+    assert!(matches!(r.enter(3.0, Key::of("u", "1"), [1; 32], true), Enter::New(_)));
+    assert!(matches!(r.enter(12.1, key(1), [1; 32], true), Enter::New(_)), "its time is up");
+}
+
+#[test_case(Ended::Shed, false, true; "shed, it has not run")]
+#[test_case(Ended::Errored, true, true; "errored, it may run again")]
+#[test_case(Ended::Errored, false, false; "errored, it may not")]
+#[test_case(Ended::CalledOff, true, true; "called off, it may run again")]
+#[test_case(Ended::CalledOff, false, false; "called off, it may not")]
+fn a_repeat_after_the_end_runs_anew_only_where_that_is_harmless(how: Ended, may_repeat: bool, anew: bool) {
+    let mut r = Repeats::new(figures());
+    let s = new(&mut r, 0.0, 1, may_repeat);
+    r.ended(1.0, s, how);
+    let again = r.enter(2.0, key(1), [1; 32], may_repeat);
+    assert_eq!(matches!(again, Enter::New(_)), anew, "{again:?}");
+}
+
+#[test]
+fn an_answer_too_long_to_keep_is_no_reason_for_a_second_effect() {
+    let mut r = Repeats::new(figures());
+    let s = new(&mut r, 0.0, 1, false);
+    assert!(r.record(s, 90) && !r.record(s, 20));
+    assert_eq!((r.bytes(), r.enter(1.0, key(1), [1; 32], false)), (0, Enter::NotKept));
+    r.ended(2.0, s, Ended::Completed);
+    assert_eq!(r.enter(3.0, key(1), [1; 32], false), Enter::NotKept);
+}
+
+#[test]
+fn what_nobody_hears_is_called_off_unless_a_repeat_comes_in_time() {
+    let mut r = Repeats::new(figures());
+    let s = new(&mut r, 0.0, 1, true);
+    r.left(1.0, s);
+    assert_eq!(r.due(1.0), (vec![], Some(3.0)));
+    assert_eq!(r.enter(2.0, key(1), [1; 32], true), Enter::Join(s));
+    assert_eq!(r.due(4.0).0, vec![]);
+    r.left(5.0, s);
+    assert_eq!(r.due(7.0).0, vec![Do::CallOff(s)]);
+}
+
+#[test]
+fn a_full_table_forgets_only_what_is_harmless() {
+    let mut r = Repeats::new(figures());
+    let all: Vec<Serial> = (0..4).map(|n| new(&mut r, 0.0, n, n % 2 == 0)).collect();
+    assert_eq!(r.enter(1.0, key(9), [9; 32], true), Enter::Unrecorded);
+    assert_eq!(r.enter(1.0, key(9), [9; 32], false), Enter::Full);
+    all.iter().for_each(|&s| r.ended(2.0, s, Ended::Completed));
+    assert!(matches!(r.enter(3.0, key(9), [9; 32], false), Enter::New(_)));
+    assert!(matches!(r.enter(3.0, key(8), [8; 32], false), Enter::New(_)));
+    // What is left may not repeat.
+    assert_eq!(r.enter(3.0, key(7), [7; 32], false), Enter::Full);
+    assert_eq!(r.enter(3.0, key(1), [1; 32], false), Enter::Recorded(all[1]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(8), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn nothing_that_may_not_repeat_runs_twice_within_its_time(
+        steps in prop::collection::vec((0u8..6, 0u8..7, 0.0..1.5f64), 1..150),
+    ) {
+        let f = figures();
+        let mut r = Repeats::new(f.clone());
+        let mut now = 0.0;
+        // By key: when a run began that may have had an effect, and still counts.
+        let mut ran: std::collections::BTreeMap<u8, (Serial, Option<f64>)> = Default::default();
+        let mut running: Vec<(u8, Serial)> = Vec::new();
+        let mut known: BTreeSet<Serial> = BTreeSet::new();
+        for (what, n, dt) in steps {
+            now += dt;
+            let may_repeat = n % 2 == 0;
+            match what {
+                0..=2 => if let Enter::New(s) = r.enter(now, key(n), [n; 32], may_repeat) {
+                    prop_assert!(known.insert(s));
+                    if !may_repeat {
+                        if let Some((_, ended)) = ran.get(&n) {
+                            prop_assert!(ended.is_some_and(|at| now - at >= f.keep_s), "run twice");
+                        }
+                        ran.insert(n, (s, None));
+                    }
+                    running.push((n, s));
+                },
+                3 if !running.is_empty() => {
+                    let (n, s) = running.remove(n as usize % running.len());
+                    let how = [Ended::Completed, Ended::Errored, Ended::CalledOff][(now * 10.0) as usize % 3];
+                    r.ended(now, s, how);
+                    if let Some(x) = ran.get_mut(&n).filter(|x| x.0 == s) {
+                        x.1 = Some(now);
+                    }
+                }
+                4 if !running.is_empty() => {
+                    let s = running[n as usize % running.len()].1;
+                    r.record(s, 10 * n as usize);
+                }
+                5 if !running.is_empty() => r.left(now, running[n as usize % running.len()].1),
+                _ => drop(r.due(now)),
+            }
+            prop_assert!(r.len() <= f.most_entries && r.bytes() <= f.most_bytes);
+        }
+        running.iter().for_each(|(_, s)| r.ended(now, *s, Ended::Errored));
+        r.due(now + f.keep_s + 1.0);
+        prop_assert_eq!((r.len(), r.bytes()), (0, 0));
+    }
+}
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -570,6 +570,8 @@
             }
         }),
         chat_tls: None,
+        repeats: None,
+        retries: None,
     };
     text_of(&node)
 }
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -1,6 +1,8 @@
 //! Wiring: a node's settings become what the node is started with.
 
 use crate::Unusable;
+use nickelgw_chat::core::budget::Figures as RetryFigures;
+use nickelgw_chat::core::repeats::Figures as RepeatFigures;
 use nickelgw_node::core::door::{Model, Tenant};
 use nickelgw_node::core::{Door, Figures};
 use nickelgw_node::{Limits, Meter, Start, TlsStart};
@@ -17,6 +19,29 @@
 /// How long a let-go call is repeated: a reader back from a longer cut frees its states by itself.
 const LET_GO_WITHIN_S: f64 = 15.0;
 
+fn repeats(n: &Node) -> RepeatFigures {
+    let r = n.repeats.unwrap_or_default();
+    RepeatFigures {
+        most_entries: r.most_entries() as usize,
+        most_bytes: r.most_bytes() as usize,
+        most_bytes_each: r.most_bytes_each() as usize,
+        keep_s: r.keep_ms() / 1e3,
+        takeover_s: r.takeover_ms() / 1e3,
+    }
+}
+
+fn retries(n: &Node) -> RetryFigures {
+    let r = n.retries.unwrap_or_default();
+    RetryFigures {
+        share: r.share(),
+        burst: r.burst(),
+        by_body: r.by_body(),
+        first_come_back_s: r.first_come_back_ms() / 1e3,
+        longest_come_back_s: r.longest_come_back_ms() / 1e3,
+        ..RetryFigures::default()
+    }
+}
+
 /// Keys and trust as the settings name them, looked at once: unsound, the node does not start.
 fn tls(n: &Node) -> Result<TlsStart, Unusable> {
     let path = |p: &Option<String>| p.as_ref().map(Into::into);
@@ -66,10 +91,13 @@
         timeout_s: r.route_timeout_ms / 1e3,
         timeout_per_token_s: 2.0 * r.target_per_1000_tokens_ms() / 1e6,
         whole_timeout_s: r.whole_timeout_ms() / 1e3,
+        may_repeat: r.repeat() == nickelgw_settings::proto::Repeat::Retriable,
     };
     let tenant = |t: &nickelgw_settings::proto::Tenant| Tenant { name: t.name.clone(), key: t.key.clone() };
     Ok(Start {
         tls: tls(n)?,
+        repeats: repeats(n),
+        retries: retries(n),
         name: n.name.clone(),
         zone: n.zone.clone(),
         deployment: check::deployment(n),
--- a/crates/nickelgw-cli/src/up.rs
+++ b/crates/nickelgw-cli/src/up.rs
@@ -3,7 +3,7 @@
 use crate::{signals, start, Unusable};
 use nickelgw_protocol::list::{self, Line, State};
 use nickelgw_standin::model::{Figures, Role};
-use nickelgw_standin::Record;
+use nickelgw_standin::{client, Record};
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::thread;
@@ -88,6 +88,16 @@
                 Err(Unusable(why)) => eprintln!("nickelgw: {why}"),
             });
         }
+        // Asked before it has heard the list, a node sheds.
+        for u in &urls {
+            let address = u.trim_start_matches("http://");
+            let from = std::time::Instant::now();
+            let call = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+            let ready = || client::status(&smol::block_on(client::raw(address, &[call], 0.0, 1.0))) == 200;
+            while !ready() && from.elapsed().as_secs() < 5 {
+                thread::sleep(std::time::Duration::from_millis(10));
+            }
+        }
         println!("{} readers and {} writers, stand-ins, behind", self.readers, self.writers);
         urls.iter().for_each(|u| println!("  {u}/v1/chat/completions"));
         println!("try:");
--- a/crates/nickelgw-cli/tests/command.rs
+++ b/crates/nickelgw-cli/tests/command.rs
@@ -73,14 +73,25 @@
     std::fs::remove_dir_all(dir).unwrap();
 }
 
+/// Ended with the test, whatever becomes of it: one left behind would hold the run's output open.
+struct Ending(std::process::Child);
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 #[test]
 fn up_streams_an_answer_and_ends_on_a_signal() {
-    let mut up = Command::new(env!("CARGO_BIN_EXE_nickelgw"))
+    let up = Command::new(env!("CARGO_BIN_EXE_nickelgw"))
         .args(["up", "--port", "0", "--nodes", "2"])
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut lines = BufReader::new(up.stdout.take().unwrap()).lines();
+    let mut up = Ending(up);
+    let mut lines = BufReader::new(up.0.stdout.take().unwrap()).lines();
     let url = lines.by_ref().map(|l| l.unwrap()).find(|l| l.contains("http://")).unwrap();
     let address = url.trim().trim_start_matches("http://").split('/').next().unwrap().to_string();
     let body = r#"{"model":"chat","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"Hi"}]}"#;
@@ -92,9 +103,10 @@
     )
     .unwrap();
     let mut answer = String::new();
+    s.set_read_timeout(Some(std::time::Duration::from_secs(10))).unwrap();
     s.read_to_string(&mut answer).unwrap();
     assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("data: [DONE]"), "{answer}");
-    let ended = Command::new("kill").args(["-INT", &up.id().to_string()]).status().unwrap();
+    let ended = Command::new("kill").args(["-INT", &up.0.id().to_string()]).status().unwrap();
     assert!(ended.success());
-    assert!(up.wait().unwrap().success());
+    assert!(up.0.wait().unwrap().success());
 }
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -11,6 +11,8 @@
     pub timeout_per_token_s: f64,
     /// Longest that a client waits for an answer that it does not stream.
     pub whole_timeout_s: f64,
+    /// Retriable: a repeat may run again.
+    pub may_repeat: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -123,8 +125,13 @@
     use super::*;
 
     fn door() -> Door {
-        let model =
-            Model { name: "chat".into(), timeout_s: 5.0, timeout_per_token_s: 0.001, whole_timeout_s: 9.0 };
+        let model = Model {
+            name: "chat".into(),
+            timeout_s: 5.0,
+            timeout_per_token_s: 0.001,
+            whole_timeout_s: 9.0,
+            may_repeat: true,
+        };
         let tenant = |n: &str, k: &str| Tenant { name: n.into(), key: k.into() };
         Door {
             models: vec![model],
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -100,6 +100,8 @@
     /// Sends out; dropped, a send is called off.
     pub sends: HashMap<(Ticket, u32), Task<()>>,
     pub meter: Option<Arc<Mutex<Meter>>>,
+    /// Whether a list has been heard.
+    pub ready: Rc<Cell<bool>>,
     /// Address of the engine list, whose connection is kept too.
     pub list: String,
 }
@@ -220,6 +222,7 @@
             Said::LetGo { call, done } => self.core.let_go(now, call, done),
             Said::List(list) => {
                 self.core.list(now, &list);
+                self.ready.set(true);
                 let list_address = self.list.clone();
                 let wanted = |a: &str| a == list_address || list.engines.iter().any(|l| l.address == a);
                 self.engines.pool.forget_others(wanted);
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod engines;
 mod meter;
+mod repeat;
 mod server;
 mod watch;
 
@@ -14,6 +15,7 @@
 use crate::core::{Core, Door, Figures};
 use async_channel::{bounded, unbounded};
 use nickelgw::interface::Deployment;
+use nickelgw_chat::core::{budget, repeats};
 use nickelgw_tls::core::pool;
 use smol::{LocalExecutor, Timer};
 use std::cell::RefCell;
@@ -57,6 +59,8 @@
     pub last_list: Option<PathBuf>,
     pub meter: Option<Arc<Mutex<Meter>>>,
     pub tls: TlsStart,
+    pub repeats: repeats::Figures,
+    pub retries: budget::Figures,
 }
 
 /// Keys and trust, looked at once already: what was not sound then keeps the node from starting.
@@ -127,10 +131,13 @@
     let reload_s = start.tls.reload_s;
     let tending = ex.spawn(connections.clone().tend(reload_s));
     let engines = engines::Engines::new(connections, &start.name, &start.zone, limits.clone());
+    let seed = start.deployment.seed ^ u64::from(start.deployment.node);
     let mut core = Core::new(start.deployment, start.figures);
+    let mut heard = false;
     if let Some(list) = watch::last(start.last_list.as_deref()) {
         tracing::info!(engines = list.engines.len(), revision = list.revision, "served from the last list");
         core.list_unproved(clock.now(), &list);
+        heard = true;
     }
     let watch = watch::Watch {
         address: start.list.clone(),
@@ -143,6 +150,7 @@
     let watching = ex.spawn(watch.run(engines.clone()));
     let names = Rc::new(start.door.models.iter().map(|m| m.name.clone()).collect::<Vec<_>>());
     let waiting = Rc::new(std::cell::Cell::new(0));
+    let ready = Rc::new(std::cell::Cell::new(heard));
     let driver = driver::Driver {
         core,
         clock,
@@ -156,6 +164,7 @@
         jobs: Default::default(),
         sends: Default::default(),
         meter: start.meter,
+        ready: ready.clone(),
         list: start.list,
     };
     let driving = ex.spawn(driver.run());
@@ -170,9 +179,15 @@
         models: names,
         connections: std::cell::Cell::new(0),
         tls: start.tls.chat.map(|s| Arc::new(Mutex::new(s))),
+        ready,
+        clock,
+        ex: ex.clone(),
+        budget: RefCell::new(budget::Budget::new(start.retries, seed)),
+        repeats: repeat::Relays::new(start.repeats),
     });
+    let repeating = ex.spawn(repeat::tend(server.clone()));
     let looking = ex.spawn(server::look(server.clone(), reload_s));
     let result = ex.run(server::accept(listener, server, ex.clone())).await;
-    drop((watching, driving, tending, looking));
+    drop((watching, driving, tending, looking, repeating));
     result
 }
--- /dev/null
+++ b/crates/nickelgw-node/src/repeat.rs
@@ -0,0 +1,314 @@
+//! Repeated requests on sockets: one run, heard by each client that came with its key.
+
+use crate::driver::Reply;
+use crate::server::{json_answer, streamed, Answer, Asked, Server};
+use crate::{seconds, within};
+use async_channel::{bounded, Receiver, Sender};
+use bytes::Bytes;
+use hyper::body::{Body, Frame};
+use nickelgw_chat::core::repeats::{Do, Ended, Enter, Figures, Key, Repeats, Serial};
+use nickelgw_protocol::chat::ApiError;
+use nickelgw_protocol::sse;
+use smol::{Task, Timer};
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+/// Events that a run may be ahead of its slowest hearer once it is no longer recorded.
+const AHEAD: usize = 32;
+
+#[derive(Clone)]
+enum Head {
+    Stream,
+    Whole(Bytes),
+    Error(ApiError),
+}
+
+#[derive(Default)]
+struct Said {
+    head: Option<Head>,
+    /// Events, those before `from` dropped.
+    events: VecDeque<Bytes>,
+    from: usize,
+    done: bool,
+    recorded: bool,
+    /// Each hearer's place and bell.
+    hearers: HashMap<u64, (usize, Sender<()>)>,
+    next: u64,
+}
+
+/// What one run has said so far.
+struct Relay {
+    said: RefCell<Said>,
+    /// Rings when a hearer has taken something.
+    taken: (Sender<()>, Receiver<()>),
+}
+
+impl Relay {
+    fn new() -> Rc<Relay> {
+        let said = RefCell::new(Said { recorded: true, ..Said::default() });
+        Rc::new(Relay { said, taken: bounded(1) })
+    }
+
+    fn ring(&self) {
+        for (_, bell) in self.said.borrow().hearers.values() {
+            let _ = bell.try_send(());
+        }
+    }
+
+    /// What every hearer has taken goes, where nobody may come and hear it from the beginning.
+    fn trim(&self) {
+        let mut s = self.said.borrow_mut();
+        if s.recorded {
+            return;
+        }
+        let slowest = s.hearers.values().map(|h| h.0).min().unwrap_or(s.from + s.events.len());
+        while s.from < slowest && s.events.pop_front().is_some() {
+            s.from += 1;
+        }
+    }
+}
+
+/// The table, and the runs behind it.
+pub struct Relays {
+    table: RefCell<Repeats>,
+    relays: RefCell<HashMap<Serial, Rc<Relay>>>,
+    runs: RefCell<HashMap<Serial, Task<()>>>,
+}
+
+impl Relays {
+    pub fn new(figures: Figures) -> Relays {
+        let table = RefCell::new(Repeats::new(figures));
+        Relays { table, relays: RefCell::default(), runs: RefCell::default() }
+    }
+
+    fn act(&self, now: f64) {
+        let (todo, _) = self.table.borrow_mut().due(now);
+        for d in todo {
+            match d {
+                Do::CallOff(s) => {
+                    // Dropping the run tells the core that the client has gone.
+                    let run = self.runs.borrow_mut().remove(&s);
+                    drop(run);
+                    self.table.borrow_mut().ended(now, s, Ended::CalledOff);
+                    self.relays.borrow_mut().remove(&s);
+                }
+                Do::Forget(s) => drop(self.relays.borrow_mut().remove(&s)),
+            }
+        }
+    }
+}
+
+/// Looks after the table's own times until dropped.
+pub async fn tend(server: Rc<Server>) {
+    loop {
+        Timer::after(seconds(0.1)).await;
+        server.repeats.act(server.clock.now());
+    }
+}
+
+/// A client that hears a run; dropped, it has left.
+struct Hearer {
+    server: Rc<Server>,
+    serial: Serial,
+    relay: Rc<Relay>,
+    n: u64,
+    bell: Pin<Box<Receiver<()>>>,
+}
+
+impl Hearer {
+    fn new(server: Rc<Server>, serial: Serial, relay: Rc<Relay>) -> Hearer {
+        let (ring, bell) = bounded(1);
+        let mut s = relay.said.borrow_mut();
+        s.next += 1;
+        let n = s.next;
+        let from = s.from;
+        s.hearers.insert(n, (from, ring));
+        drop(s);
+        Hearer { server, serial, relay, n, bell: Box::pin(bell) }
+    }
+
+    /// Waits until it is known what kind of answer it is.
+    async fn head(&self) -> Option<Head> {
+        loop {
+            let head = self.relay.said.borrow().head.clone();
+            if head.is_some() {
+                return head;
+            }
+            self.bell.recv().await.ok()?;
+        }
+    }
+
+    fn take(&self) -> Option<Option<Bytes>> {
+        let mut s = self.relay.said.borrow_mut();
+        let at = s.hearers.get(&self.n)?.0;
+        match s.events.get(at - s.from).cloned() {
+            Some(e) => {
+                s.hearers.get_mut(&self.n)?.0 += 1;
+                Some(Some(e))
+            }
+            None if s.done => Some(None),
+            None => None,
+        }
+    }
+}
+
+impl Drop for Hearer {
+    fn drop(&mut self) {
+        self.relay.said.borrow_mut().hearers.remove(&self.n);
+        let _ = self.relay.taken.0.try_send(());
+        self.server.repeats.table.borrow_mut().left(self.server.clock.now(), self.serial);
+    }
+}
+
+impl Body for Hearer {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        use futures_lite::Stream;
+        loop {
+            if let Some(taken) = self.take() {
+                let _ = self.relay.taken.0.try_send(());
+                return Poll::Ready(taken.map(|e| Ok(Frame::data(e))));
+            }
+            // No bell any more: the run was called off, and what it said is not whole.
+            match self.bell.as_mut().poll_next(cx) {
+                Poll::Ready(Some(())) => continue,
+                Poll::Ready(None) => return Poll::Ready(None),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+}
+
+fn refused(status: u16, code: &'static str, word: &str) -> ApiError {
+    ApiError::new(status, "invalid_request_error", code, word)
+}
+
+impl Server {
+    /// A request that carries a key: it runs once, and each repeat hears that run.
+    pub async fn keyed(self: Rc<Self>, a: Asked, key: &str) -> Result<Answer, ApiError> {
+        let tenant = a.ask.tenant.map_or("", |t| &self.door.tenants[t].name);
+        let key = Key::of(tenant, key);
+        let may_repeat = self.door.models[a.ask.route].may_repeat;
+        let now = self.clock.now();
+        let entered = self.repeats.table.borrow_mut().enter(now, key, a.digest, may_repeat);
+        let serial = match entered {
+            Enter::Join(s) | Enter::Recorded(s) => s,
+            Enter::New(s) => {
+                if let Err(e) = self.judge(&a) {
+                    self.repeats.table.borrow_mut().ended(now, s, Ended::Shed);
+                    return Err(e);
+                }
+                let relay = Relay::new();
+                self.repeats.relays.borrow_mut().insert(s, relay.clone());
+                let run = self.ex.spawn(self.clone().relay(a, s, relay));
+                self.repeats.runs.borrow_mut().insert(s, run);
+                s
+            }
+            Enter::Unrecorded => {
+                self.judge(&a)?;
+                let (reply, gone) = self.run(a).await?;
+                return crate::server::answer(reply, gone);
+            }
+            Enter::Mismatch => {
+                let word = "this idempotency key was used with another body";
+                return Err(refused(422, "idempotency_key_reused", word));
+            }
+            Enter::NotKept => {
+                let word = "this request was taken before; its answer is not kept, and it does not run again";
+                return Err(refused(409, "already_taken", word));
+            }
+            Enter::Full => {
+                let word = "no place to remember this request, which may not run twice";
+                let mut e = ApiError::new(503, "server_error", "node_full", word);
+                e.retry_after_s = Some(self.limits.come_back_s);
+                return Err(e);
+            }
+        };
+        let relay = self.repeats.relays.borrow().get(&serial).cloned();
+        let gone = || refused(409, "already_taken", "this request was called off as its client had gone");
+        let relay = relay.ok_or_else(gone)?;
+        let hearer = Hearer::new(self.clone(), serial, relay);
+        match hearer.head().await.ok_or_else(gone)? {
+            Head::Stream => Ok(streamed(Box::pin(hearer))),
+            Head::Whole(body) => Ok(json_answer(200, body)),
+            Head::Error(e) => Err(e),
+        }
+    }
+
+    /// Runs it, and says what comes of it to all who hear.
+    async fn relay(self: Rc<Self>, a: Asked, serial: Serial, relay: Rc<Relay>) {
+        let how = match self.run(a).await {
+            Err(e) | Ok((Reply::Error(e), _)) => {
+                // Refused or shed, nothing of it has run.
+                let harmless = matches!(e.code, "shed" | "node_full" | "node_stopping");
+                relay.said.borrow_mut().head = Some(Head::Error(e));
+                if harmless {
+                    Ended::Shed
+                } else {
+                    Ended::Errored
+                }
+            }
+            Ok((Reply::Whole(body), mut gone)) => {
+                gone.ticket = None;
+                self.repeats.table.borrow_mut().record(serial, body.len());
+                relay.said.borrow_mut().head = Some(Head::Whole(body));
+                Ended::Completed
+            }
+            Ok((Reply::Stream(from), mut gone)) => {
+                relay.said.borrow_mut().head = Some(Head::Stream);
+                relay.ring();
+                let mut whole = false;
+                while let Ok(event) = from.recv().await {
+                    whole = event == sse::done();
+                    if !self.hear(serial, &relay, event).await {
+                        break;
+                    }
+                }
+                // The sender has gone: the core has given its final answer.
+                gone.ticket = gone.ticket.filter(|_| !from.is_closed());
+                if whole {
+                    Ended::Completed
+                } else {
+                    Ended::Errored
+                }
+            }
+        };
+        relay.said.borrow_mut().done = true;
+        relay.ring();
+        self.repeats.table.borrow_mut().ended(self.clock.now(), serial, how);
+        // Its own task is at its end: dropping the handle here would cancel nothing.
+        if let Some(run) = self.repeats.runs.borrow_mut().remove(&serial) {
+            run.detach();
+        }
+    }
+
+    /// One more event; false when a hearer stalls for too long where nothing is recorded.
+    async fn hear(&self, serial: Serial, relay: &Rc<Relay>, event: Bytes) -> bool {
+        let kept = self.repeats.table.borrow_mut().record(serial, event.len());
+        {
+            let mut s = relay.said.borrow_mut();
+            s.recorded &= kept;
+            s.events.push_back(event);
+        }
+        relay.ring();
+        loop {
+            relay.trim();
+            let fits = |s: &Said| s.recorded || s.events.len() <= AHEAD;
+            if fits(&relay.said.borrow()) {
+                return true;
+            }
+            if within(self.limits.client_stall_s, relay.taken.1.recv()).await.is_none() {
+                return false;
+            }
+        }
+    }
+}
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -1,20 +1,21 @@
 //! The chat API's sockets: requests are read within limits and handed to the core, answers written as they come.
 
 use crate::client::say;
-use crate::core::{Door, Refusal, Ticket};
+use crate::core::{Ask, Door, Refusal, Ticket};
 use crate::driver::{Job, Reply, Said, Word};
-use crate::{seconds, unix_now, within, Limits};
+use crate::repeat::Relays;
+use crate::{seconds, unix_now, within, Clock, Limits};
 use async_channel::{bounded, Receiver, Sender};
 use bytes::Bytes;
 use futures_rustls::rustls::ServerConfig;
 use futures_rustls::TlsAcceptor;
-use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{HeaderValue, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
+use nickelgw_chat::core::budget::{Budget, Verdict};
 use nickelgw_protocol::chat::{ApiError, ChatRequest};
-use nickelgw_protocol::REQUEST_ID;
+use nickelgw_protocol::{Malformed, REQUEST_ID};
 use serde_json::json;
 use smol::{Async, LocalExecutor};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -38,13 +39,19 @@
     pub models: Rc<Vec<String>>,
     pub connections: Cell<usize>,
     pub tls: Option<Arc<Mutex<nickelgw_tls::Server>>>,
+    pub ready: Rc<Cell<bool>>,
+    pub clock: Clock,
+    pub ex: Rc<LocalExecutor<'static>>,
+    pub budget: RefCell<Budget>,
+    pub repeats: Relays,
 }
 
-type Answer = Response<BoxBody<Bytes, Infallible>>;
+pub type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = Infallible>>>;
+pub type Answer = Response<AnswerBody>;
 
 /// Says that the client has gone, unless its answer was whole by then.
-struct Gone {
-    ticket: Option<Ticket>,
+pub struct Gone {
+    pub ticket: Option<Ticket>,
     to: Sender<Ticket>,
 }
 
@@ -82,11 +89,11 @@
     }
 }
 
-fn full(bytes: Bytes) -> BoxBody<Bytes, Infallible> {
-    Full::new(bytes).boxed()
+fn full(bytes: Bytes) -> AnswerBody {
+    Box::pin(Full::new(bytes))
 }
 
-fn json_answer(status: u16, body: Bytes) -> Answer {
+pub fn json_answer(status: u16, body: Bytes) -> Answer {
     let mut r = Response::new(full(body));
     *r.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -108,6 +115,9 @@
 /// Heeded by OpenAI's own client libraries before the coarser `retry-after`.
 const MS: hyper::header::HeaderName = hyper::header::HeaderName::from_static("retry-after-ms");
 const TIMEOUT: &str = "x-request-timeout-ms";
+const KEY: &str = "idempotency-key";
+/// A client's own count of its retries: OpenAI's libraries tell the first.
+const RETRY_COUNTS: [&str; 2] = ["x-stainless-retry-count", "x-retry-count"];
 
 fn plain_id(id: &str) -> bool {
     (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
@@ -182,13 +192,44 @@
     }
 }
 
+/// A request that has passed the door.
+pub struct Asked {
+    pub ask: Ask,
+    pub id: Rc<str>,
+    pub chat: Rc<ChatRequest>,
+    pub since: Instant,
+    pub digest: [u8; 32],
+    pub marked: Option<u32>,
+}
+
+pub fn answer(reply: Reply, mut gone: Gone) -> Result<Answer, ApiError> {
+    match reply {
+        Reply::Stream(from) => Ok(streamed(Box::pin(Streamed { from: Box::pin(from), gone }))),
+        Reply::Whole(body) => {
+            gone.ticket = None;
+            Ok(json_answer(200, body))
+        }
+        Reply::Error(e) => {
+            gone.ticket = None;
+            Err(e)
+        }
+    }
+}
+
+pub fn streamed(body: AnswerBody) -> Answer {
+    let mut r = Response::new(body);
+    r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    r.headers_mut().insert(hyper::header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    r
+}
+
 impl Server {
     /// What a new connection's handshake is made with; none: the port is plain.
     fn accepted(&self) -> Option<Arc<ServerConfig>> {
         self.tls.as_ref()?.lock().unwrap_or_else(|e| e.into_inner()).config()
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Answer {
+    async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Answer {
         let id = request.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok()).filter(|id| plain_id(id));
         let id: Rc<str> = match id {
             Some(id) => id.into(),
@@ -198,7 +239,7 @@
             }
         };
         let mut answer = match (request.method(), request.uri().path()) {
-            (&Method::POST, "/v1/chat/completions") => match self.chat(request, id.clone()).await {
+            (&Method::POST, "/v1/chat/completions") => match self.clone().chat(request, id.clone()).await {
                 Ok(a) => a,
                 Err(e) => {
                     tracing::info!(request = %id, status = e.status, code = e.code, "refused");
@@ -210,6 +251,10 @@
                 let list: Vec<_> = self.models.iter().map(model).collect();
                 json_answer(200, json!({"object": "list", "data": list}).to_string().into())
             }
+            // Before a list is heard there is no engine to send to: a front layer does better to wait.
+            (&Method::GET, "/healthz") if !self.ready.get() => {
+                json_answer(503, "{\"status\":\"no list yet\"}".into())
+            }
             (&Method::GET, "/healthz") => json_answer(200, "{\"status\":\"ok\"}".into()),
             (_, path) => {
                 let word = format!("no such call: {}", path.chars().take(64).collect::<String>());
@@ -220,7 +265,7 @@
         answer
     }
 
-    async fn chat(&self, request: Request<Incoming>, id: Rc<str>) -> Result<Answer, ApiError> {
+    async fn chat(self: Rc<Self>, request: Request<Incoming>, id: Rc<str>) -> Result<Answer, ApiError> {
         let since = Instant::now();
         let (head, body) = request.into_parts();
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
@@ -228,42 +273,65 @@
         let timeout = header(TIMEOUT).and_then(|v| v.parse::<f64>().ok()).map(|ms| ms / 1e3);
         let body = self.body(body).await?;
         let chat = ChatRequest::parse(&body).map_err(|m| ApiError::invalid(&m))?;
-        let come_back = |r: Refusal| r.error(self.limits.come_back_s);
-        let ask = self.door.enter(&chat, bearer, timeout).map_err(come_back)?;
+        let ask = self.door.enter(&chat, bearer, timeout).map_err(|r| r.error(self.limits.come_back_s))?;
+        let digest = *blake3::hash(&body).as_bytes();
+        let marked = RETRY_COUNTS.iter().find_map(|n| header(n)).and_then(|v| v.parse::<u32>().ok());
+        let asked = Asked { ask, id, chat: Rc::new(chat), since, digest, marked };
+        match header(KEY) {
+            None => {
+                self.judge(&asked)?;
+                let (reply, gone) = self.run(asked).await?;
+                answer(reply, gone)
+            }
+            Some(key) if key.is_empty() || key.len() > 255 => {
+                let m = Malformed::field("idempotency-key", "must have 1 to 255 characters");
+                Err(ApiError::invalid(&m))
+            }
+            Some(key) => {
+                let key = key.to_string();
+                self.keyed(asked, &key).await
+            }
+        }
+    }
+
+    /// Whether the budget of retries lets it in.
+    pub fn judge(&self, a: &Asked) -> Result<(), ApiError> {
+        let mut body = [0; 16];
+        body.copy_from_slice(&a.digest[..16]);
+        let tenant = a.ask.tenant.unwrap_or(usize::MAX);
+        let verdict = self.budget.borrow_mut().judge(self.clock.now(), tenant, a.ask.route, a.marked, body);
+        match verdict {
+            Verdict::FirstTry | Verdict::Retry => Ok(()),
+            Verdict::Refused { come_back_s } => {
+                let word = "too many retries of late; come back later";
+                let mut e = ApiError::new(429, "rate_limit_error", "retry_budget", word);
+                e.retry_after_s = Some(come_back_s);
+                Err(e)
+            }
+        }
+    }
+
+    /// Has it taken, and waits for its answer or the beginning of it.
+    pub async fn run(&self, a: Asked) -> Result<(Reply, Gone), ApiError> {
+        let behind = || Refusal::Behind.error(self.limits.come_back_s);
         if self.waiting.get() >= self.limits.most_waiting {
-            return Err(come_back(Refusal::Behind));
+            return Err(behind());
         }
         let (reply, replied) = bounded(1);
         let (taken, ticket) = bounded(1);
-        let job = Job { id, chat: Rc::new(chat), reply, since };
+        let job = Job { id: a.id, chat: a.chat, reply, since: a.since };
         self.waiting.set(self.waiting.get() + 1);
-        let word = Word::new(Said::Take { ask, job, taken });
+        let word = Word::new(Said::Take { ask: a.ask, job, taken });
         if self.to_core.try_send(word).is_err() {
             self.waiting.set(self.waiting.get() - 1);
-            return Err(come_back(Refusal::Behind));
+            return Err(behind());
         }
         // Dropped by the client's going from here on, the ticket's guard tells the core.
         let mut gone = Gone { ticket: None, to: self.gone.clone() };
         let lost = || ApiError::new(500, "server_error", "node_stopping", "the node is stopping");
         gone.ticket = ticket.recv().await.ok();
         let reply = replied.recv().await.map_err(|_| lost())?;
-        match reply {
-            Reply::Stream(from) => {
-                let body = Streamed { from: Box::pin(from), gone };
-                let mut r = Response::new(body.boxed());
-                r.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-                r.headers_mut().insert(hyper::header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-                Ok(r)
-            }
-            Reply::Whole(body) => {
-                gone.ticket = None;
-                Ok(json_answer(200, body))
-            }
-            Reply::Error(e) => {
-                gone.ticket = None;
-                Err(e)
-            }
-        }
+        Ok((reply, gone))
     }
 
     async fn body(&self, body: Incoming) -> Result<Bytes, ApiError> {
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -90,6 +90,7 @@
         timeout_s: 4.0,
         timeout_per_token_s: 0.0,
         whole_timeout_s: 8.0,
+        may_repeat: name == "chat",
     };
     Start {
         name: "node0".into(),
@@ -125,6 +126,8 @@
         last_list: None,
         meter: None,
         tls: TlsStart { reload_s: 0.05, at_once: 16, at_once_engine: 2, ..TlsStart::default() },
+        repeats: Default::default(),
+        retries: Default::default(),
     }
 }
 
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -94,9 +94,34 @@
         self.rules(&n.rules.unwrap_or_default(), &n.model_route);
         self.limits(&n.limits.unwrap_or_default());
         self.tls(n);
+        self.repeats(n);
         self.done()
     }
 
+    fn repeats(&mut self, n: &Node) {
+        let r = n.repeats.unwrap_or_default();
+        let at = ("repeats", 0);
+        self.above_zero(&[at, ("most_entries", 0)], f64::from(r.most_entries()));
+        self.above_zero(&[at, ("most_bytes", 0)], r.most_bytes() as f64);
+        self.above_zero(&[at, ("keep_ms", 0)], r.keep_ms());
+        self.not_negative(&[at, ("takeover_ms", 0)], r.takeover_ms());
+        if r.most_bytes_each() > r.most_bytes() {
+            self.wrong(&[at, ("most_bytes_each", 0)], "is above most_bytes", "most_bytes or less");
+        }
+        let r = n.retries.unwrap_or_default();
+        let at = ("retries", 0);
+        self.not_negative(&[at, ("share", 0)], r.share());
+        self.not_negative(&[at, ("burst", 0)], r.burst());
+        self.above_zero(&[at, ("first_come_back_ms", 0)], r.first_come_back_ms());
+        if r.longest_come_back_ms().is_nan() || r.longest_come_back_ms() < r.first_come_back_ms() {
+            self.wrong(
+                &[at, ("longest_come_back_ms", 0)],
+                "is below the first",
+                "first_come_back_ms or more",
+            );
+        }
+    }
+
     fn tls(&mut self, n: &Node) {
         if let Some(t) = &n.engine_tls {
             let at = ("engine_tls", 0);
