One place for an engine's list line in rehearsals; leftovers of the change taken out

Cause: read again, the rehearsal built an engine's line twice and returned its role beside figures that hold it; a wrapper called one line; the keyring kept a digest that nothing read; a comment stood at another field.

--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -141,7 +141,7 @@
     }
 
     /// The group of an engine and its figures.
-    fn figures(&self, name: &str) -> Option<(Figures, EngineRole)> {
+    fn figures(&self, name: &str) -> Option<Figures> {
         let rules = self.day.rules.unwrap_or_default();
         let of = |e: &&nickelgw_settings::proto::EngineGroup| {
             (0..e.count()).any(|n| format!("{}{n}", e.name) == name)
@@ -170,12 +170,11 @@
             tip_window_s: rules.tip_window_ms() / 1e3,
             tls: None,
         };
-        Some((f, e.role()))
+        Some(f)
     }
 
     async fn start_engine(&self, name: &str, cold: bool) -> Result<Line, Unusable> {
-        let (f, role) = self.figures(name).ok_or_else(|| Unusable(format!("no engine {name}")))?;
-        let mut f = f;
+        let mut f = self.figures(name).ok_or_else(|| Unusable(format!("no engine {name}")))?;
         if self.day.tls() {
             self.certificate(name, CertFault::None)?;
             let file = |end: &str| self.file(&format!("certs/{name}.{end}"));
@@ -183,7 +182,7 @@
             f.tls = Some(TlsFiles { name: tls_name(name), chain, key, trust, mutual: true });
         }
         let figures = serde_json::to_string(&f)?;
-        let read = role == EngineRole::Reader;
+        let read = f.role == Role::Read;
         let (cell, seed) = (f.cell.to_string(), self.seed.to_string());
         let mut args = texts(&["engine", "--id", name, "--role", if read { "read" } else { "write" }]);
         args.extend(texts(&["--zone", &f.zone, "--cell", &cell, "--figures", &figures, "--seed", &seed]));
@@ -193,17 +192,22 @@
         }
         let (child, address) = child(&args, &self.file(&format!("logs/{name}.log"))).await?;
         self.engines.borrow_mut().insert(name.to_string(), (child, address.clone()));
-        Ok(Line {
-            id: name.to_string(),
+        Ok(self.line(f, address, State::In, cold.then(unix_now)))
+    }
+
+    /// An engine's line in the list.
+    fn line(&self, f: Figures, address: String, state: State, started_at: Option<f64>) -> Line {
+        Line {
+            tls_name: self.day.tls().then(|| tls_name(&f.id)),
+            id: f.id,
             address,
             zone: f.zone,
             cell: f.cell,
-            role: if read { list::Role::Read } else { list::Role::Write },
+            role: if f.role == Role::Read { list::Role::Read } else { list::Role::Write },
             memory_tokens: f.memory_tokens,
-            state: State::In,
-            started_at: cold.then(unix_now),
-            tls_name: self.day.tls().then(|| tls_name(name)),
-        })
+            state,
+            started_at,
+        }
     }
 
     async fn start_node(&self, number: u32) -> Result<(), Unusable> {
@@ -256,18 +260,9 @@
             Kind::Pause => self.engine_fault(&name, word("pause")).await,
             Kind::Forget => self.engine_fault(&name, word("forget")).await,
             Kind::Drain => {
-                let Some((figures, role)) = self.figures(&name) else { return Ok(()) };
-                let line = Line {
-                    id: name.clone(),
-                    address: self.address_of(&name).unwrap_or_default(),
-                    zone: figures.zone,
-                    cell: figures.cell,
-                    role: if role == EngineRole::Reader { list::Role::Read } else { list::Role::Write },
-                    memory_tokens: figures.memory_tokens,
-                    state: State::Draining,
-                    started_at: None,
-                    tls_name: self.day.tls().then(|| tls_name(&name)),
-                };
+                let Some(figures) = self.figures(&name) else { return Ok(()) };
+                let address = self.address_of(&name).unwrap_or_default();
+                let line = self.line(figures, address, State::Draining, None);
                 client::control(&self.list, &json!({"line": line})).await;
                 // It turns work away once every node has had the time to hear of it.
                 rest((self.day.list_lag_ms() + self.day.drain_grace_ms()) / 1e3).await;
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -382,15 +382,11 @@
         }
         let note = if cause == Cause::NoState { 1.0 } else { end.kept };
         // Time since the send: the Router learns from it how long reads and streams last.
-        let after_s = now - self.sent_at(t, send);
+        let after_s = now - self.router.sent_at(Inf(t.inf), send);
         let ending = Ending { outcome, after_s, over, note };
         self.router.settled(now, Inf(t.inf), send, ending, end.load.as_ref().map(load));
     }
 
-    fn sent_at(&self, t: Ticket, send: u32) -> f64 {
-        self.router.sent_at(Inf(t.inf), send)
-    }
-
     /// The client has gone. What is out for it is called off; nothing more is owed.
     pub fn left(&mut self, now: f64, t: Ticket) {
         if self.leave(t) {
--- a/crates/nickelgw-standin/src/client.rs
+++ b/crates/nickelgw-standin/src/client.rs
@@ -53,7 +53,6 @@
     pub events: usize,
     pub first_s: Option<f64>,
     pub whole_s: f64,
-    /// Longest gap between two events of the stream.
     pub usage: Option<Value>,
 }
 
--- a/crates/nickelgw-tls/src/core/generation.rs
+++ b/crates/nickelgw-tls/src/core/generation.rs
@@ -139,7 +139,7 @@
     overlap_s: f64,
     needs_trust: bool,
     numbers: u64,
-    refused: Option<([u8; 32], Refused)>,
+    refused: Option<Refused>,
 }
 
 impl Keyring {
@@ -154,7 +154,7 @@
 
     /// Why the newest files are not in force, if they are not.
     pub fn refusal(&self) -> Option<&Refused> {
-        self.refused.as_ref().map(|r| &r.1)
+        self.refused.as_ref()
     }
 
     /// Takes new material into force, or refuses it and leaves all as it is. `Ok(false)`: nothing is new.
@@ -164,7 +164,7 @@
             return Ok(false);
         }
         if let Err(why) = self.check(now, &m) {
-            self.refused = Some((m.digest, why.clone()));
+            self.refused = Some(why.clone());
             return Err(why);
         }
         self.refused = None;
