--- a/crates/nickelgw-audit/src/judge.rs
+++ b/crates/nickelgw-audit/src/judge.rs
@@ -300,6 +300,7 @@
         let since = h.since.unwrap_or(until);
         let limit = since + f.hold + f.slack;
         if until <= limit {
+            v.held.push(until - since);
             continue;
         }
         // The limit rests on the node's being alive and its call's getting through.
@@ -310,7 +311,9 @@
             v.excused += 1;
             continue;
         }
+        v.held.push(until - since);
         let what = format!("{} was held at {} for {:.3} s", h.line.text("send"), h.line.who, until - since);
         add(v, Rule::Pinned, what, &[h.line]);
     }
+    v.held.sort_by(f64::total_cmp);
 }
--- a/crates/nickelgw-audit/src/lib.rs
+++ b/crates/nickelgw-audit/src/lib.rs
@@ -83,9 +83,17 @@
     pub excused: usize,
     /// Nearest that a cold engine came to being pushed over, as a part of what it stands.
     pub nearest_cold: f64,
+    /// Seconds for which each state waited at its reader with no send out for it, sorted; those excused left out.
+    pub held: Vec<f64>,
 }
 
 impl Verdict {
+    /// Quantile of the waits of held states; none waited: none.
+    pub fn held(&self, q: f64) -> Option<f64> {
+        let last = self.held.len().checked_sub(1)?;
+        self.held.get((q * last as f64).round() as usize).copied()
+    }
+
     pub fn count(&self, rule: Rule) -> usize {
         self.breaks.iter().filter(|b| b.rule == rule).count()
     }
--- a/crates/nickelgw-audit/src/service.rs
+++ b/crates/nickelgw-audit/src/service.rs
@@ -1,7 +1,7 @@
 //! Service by model route, from the clients' lines.
 
 use crate::Line;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug, Default)]
 pub struct Service {
@@ -13,6 +13,9 @@
     /// Connections that broke without an answer: their node died.
     pub cut: u64,
     pub in_target: u64,
+    /// Requests counted once however often they were asked again, and those of them answered in target.
+    pub wanted: u64,
+    pub served: u64,
     /// Seconds to the first token, sorted.
     pub first: Vec<f64>,
 }
@@ -28,11 +31,14 @@
 pub fn service(lines: &[Line]) -> BTreeMap<String, Service> {
     let mut out: BTreeMap<String, Service> = BTreeMap::new();
     let mut asks: BTreeMap<&str, (&Line, bool)> = BTreeMap::new();
+    let mut served: BTreeSet<&str> = BTreeSet::new();
     for l in lines {
         let req = l.text("req");
         if l.ev == "ask" {
             asks.insert(req, (l, false));
-            out.entry(l.text("model").into()).or_default().taken += 1;
+            let s = out.entry(l.text("model").into()).or_default();
+            s.taken += 1;
+            s.wanted += u64::from(l.text("of").is_empty());
             continue;
         }
         let Some((ask, in_target)) = asks.get_mut(req) else { continue };
@@ -47,6 +53,8 @@
                 "completed" => {
                     s.completed += 1;
                     s.in_target += u64::from(*in_target);
+                    let origin = if ask.text("of").is_empty() { req } else { ask.text("of") };
+                    s.served += u64::from(*in_target && served.insert(origin));
                 }
                 "shed" => s.shed += 1,
                 _ => s.errored += 1,
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -6,7 +6,7 @@
 use nickelgw_audit::{Rule, Service, Verdict};
 use nickelgw_protocol::list::{self, Line, State};
 use nickelgw_settings::check::{engine_names, node_zone};
-use nickelgw_settings::proto::{fault::Kind, EngineRole, Fault, Group, Repeat, Traffic};
+use nickelgw_settings::proto::{fault::Kind, EngineRole, Fault, Group, Repeat, Retries, Traffic};
 use nickelgw_settings::Day;
 use nickelgw_standin::authority::{Authority, Fault as CertFault};
 use nickelgw_standin::client::{self, Ask, Leave};
@@ -32,6 +32,12 @@
     /// Folder for report.json, records and logs; without it only the table is shown.
     #[arg(long)]
     report: Option<PathBuf>,
+    /// Clients ask again so often, at once, whatever the day and the answers say.
+    #[arg(long)]
+    retries: Option<u32>,
+    /// Nodes let every retry in.
+    #[arg(long)]
+    no_retry_budget: bool,
 }
 
 /// What is allowed for between an action and its record, and the longest that this driver itself may stall.
@@ -169,6 +175,13 @@
             tip_multiple: rules.tip_multiple(),
             tip_window_s: rules.tip_window_ms() / 1e3,
             tls: None,
+            grant_keys: self
+                .day
+                .state_grants
+                .iter()
+                .flat_map(|g| &g.key)
+                .map(|k| (k.number, k.secret.clone()))
+                .collect(),
         };
         Some(f)
     }
@@ -372,14 +385,43 @@
             target_s: route.first_token_target_ms / 1e3 + per_token * size,
             intended: begun_unix + at,
             leave,
+            slow_s: if dice(&mut chance) < t.slow_share() { 0.05 } else { 0.0 },
+            ..Ask::default()
         };
-        clients.push(ex.spawn(async move { drop(client::ask(&ask, &record).await) }));
+        let retry = Retry { most: t.retries(), wait_s: t.retry_wait_ms() / 1e3, impatient: t.impatient() };
+        clients.push(ex.spawn(insist(stage.clone(), ask, retry, chance.generate::<u32>() as usize, record)));
     }
     for c in clients {
         c.await;
     }
 }
 
+struct Retry {
+    most: u32,
+    wait_s: f64,
+    /// Heeds no come-back time.
+    impatient: bool,
+}
+
+/// Asks, and asks again where nothing came of it.
+async fn insist(stage: Rc<Stage>, mut ask: Ask, retry: Retry, turn: usize, record: Record) {
+    let first = ask.req.clone();
+    for again in 0..=retry.most {
+        if again > 0 {
+            let Some((node, address)) = stage.node(turn + again as usize) else { return };
+            (ask.node, ask.address, ask.again) = (node, address, again);
+            (ask.req, ask.of) = (format!("{first}-{again}"), Some(first.clone()));
+            ask.intended = unix_now();
+        }
+        let seen = client::ask(&ask, &record).await;
+        if seen.as_ref().is_some_and(|s| matches!(s.how.as_str(), "completed" | "left")) {
+            return;
+        }
+        let told = seen.and_then(|s| s.come_back_s).filter(|_| !retry.impatient);
+        rest(told.unwrap_or(0.0).max(retry.wait_s)).await;
+    }
+}
+
 /// Clients that speak badly: each must get an error, and cost nothing more.
 async fn malformed(address: String, k: u64, day: Day, record: Record) {
     let most = day.limits.unwrap_or_default().most_body_bytes();
@@ -400,7 +442,15 @@
 
 impl Rehearse {
     pub fn run(self) -> Result<ExitCode, Unusable> {
-        let day = nickelgw_settings::day(&self.day).map_err(|p| start::problems(&p))?;
+        let mut day = nickelgw_settings::day(&self.day).map_err(|p| start::problems(&p))?;
+        if let Some(n) = self.retries {
+            for t in &mut day.traffic {
+                (t.retries, t.impatient) = (Some(n), Some(true));
+            }
+        }
+        if self.no_retry_budget {
+            day.retries = Some(Retries { share: Some(1e9), burst: Some(1e9), ..Default::default() });
+        }
         let (dir, kept) = match &self.report {
             Some(d) => (d.clone(), true),
             None => (std::env::temp_dir().join(format!("nickelgw-rehearsal-{}", std::process::id())), false),
@@ -566,7 +616,8 @@
         }),
         chat_tls: None,
         repeats: None,
-        retries: None,
+        retries: d.retries,
+        state_grants: d.state_grants.clone(),
     };
     text_of(&node)
 }
@@ -587,7 +638,7 @@
             Rule::ALL.iter().map(|r| (r.name().to_string(), json!(verdict.count(*r)))).collect();
         let route = |(name, s): (&String, &Service)| {
             let v = json!({"taken": s.taken, "completed": s.completed, "shed": s.shed, "errored": s.errored,
-                "in_target": s.in_target, "left": s.left, "cut": s.cut,
+                "in_target": s.in_target, "wanted": s.wanted, "served": s.served, "left": s.left, "cut": s.cut,
                 "first_token_p50_s": s.quantile(0.5), "first_token_p99_s": s.quantile(0.99)});
             (name.clone(), v)
         };
@@ -599,7 +650,8 @@
             .collect();
         let all = json!({"seed": seed, "rules": counts, "routes": by_route, "judged": verdict.judged,
             "excused_states": verdict.excused, "nearest_cold": verdict.nearest_cold, "breaks": breaks,
-            "driver_stall_s": stall});
+            "driver_stall_s": stall, "held": verdict.held.len(), "held_p50_s": verdict.held(0.5),
+            "held_p99_s": verdict.held(0.99), "held_longest_s": verdict.held(1.0)});
         std::fs::write(dir.join("report.json"), serde_json::to_string_pretty(&all)?)?;
     }
     Ok(if verdict.breaks.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) })
@@ -621,7 +673,7 @@
 
 fn table(routes: &BTreeMap<String, Service>) {
     println!(
-        "{:<14} {:>6} {:>9} {:>5} {:>7} {:>5} {:>4} {:>9} {:>9} {:>9}",
+        "{:<14} {:>6} {:>9} {:>5} {:>7} {:>5} {:>4} {:>9} {:>7} {:>9} {:>9}",
         "model route",
         "taken",
         "completed",
@@ -630,13 +682,14 @@
         "left",
         "cut",
         "in target",
+        "served",
         "first p50",
         "p99"
     );
     for (name, s) in routes {
         let ms = |q| s.quantile(q).map_or("-".into(), |x: f64| format!("{:.0} ms", 1e3 * x));
         println!(
-            "{:<14} {:>6} {:>9} {:>5} {:>7} {:>5} {:>4} {:>9} {:>9} {:>9}",
+            "{:<14} {:>6} {:>9} {:>5} {:>7} {:>5} {:>4} {:>9} {:>7} {:>9} {:>9}",
             name,
             s.taken,
             s.completed,
@@ -645,6 +698,7 @@
             s.left,
             s.cut,
             s.in_target,
+            format!("{:.1}%", 100.0 * s.served as f64 / s.wanted.max(1) as f64),
             ms(0.5),
             ms(0.99)
         );
@@ -667,5 +721,15 @@
     if v.excused > 0 {
         println!("{} states not judged: their reader was cut off, or their node dead", v.excused);
     }
+    if let (Some(p50), Some(p99), Some(longest)) = (v.held(0.5), v.held(0.99), v.held(1.0)) {
+        let ms = |s: f64| 1e3 * s;
+        println!(
+            "states without a taker at their readers: p50 {:.1} ms, p99 {:.1} ms, longest {:.0} ms, of {}",
+            ms(p50),
+            ms(p99),
+            ms(longest),
+            v.held.len()
+        );
+    }
     println!("nearest to pushing over a cold engine: {:.0}% of what it stands", 100.0 * v.nearest_cold);
 }
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -2,9 +2,10 @@
 
 use crate::Unusable;
 use nickelgw_chat::core::budget::Figures as RetryFigures;
+use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_chat::core::repeats::Figures as RepeatFigures;
 use nickelgw_node::core::door::{Model, Tenant};
-use nickelgw_node::core::{Door, Figures};
+use nickelgw_node::core::{Door, Figures, Grants};
 use nickelgw_node::{Limits, Meter, Start, TlsStart};
 use nickelgw_settings::{check, Node, Problem};
 use nickelgw_standin::record::unix_now;
@@ -109,6 +110,15 @@
             most_open: l.most_open() as usize,
             stream_idle_s: l.stream_idle_ms() / 1e3,
             let_go_within_s: LET_GO_WITHIN_S,
+            grants: n.state_grants.as_ref().map(|g| Grants {
+                keys: g
+                    .key
+                    .iter()
+                    .filter_map(|k| Some((k.sign_from(), GrantKey::of(k.number, &k.secret)?)))
+                    .collect(),
+                lifetime_s: g.lifetime_ms() / 1e3,
+            }),
+            tenant_most_open: n.tenant.iter().map(|t| t.most_open.map(|m| m as usize)).collect(),
         },
         door: Door {
             models: n.model_route.iter().map(model).collect(),
@@ -127,6 +137,7 @@
             most_waiting: l.most_waiting() as usize,
             client_stall_s: l.client_stall_ms() / 1e3,
             come_back_s: l.come_back_ms() / 1e3,
+            send_buffer: l.send_buffer_bytes() as usize,
         },
         list: n.list.clone(),
         last_list: n.last_list.as_ref().map(Into::into),
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -39,6 +39,8 @@
 pub enum Refusal {
     /// As many inferences are open as may be.
     Full,
+    /// As many of the tenant's are open as it may have.
+    TenantFull,
     /// The queue to the core is full: the node is behind.
     Behind,
     Unknown(ApiError),
@@ -48,6 +50,12 @@
     pub fn error(self, come_back_s: f64) -> ApiError {
         let word = match self {
             Refusal::Unknown(e) => return e,
+            Refusal::TenantFull => {
+                let word = "as many requests of this tenant are open as it may have";
+                let mut e = ApiError::new(429, "rate_limit_error", "too_many_open", word);
+                e.retry_after_s = Some(come_back_s);
+                return e;
+            }
             Refusal::Full => "as many requests are open as this node takes",
             Refusal::Behind => "this node is behind with its work",
         };
--- /dev/null
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -0,0 +1,265 @@
+//! The ledger of held states: who holds each, since when, and which send takes it. What nothing will take is let go
+//! of at once; a call that fails is repeated, at doubling gaps, while the state may still be there.
+
+use super::HeldState;
+use hdrhistogram::Histogram;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A state, by the inference that it was read for and its read's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Held {
+    pub owner: u64,
+    pub read: u32,
+}
+
+/// States to let go of at once; past it the oldest is forgotten, and its reader's own limit frees it.
+const MOST_LEAVING: usize = 8192;
+const FIRST_GAP_S: f64 = 0.02;
+/// A reader that comes back from a cut is told within this time.
+const LONGEST_GAP_S: f64 = 0.32;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// The read is out.
+    Coming,
+    /// Read, and no send takes it, since then.
+    Waiting(f64),
+    Taken {
+        by: u32,
+    },
+    /// Nothing will take it. Without `at` the answer to a call is awaited.
+    Leaving {
+        since: f64,
+        tries: u32,
+        at: Option<f64>,
+    },
+}
+
+struct Entry {
+    state: HeldState,
+    stage: Stage,
+    /// Its reader's process has ended, as the list has it: there is nothing to free.
+    gone: bool,
+}
+
+/// What became of the states that were read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Account {
+    pub read: u64,
+    pub fetched: u64,
+    pub let_go: u64,
+    /// Gone with their reader.
+    pub lost: u64,
+    /// Not confirmed in time: their readers' own limits free them.
+    pub given_up: u64,
+    /// Let go of by the ledger since nobody had said what was to become of them.
+    pub overdue: u64,
+}
+
+pub struct Ledger {
+    /// Longest wait without a taker, and how long a let-go call is repeated.
+    hold_s: f64,
+    within_s: f64,
+    states: BTreeMap<Held, Entry>,
+    /// When each is to be looked at next.
+    due: BTreeSet<(u64, Held)>,
+    leaving: BTreeSet<(u64, Held)>,
+    pub account: Account,
+    /// Microseconds without a taker, each wait by itself.
+    waits: Histogram<u64>,
+}
+
+fn bits(t: f64) -> u64 {
+    // Times are not negative: their bits are in their order.
+    t.max(0.0).to_bits()
+}
+
+impl Ledger {
+    pub fn new(hold_s: f64, within_s: f64) -> Self {
+        Ledger {
+            hold_s,
+            within_s,
+            states: BTreeMap::new(),
+            due: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            account: Account::default(),
+            waits: Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("a valid range"),
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.states.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.states.len()
+    }
+
+    /// Quantile of the waits without a taker, in seconds.
+    pub fn waited(&self, q: f64) -> f64 {
+        self.waits.value_at_quantile(q) as f64 / 1e6
+    }
+
+    fn when(e: &Entry, hold_s: f64) -> Option<f64> {
+        match e.stage {
+            Stage::Waiting(since) => Some(since + hold_s),
+            Stage::Leaving { at, .. } => at,
+            Stage::Coming | Stage::Taken { .. } => None,
+        }
+    }
+
+    /// Moves one to another stage, and all that is kept by stage with it.
+    fn set(&mut self, now: f64, h: Held, stage: Stage) {
+        let Some(e) = self.states.get_mut(&h) else { return };
+        if let Some(at) = Self::when(e, self.hold_s) {
+            self.due.remove(&(bits(at), h));
+        }
+        match e.stage {
+            Stage::Waiting(since) => self.waits.saturating_record(((now - since).max(0.0) * 1e6) as u64),
+            Stage::Leaving { since, .. } => drop(self.leaving.remove(&(bits(since), h))),
+            _ => {}
+        }
+        e.stage = stage;
+        if let Some(at) = Self::when(e, self.hold_s) {
+            self.due.insert((bits(at), h));
+        }
+        if let Stage::Leaving { since, .. } = stage {
+            self.leaving.insert((bits(since), h));
+        }
+    }
+
+    fn remove(&mut self, now: f64, h: Held) {
+        // A stage that stands in no other table.
+        self.set(now, h, Stage::Coming);
+        self.states.remove(&h);
+    }
+
+    /// A read goes out: from now on its reader may hold a state for it.
+    pub fn coming(&mut self, h: Held, state: HeldState) {
+        self.states.insert(h, Entry { state, stage: Stage::Coming, gone: false });
+    }
+
+    /// The read is done, and the state waits.
+    pub fn read(&mut self, now: f64, h: Held) {
+        if self.states.get(&h).is_some_and(|e| e.stage == Stage::Coming) {
+            self.account.read += 1;
+            self.set(now, h, Stage::Waiting(now));
+        }
+    }
+
+    /// The read failed. `never`: it is known not to have begun; else it may have left a state that nobody asks for.
+    pub fn unread(&mut self, now: f64, h: Held, never: bool) {
+        if !self.states.get(&h).is_some_and(|e| e.stage == Stage::Coming) {
+            return;
+        }
+        match never {
+            true => self.remove(now, h),
+            false => {
+                self.account.read += 1;
+                self.leave(now, h);
+            }
+        }
+    }
+
+    /// The newest state that waits for the inference goes to a send; none waits: the writer has to read.
+    pub fn take(&mut self, now: f64, owner: u64, by: u32) -> Option<HeldState> {
+        let h = *self.of(owner, |s| matches!(s, Stage::Waiting(_))).last()?;
+        self.set(now, h, Stage::Taken { by });
+        self.states.get(&h).map(|e| e.state.clone())
+    }
+
+    /// The send that took it has begun to answer: its writer fetched it, and the reader let go by itself.
+    pub fn fetched(&mut self, now: f64, owner: u64, by: u32) {
+        for h in self.of(owner, |s| s == Stage::Taken { by }) {
+            self.account.fetched += 1;
+            self.remove(now, h);
+        }
+    }
+
+    /// The send that took it ended without a beginning: it waits again, if it is still there.
+    pub fn given_back(&mut self, now: f64, owner: u64, by: u32) {
+        for h in self.of(owner, |s| s == Stage::Taken { by }) {
+            self.set(now, h, Stage::Waiting(now));
+        }
+    }
+
+    fn of(&self, owner: u64, such: impl Fn(Stage) -> bool) -> Vec<Held> {
+        let all = self.states.range(Held { owner, read: 0 }..=Held { owner, read: u32::MAX });
+        all.filter(|(_, e)| such(e.stage)).map(|(h, _)| *h).collect()
+    }
+
+    /// Nothing will take what waits for the inference.
+    pub fn let_go(&mut self, now: f64, owner: u64) {
+        for h in self.of(owner, |s| matches!(s, Stage::Waiting(_))) {
+            self.leave(now, h);
+        }
+    }
+
+    fn leave(&mut self, now: f64, h: Held) {
+        if self.states.get(&h).is_some_and(|e| e.gone) {
+            self.account.lost += 1;
+            return self.remove(now, h);
+        }
+        while self.leaving.len() >= MOST_LEAVING {
+            let Some(&(_, oldest)) = self.leaving.first() else { break };
+            self.account.given_up += 1;
+            self.remove(now, oldest);
+        }
+        self.set(now, h, Stage::Leaving { since: now, tries: 0, at: Some(now) });
+    }
+
+    /// A call that lets go of it was answered, or was not.
+    pub fn told(&mut self, now: f64, h: Held, done: bool) {
+        let Some(Entry { stage: Stage::Leaving { since, tries, at: None }, gone, .. }) = self.states.get(&h)
+        else {
+            return;
+        };
+        let (since, tries, gone) = (*since, *tries, *gone);
+        let gap = (FIRST_GAP_S * f64::from(1u32 << tries.min(16))).min(LONGEST_GAP_S);
+        let late = now + gap > since + self.within_s;
+        match (done, gone) {
+            (true, _) => self.account.let_go += 1,
+            (false, true) => self.account.lost += 1,
+            (false, false) if late => self.account.given_up += 1,
+            (false, false) => return self.set(now, h, Stage::Leaving { since, tries, at: Some(now + gap) }),
+        }
+        self.remove(now, h);
+    }
+
+    /// These readers' processes have ended. What waits there is lost; calls to them are not repeated.
+    pub fn readers_gone(&mut self, now: f64, gone: impl Fn(&HeldState) -> bool) {
+        let there: Vec<Held> =
+            self.states.iter().filter(|(_, e)| !e.gone && gone(&e.state)).map(|(h, _)| *h).collect();
+        for h in there {
+            let Some(e) = self.states.get_mut(&h) else { continue };
+            e.gone = true;
+            if matches!(e.stage, Stage::Leaving { at: Some(_), .. }) {
+                self.account.lost += 1;
+                self.remove(now, h);
+            }
+        }
+    }
+
+    /// Calls to make now, and when to look again.
+    pub fn due(&mut self, now: f64) -> (Vec<(Held, HeldState)>, Option<f64>) {
+        let mut calls = Vec::new();
+        while let Some(&(at, h)) = self.due.first().filter(|d| f64::from_bits(d.0) <= now) {
+            match self.states.get(&h).map(|e| e.stage) {
+                Some(Stage::Leaving { since, tries, .. }) => {
+                    self.set(now, h, Stage::Leaving { since, tries: tries + 1, at: None });
+                    calls.extend(self.states.get(&h).map(|e| (h, e.state.clone())));
+                }
+                Some(Stage::Waiting(_)) => {
+                    self.account.overdue += 1;
+                    self.leave(now, h);
+                }
+                _ => drop(self.due.remove(&(at, h))),
+            }
+        }
+        (calls, self.due.first().map(|d| f64::from_bits(d.0)))
+    }
+}
+
+#[cfg(test)]
+#[path = "ledger_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/nickelgw-node/src/core/ledger_tests.rs
@@ -0,0 +1,153 @@
+use super::*;
+use crate::core::Place;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::rc::Rc;
+
+const HOLD_S: f64 = 0.5;
+
+fn ledger() -> Ledger {
+    Ledger::new(HOLD_S, 2.0)
+}
+
+fn state(n: u64) -> HeldState {
+    let reader = Rc::new(Place { id: format!("r{}", n % 3), address: "a".into(), tls_name: None });
+    HeldState { name: format!("s{n}"), reader }
+}
+
+fn held(owner: u64) -> Held {
+    Held { owner, read: 0 }
+}
+
+fn waiting(l: &mut Ledger, now: f64, owner: u64) {
+    l.coming(held(owner), state(owner));
+    l.read(now, held(owner));
+}
+
+#[test]
+fn a_failed_call_is_repeated_then_given_up_in_time() {
+    let mut l = ledger();
+    waiting(&mut l, 1.0, 1);
+    l.let_go(1.0, 1);
+    let (mut now, mut calls) = (1.0, 0);
+    while !l.is_empty() {
+        let (due, _) = l.due(now);
+        due.iter().for_each(|(h, _)| l.told(now, *h, false));
+        calls += due.len();
+        now = l.due(now).1.unwrap_or(now).max(now + 0.001);
+        assert!(now < 4.0);
+    }
+    assert!((6..=10).contains(&calls), "{calls}");
+    assert_eq!((l.account.given_up, l.account.let_go), (1, 0));
+}
+
+#[test]
+fn what_nobody_takes_is_let_go_of_within_the_limit() {
+    let mut l = ledger();
+    waiting(&mut l, 1.0, 1);
+    assert_eq!(l.due(1.2), (vec![], Some(1.5)));
+    let (calls, _) = l.due(1.5);
+    assert_eq!(calls, vec![(held(1), state(1))]);
+    l.told(1.6, held(1), true);
+    assert_eq!((l.account.overdue, l.account.let_go, l.is_empty()), (1, 1, true));
+    assert!((l.waited(1.0) - 0.5).abs() < 0.01);
+}
+
+#[test]
+fn what_a_gone_reader_held_is_accounted_for_and_not_called_for() {
+    let mut l = ledger();
+    (0..6).for_each(|n| waiting(&mut l, 1.0, n));
+    l.let_go(1.0, 0);
+    l.let_go(1.0, 3);
+    let (calls, _) = l.due(1.0);
+    assert_eq!(calls.len(), 2);
+    l.told(1.05, held(3), false);
+    // 0 awaits an answer, 3 its next try; both were at r0, as was 6.
+    l.readers_gone(1.06, |s| s.reader.id == "r0");
+    assert_eq!((l.account.lost, l.len()), (1, 5));
+    l.told(1.2, held(0), false);
+    assert_eq!(l.account.lost, 2);
+    // Others are let go of by calls, as ever.
+    (0..6).for_each(|n| l.let_go(1.3, n));
+    assert_eq!(l.due(1.3).0.len(), 4);
+}
+
+#[test]
+fn the_table_of_calls_is_bounded() {
+    let mut l = ledger();
+    for n in 0..MOST_LEAVING as u64 + 3 {
+        waiting(&mut l, 0.0, n);
+        l.let_go(0.0, n);
+    }
+    assert_eq!((l.len(), l.account.given_up), (MOST_LEAVING, 3));
+    let (calls, wake) = l.due(0.0);
+    assert_eq!((calls.len(), wake), (MOST_LEAVING, None));
+    calls.iter().for_each(|(h, _)| l.told(0.1, *h, true));
+    assert!(l.is_empty() && l.due.is_empty() && l.leaving.is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, rng_seed: RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::default() })]
+    /// Whatever comes in whatever order: each state ends in the account once, none waits past the limit, no state
+    /// is given to two sends, and the tables by time agree with the stages.
+    #[test]
+    fn each_state_is_accounted_for_once(
+        steps in prop::collection::vec((0u8..9, 0u64..12, 0.0..0.3f64), 1..200),
+    ) {
+        let mut l = ledger();
+        let (mut now, mut send, mut calls, mut read) = (0.0, 0u32, Vec::new(), 0u64);
+        let mut taken: Vec<(u64, u32, String)> = Vec::new();
+        for (what, n, dt) in steps {
+            now += dt;
+            let (due, _) = l.due(now);
+            for (h, s) in due {
+                prop_assert!(!taken.iter().any(|t| t.2 == s.name), "let go of while a send takes it");
+                calls.push(h);
+            }
+            for e in l.states.values() {
+                if let Stage::Waiting(since) = e.stage {
+                    prop_assert!(now < since + HOLD_S);
+                }
+            }
+            send += 1;
+            match what {
+                0 | 1 => {
+                    let h = Held { owner: n, read: send };
+                    l.coming(h, state(u64::from(send)));
+                    match dt < 0.2 {
+                        true => l.read(now, h),
+                        false => l.unread(now, h, false),
+                    }
+                    read += 1;
+                }
+                2 => l.unread(now, Held { owner: n, read: send - 1 }, true),
+                3 => {
+                    if let Some(s) = l.take(now, n, send) {
+                        prop_assert!(!taken.iter().any(|t| t.2 == s.name), "taken twice");
+                        taken.push((n, send, s.name));
+                    }
+                }
+                4 | 5 if !taken.is_empty() => {
+                    let (owner, by, _) = taken.remove(n as usize % taken.len());
+                    if what == 4 { l.fetched(now, owner, by) } else { l.given_back(now, owner, by) }
+                }
+                6 => l.let_go(now, n),
+                7 => std::mem::take(&mut calls).into_iter().for_each(|h| l.told(now, h, n % 3 > 0)),
+                8 if n == 0 => l.readers_gone(now, |s| s.reader.id == "r1"),
+                _ => {}
+            }
+            let by_time = l.states.values().filter(|e| Ledger::when(e, HOLD_S).is_some()).count();
+            prop_assert_eq!(l.due.len(), by_time);
+        }
+        taken.drain(..).for_each(|(owner, by, _)| l.given_back(now, owner, by));
+        for _ in 0..400 {
+            now += 0.01;
+            std::mem::take(&mut calls).into_iter().for_each(|h| l.told(now, h, true));
+            calls.extend(l.due(now).0.into_iter().map(|c| c.0));
+        }
+        let a = l.account;
+        prop_assert_eq!(a.read, read);
+        prop_assert_eq!(a.read, a.fetched + a.let_go + a.lost + a.given_up, "{:?}", a);
+        prop_assert!(l.is_empty() && l.leaving.is_empty());
+    }
+}
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -3,13 +3,14 @@
 
 pub mod cause;
 pub mod door;
-pub mod letgo;
+pub mod ledger;
 
 pub use cause::Cause;
 pub use door::{Ask, Door, Refusal};
-use letgo::LetGo;
+use ledger::{Held, Ledger};
 use nickelgw::decide::Router;
 use nickelgw::interface::{Arrival, Deployment, Ending, EngineLine, Inf, Load, Outcome, Role, Standing};
+use nickelgw_chat::core::grant::{grant, GrantKey, Granted};
 use nickelgw_protocol::list::{self, List};
 use nickelgw_protocol::load::{self, LoadReport};
 use std::collections::{BTreeSet, HashMap};
@@ -56,6 +57,8 @@
     /// With no state the writer reads the prompt itself. A stream silent for longer than `idle_s` is lost.
     Write {
         state: Option<HeldState>,
+        /// By which the writer may fetch it, where readers ask for one.
+        grant: Option<String>,
         idle_s: f64,
     },
 }
@@ -93,7 +96,7 @@
         answer: Answer,
     },
     LetGo {
-        call: u64,
+        call: Held,
         state: HeldState,
     },
     Probe(Rc<Place>),
@@ -127,6 +130,31 @@
     pub most_open: usize,
     pub stream_idle_s: f64,
     pub let_go_within_s: f64,
+    pub grants: Option<Grants>,
+    /// Inferences open at once for each tenant; none: only the node's own limit counts.
+    pub tenant_most_open: Vec<Option<usize>>,
+}
+
+/// Keys that grants of states are made with.
+#[derive(Clone)]
+pub struct Grants {
+    /// From when (Unix time) each is used, in that order; readers know them all.
+    pub keys: Vec<(f64, GrantKey)>,
+    pub lifetime_s: f64,
+}
+
+impl std::fmt::Debug for Grants {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{} keys", self.keys.len())
+    }
+}
+
+impl Grants {
+    /// The newest key whose time has come; before any has, the first.
+    fn key(&self, unix_now: f64) -> Option<&GrantKey> {
+        let ripe = self.keys.iter().rev().find(|k| k.0 <= unix_now);
+        ripe.or(self.keys.first()).map(|k| &k.1)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -148,18 +176,13 @@
 }
 
 struct Sent {
-    name: String,
-    eng: Rc<Place>,
     read: bool,
     live: bool,
-    /// The reader may hold a state under the send's name.
-    held: bool,
-    /// The read send whose state this write fetches.
-    from: Option<u32>,
 }
 
 struct Taken {
     serial: u64,
+    tenant: Option<usize>,
     stage: Stage,
     due_at: f64,
     whole_at: f64,
@@ -174,8 +197,9 @@
     /// By the Router's handle.
     taken: Vec<Option<Taken>>,
     open: usize,
+    open_by_tenant: Vec<usize>,
     serial: u64,
-    letgo: LetGo,
+    pub ledger: Ledger,
     revision: Option<u64>,
     ready: Vec<Do>,
     /// Begun answers that clients do not stream, by the time when they must be whole (as bits: none is negative).
@@ -195,6 +219,7 @@
 
 impl Core {
     pub fn new(deployment: Deployment, figures: Figures) -> Core {
+        let ledger = Ledger::new(deployment.hold_limit_s, figures.let_go_within_s);
         Core {
             tick: deployment.tick_s,
             router: Router::new(deployment),
@@ -202,7 +227,8 @@
             taken: Vec::new(),
             open: 0,
             serial: 0,
-            letgo: LetGo::new(figures.let_go_within_s),
+            ledger,
+            open_by_tenant: vec![0; figures.tenant_most_open.len()],
             revision: None,
             ready: Vec::new(),
             unseen: BTreeSet::new(),
@@ -221,7 +247,7 @@
 
     /// Whether anything is still owed to an engine: a send out or a state to let go.
     pub fn is_quiet(&self) -> bool {
-        self.taken.iter().all(Option::is_none) && self.letgo.is_empty()
+        self.taken.iter().all(Option::is_none) && self.ledger.is_empty()
     }
 
     /// A list from the same source never goes back: an older one is an answer that was overtaken.
@@ -267,7 +293,12 @@
                 started_at: l.started_at.map(|at| at - self.figures.epoch_unix_s),
             });
         }
-        self.places.retain(|id, _| lines.iter().any(|l| l.id == *id));
+        let (places, listed): (_, BTreeSet<&str>) =
+            (&mut self.places, lines.iter().map(|l| &*l.id).collect());
+        places.retain(|id, _| listed.contains(id.as_str()));
+        // Out of the list, or listed at another address: a process that has ended.
+        let ended = |s: &HeldState| places.get(&s.reader.id).is_none_or(|p| p.0.address != s.reader.address);
+        self.ledger.readers_gone(now, ended);
         self.router.list(now, &lines, true);
     }
 
@@ -287,6 +318,11 @@
             self.tally.refused += 1;
             return Err(Refusal::Full);
         }
+        let limit = ask.tenant.and_then(|t| *self.figures.tenant_most_open.get(t)?);
+        if ask.tenant.zip(limit).is_some_and(|(t, most)| self.open_by_tenant[t] >= most) {
+            self.tally.refused += 1;
+            return Err(Refusal::TenantFull);
+        }
         let arrival = Arrival {
             route: ask.route,
             tenant: ask.tenant,
@@ -299,6 +335,9 @@
         let inf = self.router.take(now, &arrival).0;
         self.serial += 1;
         self.open += 1;
+        if let Some(n) = ask.tenant.and_then(|t| self.open_by_tenant.get_mut(t)) {
+            *n += 1;
+        }
         self.tally.taken += 1;
         let slot = inf as usize;
         if slot >= self.taken.len() {
@@ -307,6 +346,7 @@
         let whole_at = ask.whole_within_s.map_or(f64::INFINITY, |s| now + s);
         self.taken[slot] = Some(Taken {
             serial: self.serial,
+            tenant: ask.tenant,
             stage: Stage::Waiting,
             due_at: arrival.due_at,
             whole_at,
@@ -331,20 +371,15 @@
         if !s.live || s.read || taken.stage != Stage::Waiting {
             return false;
         }
-        let from = s.from;
         taken.stage = Stage::Streaming(send);
         // A begun stream has no deadline, but a client that does not stream sees none of it before its end.
         if taken.whole_at.is_finite() {
             let at = taken.whole_at - self.tick;
             self.unseen.insert((at.max(0.0).to_bits(), t));
         }
-        let Some(taken) = self.get(t) else { return false };
-        // The state was fetched: the reader let go of it by itself.
-        if let Some(read) = from.and_then(|n| taken.sends.get_mut(n as usize)) {
-            read.held = false;
-        }
+        self.ledger.fetched(now, t.serial, send);
         self.router.first_token(now, Inf(t.inf), send);
-        self.let_go_all(now, t);
+        self.ledger.let_go(now, t.serial);
         true
     }
 
@@ -359,12 +394,14 @@
         }
         s.live = false;
         let outcome = cause.outcome();
-        // What a failed read may have left is let go at once: nobody will ever ask for it.
-        let orphan = s.read && s.held && cause != Cause::Read;
-        if orphan {
-            s.held = false;
+        let never = matches!(cause, Cause::TurnedAway | Cause::NoConnection | Cause::NotSent);
+        let state = Held { owner: t.serial, read: send };
+        match (s.read, cause) {
+            (true, Cause::Read) => self.ledger.read(now, state),
+            // What a failed read may have left is let go at once: nobody will ever ask for it.
+            (true, _) => self.ledger.unread(now, state, never),
+            (false, _) => self.ledger.given_back(now, t.serial, send),
         }
-        let state = HeldState { name: s.name.clone(), reader: s.eng.clone() };
         if began && cause == Cause::CalledOff {
             // Nobody takes the stream any more: the client has gone, whichever socket told it first.
             self.leave(t);
@@ -377,8 +414,8 @@
             self.answer(t, answer);
         }
         let over = self.get(t).is_none_or(|x| x.stage == Stage::Over);
-        if orphan && !matches!(cause, Cause::TurnedAway | Cause::NoConnection | Cause::NotSent) {
-            self.letgo.add(now, state);
+        if over {
+            self.ledger.let_go(now, t.serial);
         }
         let note = if cause == Cause::NoState { 1.0 } else { end.kept };
         // Time since the send: the Router learns from it how long reads and streams last.
@@ -392,7 +429,7 @@
         if self.leave(t) {
             self.call_off(t);
             self.router.left(Inf(t.inf));
-            self.let_go_all(now, t);
+            self.ledger.let_go(now, t.serial);
         }
     }
 
@@ -401,9 +438,13 @@
         let tick = self.tick;
         let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { return false };
         taken.stage = Stage::Over;
+        let tenant = taken.tenant;
         let at = (taken.whole_at - tick).max(0.0).to_bits();
         self.unseen.remove(&(at, t));
         self.open -= 1;
+        if let Some(n) = tenant.and_then(|t| self.open_by_tenant.get_mut(t)) {
+            *n -= 1;
+        }
         true
     }
 
@@ -420,8 +461,8 @@
     }
 
     /// A call that lets go of a state was answered, or was not.
-    pub fn let_go(&mut self, now: f64, call: u64, done: bool) {
-        self.letgo.told(now, call, done);
+    pub fn let_go(&mut self, now: f64, call: Held, done: bool) {
+        self.ledger.told(now, call, done);
     }
 
     fn answer(&mut self, t: Ticket, answer: Answer) {
@@ -445,20 +486,6 @@
         self.ready.extend(orders);
     }
 
-    /// Lets go of every state that no live send may still fetch or leave.
-    fn let_go_all(&mut self, now: f64, t: Ticket) {
-        let Some(taken) = self.get(t) else { return };
-        let wanted: Vec<u32> = taken.sends.iter().filter(|s| s.live).filter_map(|s| s.from).collect();
-        let mut free = Vec::new();
-        for (n, s) in taken.sends.iter_mut().enumerate() {
-            if s.held && !s.live && !wanted.contains(&(n as u32)) {
-                s.held = false;
-                free.push(HeldState { name: s.name.clone(), reader: s.eng.clone() });
-            }
-        }
-        free.into_iter().for_each(|state| self.letgo.add(now, state));
-    }
-
     /// What to do after a batch of calls.
     pub fn act(&mut self, now: f64) -> Actions {
         while let Some(&(at, t)) = self.unseen.first().filter(|u| f64::from_bits(u.0) <= now) {
@@ -473,7 +500,7 @@
             }
         }
         for s in &d.sends {
-            todo.extend(self.order(s.inf, s.eng, s.patience_s).map(Do::Send));
+            todo.extend(self.order(now, s.inf, s.eng, s.patience_s).map(Do::Send));
         }
         for &(inf, come_back_s) in &d.shed {
             if let Some(t) = self.ticket(inf) {
@@ -489,7 +516,7 @@
         }
         for &inf in &d.released {
             if let Some(t) = self.ticket(inf) {
-                self.let_go_all(now, t);
+                self.ledger.let_go(now, t.serial);
             }
         }
         for &eng in &d.probes {
@@ -508,7 +535,7 @@
         }
         for &inf in &d.closed {
             if let Some(t) = self.ticket(inf) {
-                self.let_go_all(now, t);
+                self.ledger.let_go(now, t.serial);
                 // A request must not vanish unanswered, whatever the Router thinks of it.
                 self.answer(t, Answer::Errored(Why::SendsFailed));
             }
@@ -517,7 +544,7 @@
         for inf in &d.closed {
             self.taken[inf.0 as usize] = None;
         }
-        let (calls, let_go_at) = self.letgo.due(now);
+        let (calls, let_go_at) = self.ledger.due(now);
         todo.extend(calls.into_iter().map(|(call, state)| Do::LetGo { call, state }));
         let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
         let wake_at = [d.wake_at, let_go_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
@@ -525,26 +552,39 @@
     }
 
     /// Books a send and says what the shell needs to make it.
-    fn order(&mut self, inf: Inf, eng: nickelgw::interface::Eng, patience_s: f64) -> Option<Order> {
+    fn order(&mut self, now: f64, inf: Inf, eng: nickelgw::interface::Eng, patience_s: f64) -> Option<Order> {
         let ticket = self.ticket(inf)?;
         let id = self.router.engine_id(eng).to_string();
-        let (boot, idle_s) = (self.figures.boot.clone(), self.figures.stream_idle_s);
+        let idle_s = self.figures.stream_idle_s;
         let (eng, role) = match self.places.get(&id) {
             Some((place, role)) => (place.clone(), *role),
             None => (Rc::new(Place { id, address: String::new(), tls_name: None }), Role::Read),
         };
         let taken = self.get(ticket)?;
         let send = taken.sends.len() as u32;
-        let name = format!("{boot}-{}-{send}", ticket.serial);
         let read = role == Role::Read;
-        let from = if read { None } else { taken.sends.iter().rposition(|s| s.held && !s.live) };
-        let state =
-            from.map(|n| HeldState { name: taken.sends[n].name.clone(), reader: taken.sends[n].eng.clone() });
-        let from = from.map(|n| n as u32);
-        taken.sends.push(Sent { name: name.clone(), eng: eng.clone(), read, live: true, held: read, from });
-        let what = if read { Work::Read } else { Work::Write { state, idle_s } };
+        taken.sends.push(Sent { read, live: true });
+        let name = format!("{}-{}-{send}", self.figures.boot, ticket.serial);
+        let what = if read {
+            let state = HeldState { name: name.clone(), reader: eng.clone() };
+            self.ledger.coming(Held { owner: ticket.serial, read: send }, state);
+            Work::Read
+        } else {
+            let state = self.ledger.take(now, ticket.serial, send);
+            let grant = state.as_ref().and_then(|s| self.grant(now, s, &eng));
+            Work::Write { state, grant, idle_s }
+        };
         Some(Order { ticket, send, name, eng, patience_s, what })
     }
+
+    /// What lets this writer fetch this state, once and for a time.
+    fn grant(&self, now: f64, state: &HeldState, writer: &Place) -> Option<String> {
+        let unix_now = self.figures.epoch_unix_s + now;
+        let g = self.figures.grants.as_ref()?;
+        let until = unix_now + g.lifetime_s;
+        let granted = Granted { state: &state.name, reader: &state.reader.id, writer: &writer.id, until };
+        Some(grant(g.key(unix_now)?, &granted))
+    }
 }
 
 #[cfg(test)]
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -61,6 +61,8 @@
         most_open,
         stream_idle_s: 2.0,
         let_go_within_s: HOLD_S / 2.0,
+        grants: None,
+        tenant_most_open: vec![None],
     };
     let mut c = Core::new(deployment(), figures);
     c.list(0.0, &list(1, &[State::In; 8]));
@@ -104,7 +106,7 @@
     out: Vec<Order>,
     /// States that wait, and since when no send was out for them.
     states: BTreeMap<String, (Ticket, f64)>,
-    calls: Vec<u64>,
+    calls: Vec<Held>,
     probes: Vec<String>,
     wake: Option<f64>,
 }
@@ -426,3 +428,36 @@
     let sends = c.act(1.3).todo.iter().filter(|d| matches!(d, Do::Send(_))).count();
     assert_eq!((c.revision(), sends), (Some(5), 0));
 }
+
+#[test]
+fn a_tenant_has_no_more_open_than_it_may() {
+    let mut c = core(8);
+    c.figures.tenant_most_open = vec![Some(2)];
+    let first = c.take(1.0, &ask(0)).unwrap();
+    c.take(1.0, &ask(1)).unwrap();
+    assert_eq!(c.take(1.0, &ask(0)), Err(Refusal::TenantFull));
+    assert!(c.take(1.0, &Ask { tenant: None, ..ask(0) }).is_ok());
+    c.left(1.1, first);
+    assert!(c.take(1.1, &ask(0)).is_ok());
+}
+
+#[test]
+fn a_write_carries_a_grant_by_the_key_whose_time_has_come() {
+    use nickelgw_chat::core::grant::Checker;
+    let key = |n| GrantKey::of(n, &format!("a long enough secret {n}")).unwrap();
+    let mut c = core(4);
+    c.figures.epoch_unix_s = 1000.0;
+    c.figures.grants = Some(Grants { keys: vec![(0.0, key(1)), (1002.0, key(2))], lifetime_s: 5.0 });
+    let mut reader = Checker::new([key(1), key(2)]);
+    for (at, number) in [(1.0, "1."), (3.0, "2.")] {
+        let t = c.take(at, &ask(0)).unwrap();
+        c.act(at);
+        let read = first_send(&mut c, at + 0.02);
+        c.ended(at + 0.1, t, read.send, end(Cause::Read));
+        let write = first_send(&mut c, at + 0.1);
+        let Work::Write { state: Some(s), grant: Some(g), .. } = &write.what else { panic!("{write:?}") };
+        assert!(g.starts_with(number), "{g}");
+        let granted = Granted { state: &s.name, reader: &s.reader.id, writer: &write.eng.id, until: 0.0 };
+        assert_eq!(reader.check(1000.0 + at + 0.2, g, &granted), Ok(()));
+    }
+}
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -1,5 +1,6 @@
 //! The one task that owns the core: tells it what happened, does what it says, waits on no peer.
 
+use crate::core::ledger::Held;
 use crate::core::{Answer, Ask, Cause, Core, Do, End, Place, Refusal, Ticket, Why};
 use crate::engines::Engines;
 use crate::meter::Meter;
@@ -37,7 +38,7 @@
     Began { ticket: Ticket, send: u32, grant: Sender<Sink> },
     Ended { ticket: Ticket, send: u32, end: End, sink: Option<Sink> },
     Probed { place: Rc<Place>, cause: Cause, load: Option<LoadReport> },
-    LetGo { call: u64, done: bool },
+    LetGo { call: Held, done: bool },
     List(List),
     ListFailed,
 }
@@ -59,7 +60,7 @@
 /// Where a stream's events go. Held by the one send that has the client.
 pub enum Sink {
     Stream { to: Sender<Bytes>, usage: bool },
-    Whole(Whole),
+    Whole(Box<Whole>),
 }
 
 impl Sink {
@@ -328,7 +329,7 @@
 /// The begun stream of this client, and its receiving end in the client's hands.
 fn sink(job: &Job) -> Sink {
     if !job.chat.stream {
-        return Sink::Whole(Whole::default());
+        return Sink::Whole(Box::default());
     }
     let (to, from) = async_channel::bounded(FRAMES_AHEAD);
     let _ = job.reply.try_send(Reply::Stream(from));
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -1,6 +1,7 @@
 //! Sends to engines: what the core orders is put on the wire, and how it ended is read off it.
 
 use crate::client::{whole, Connection, Peer, Pool};
+use crate::core::ledger::Held;
 use crate::core::{Cause, End, HeldState, Order, Place, Work};
 use crate::driver::{Sink, Word};
 use crate::{seconds, within, Limits};
@@ -30,6 +31,19 @@
     LoadReport::parse(headers.get(LOAD)?.to_str().ok()?).ok()
 }
 
+/// Where the writer finds the state, and what lets it fetch it.
+fn transfer(s: &HeldState, grant: &Option<String>) -> KvTransfer {
+    KvTransfer {
+        do_remote_prefill: true,
+        remote_request_id: Some(s.name.clone()),
+        remote_engine_id: Some(s.reader.id.clone()),
+        remote_host: Some(s.reader.address.clone()),
+        remote_tls_name: s.reader.tls_name.clone(),
+        remote_grant: grant.clone(),
+        ..KvTransfer::default()
+    }
+}
+
 /// What a stream has come to, and the load told with it.
 type Ended = (Cause, Option<LoadReport>);
 
@@ -60,8 +74,9 @@
         let (ticket, send) = (order.ticket, order.send);
         let (end, sink) = match &order.what {
             Work::Read => (self.read(&order, &id, &chat).await, None),
-            Work::Write { state, idle_s } => {
-                self.write(&order, &id, &chat, state.as_ref(), *idle_s, &words).await
+            Work::Write { state, grant, idle_s } => {
+                let kv = state.as_ref().map(|s| transfer(s, grant));
+                self.write(&order, &id, &chat, kv, *idle_s, &words).await
             }
         };
         // A full queue holds the task up; the event is never dropped.
@@ -95,19 +110,11 @@
         order: &Order,
         id: &str,
         chat: &ChatRequest,
-        state: Option<&HeldState>,
+        kv: Option<KvTransfer>,
         idle_s: f64,
         words: &Sender<Word>,
     ) -> (End, Option<Sink>) {
         let ended = |cause, load| (End { cause, load, kept: 0.0 }, None);
-        let kv = state.map(|s| KvTransfer {
-            do_remote_prefill: true,
-            remote_request_id: Some(s.name.clone()),
-            remote_engine_id: Some(s.reader.id.clone()),
-            remote_host: Some(s.reader.address.clone()),
-            remote_tls_name: s.reader.tls_name.clone(),
-            ..KvTransfer::default()
-        });
         let request = write_body(chat, kv.as_ref()).ok().and_then(|body| self.completion(order, id, body));
         let Some(request) = request else { return ended(Cause::NotSent, None) };
         let mut patience = Timer::after(seconds(order.patience_s));
@@ -130,7 +137,8 @@
         let Ok(mut sink) = granted.recv().await else { return ended(Cause::CalledOff, None) };
         let stall = self.limits.client_stall_s;
         let (cause, load) = stream.pump(&mut sink, idle_s, stall).await;
-        if cause == Cause::Completed {
+        // With something left unread on it, the next answer would begin with that.
+        if cause == Cause::Completed && stream.at_end {
             self.pool.give_back(stream.conn);
         }
         (End { cause, load, kept: 0.0 }, Some(sink))
@@ -151,7 +159,8 @@
         if !kind.starts_with("text/event-stream") {
             return Err((Cause::Garbled, load));
         }
-        let mut s = Stream { body, events: Events::default(), first: None, trailers: None, conn };
+        let mut s =
+            Stream { body, events: Events::default(), first: None, trailers: None, at_end: false, conn };
         match s.next().await {
             Ok(Some(first)) => s.first = Some(first),
             Ok(None) => return Err((Cause::Garbled, load)),
@@ -174,7 +183,7 @@
         let _ = words.send(Word::new(crate::driver::Said::Probed { place, cause, load })).await;
     }
 
-    pub async fn let_go(self: Rc<Self>, call: u64, state: HeldState, words: Sender<Word>) {
+    pub async fn let_go(self: Rc<Self>, call: Held, state: HeldState, words: Sender<Word>) {
         let path = format!("/v1/states/{}", state.name);
         let address = &state.reader.address;
         let done = match self.request(Method::DELETE, address, &path).body(Full::default()) {
@@ -195,6 +204,7 @@
     events: Events,
     first: Option<Event>,
     trailers: Option<HeaderMap>,
+    at_end: bool,
     conn: Connection,
 }
 
@@ -211,7 +221,10 @@
             }
             match self.body.frame().await {
                 None if self.events.is_cut() => return Err(Cause::Garbled),
-                None => return Ok(None),
+                None => {
+                    self.at_end = true;
+                    return Ok(None);
+                }
                 Some(Err(_)) => return Err(Cause::Lost),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => self.events.push(&data),
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -44,6 +44,8 @@
     pub client_stall_s: f64,
     /// What a refused client is told.
     pub come_back_s: f64,
+    /// What the system holds of an answer for a client that reads slowly, on each connection; 0: its own default.
+    pub send_buffer: usize,
 }
 
 /// All that a node is started with.
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -17,6 +17,7 @@
 use nickelgw_protocol::chat::{ApiError, ChatRequest};
 use nickelgw_protocol::{Malformed, REQUEST_ID};
 use serde_json::json;
+use smol::io::{self, AsyncRead, AsyncWrite};
 use smol::{Async, LocalExecutor};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::cell::{Cell, RefCell};
@@ -119,6 +120,10 @@
 /// A client's own count of its retries: OpenAI's libraries tell the first.
 const RETRY_COUNTS: [&str; 2] = ["x-stainless-retry-count", "x-retry-count"];
 
+fn model(name: &String) -> serde_json::Value {
+    json!({"id": name, "object": "model", "created": 0, "owned_by": "nickelgw"})
+}
+
 fn plain_id(id: &str) -> bool {
     (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
 }
@@ -140,6 +145,10 @@
             }
         };
         let _ = stream.get_ref().set_nodelay(true);
+        if server.limits.send_buffer > 0 {
+            // Else the system takes megabytes for a client that reads nothing, and nobody is slowed.
+            let _ = socket2::SockRef::from(stream.get_ref()).set_send_buffer_size(server.limits.send_buffer);
+        }
         let server = server.clone();
         if server.connections.get() >= server.limits.most_connections {
             let busy = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\n\
@@ -158,21 +167,31 @@
             let mut http = hyper::server::conn::http1::Builder::new();
             http.timer(SmolTimer::new()).header_read_timeout(seconds(server.limits.head_s));
             http.max_buf_size(64 * 1024);
-            let served = match server.accepted() {
-                None => http.serve_connection(FuturesIo::new(stream), service).await,
-                Some(config) => {
-                    let hands = TlsAcceptor::from(config).accept(stream);
-                    match within(server.limits.head_s, hands).await {
-                        Some(Ok(stream)) => http.serve_connection(FuturesIo::new(stream), service).await,
-                        other => {
-                            let why = other.and_then(|o| o.err()).map(|e| e.to_string());
-                            tracing::debug!(why, "no handshake on the chat port");
-                            Ok(())
+            let blocked = Rc::new(Cell::new(None));
+            let stall_s = server.limits.client_stall_s;
+            let stream = Watched { inner: stream, blocked: blocked.clone() };
+            let serving = async {
+                match server.accepted() {
+                    None => http.serve_connection(FuturesIo::new(stream), service).await,
+                    Some(config) => {
+                        let hands = TlsAcceptor::from(config).accept(stream);
+                        match within(server.limits.head_s, hands).await {
+                            Some(Ok(stream)) => http.serve_connection(FuturesIo::new(stream), service).await,
+                            other => {
+                                let why = other.and_then(|o| o.err()).map(|e| e.to_string());
+                                tracing::debug!(why, "no handshake on the chat port");
+                                Ok(())
+                            }
                         }
                     }
                 }
             };
-            if let Err(e) = served {
+            let stalled = async {
+                stalled(&blocked, stall_s).await;
+                tracing::info!("a client that took nothing was cut off");
+                Ok(())
+            };
+            if let Err(e) = futures_lite::future::or(serving, stalled).await {
                 tracing::debug!(error = %e, "connection ended");
             }
             server.connections.set(server.connections.get() - 1);
@@ -181,6 +200,50 @@
     }
 }
 
+/// A client's connection, and since when it has taken nothing of what is written to it.
+struct Watched<S> {
+    inner: S,
+    blocked: Rc<Cell<Option<Instant>>>,
+}
+
+impl<S> Watched<S> {
+    fn note<T>(&self, p: Poll<T>) -> Poll<T> {
+        self.blocked.set(if p.is_pending() { self.blocked.get().or(Some(Instant::now())) } else { None });
+        p
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_read(cx, to)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
+        let p = Pin::new(&mut self.inner).poll_write(cx, from);
+        self.note(p)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
+
+/// Ends when the client has taken nothing for too long: without it, what is buffered for it would be held for good.
+async fn stalled(blocked: &Cell<Option<Instant>>, stall_s: f64) {
+    loop {
+        smol::Timer::after(seconds((stall_s / 4.0).max(0.01))).await;
+        if blocked.get().is_some_and(|since| since.elapsed() >= seconds(stall_s)) {
+            return;
+        }
+    }
+}
+
 /// Looks at the chat port's files until dropped; connections that stand keep what they began with.
 pub async fn look(server: Rc<Server>, reload_s: f64) {
     let Some(tls) = server.tls.clone() else { return };
@@ -247,10 +310,20 @@
                 }
             },
             (&Method::GET, "/v1/models") => {
-                let model = |m: &String| json!({"id": m, "object": "model", "owned_by": "nickelgw"});
                 let list: Vec<_> = self.models.iter().map(model).collect();
                 json_answer(200, json!({"object": "list", "data": list}).to_string().into())
             }
+            (&Method::GET, path) if path.starts_with("/v1/models/") => {
+                match self.models.iter().find(|m| path[11..] == ***m) {
+                    Some(m) => json_answer(200, model(m).to_string().into()),
+                    None => {
+                        let mut e =
+                            ApiError::new(404, "invalid_request_error", "model_not_found", "no such model");
+                        e.param = Some("model");
+                        error(&e)
+                    }
+                }
+            }
             // Before a list is heard there is no engine to send to: a front layer does better to wait.
             (&Method::GET, "/healthz") if !self.ready.get() => {
                 json_answer(503, "{\"status\":\"no list yet\"}".into())
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use nickelgw_node::core::{Door, Figures};
 use nickelgw_node::{Limits, Start, TlsStart};
 use nickelgw_protocol::list::{self, State};
-use nickelgw_standin::client::{self, Ask, Leave, Seen};
+use nickelgw_standin::client::{self, Ask, Seen};
 use nickelgw_standin::model::{self, Role};
 use nickelgw_standin::record::unix_now;
 use nickelgw_standin::Record;
@@ -103,6 +103,8 @@
             most_open: 1000,
             stream_idle_s: 0.8,
             let_go_within_s: 10.0,
+            grants: None,
+            tenant_most_open: vec![None],
         },
         door: Door {
             models: ["chat", "review", "booking", "marked"].map(model).to_vec(),
@@ -121,6 +123,7 @@
             most_waiting: 256,
             client_stall_s: 5.0,
             come_back_s: 1.0,
+            send_buffer: 65_536,
         },
         list: list.into(),
         last_list: None,
@@ -214,7 +217,7 @@
             timeout_s: 4.0,
             target_s: 1.0,
             intended: unix_now(),
-            leave: Leave::Never,
+            ..Ask::default()
         }
     }
 
--- a/crates/nickelgw-protocol/src/chat.rs
+++ b/crates/nickelgw-protocol/src/chat.rs
@@ -17,6 +17,8 @@
     pub stream: bool,
     pub include_usage: bool,
     pub max_tokens: Option<u64>,
+    /// Texts before which the answer ends.
+    pub stop: Vec<String>,
     pub prompt_tokens: f64,
     /// Tokens of the beginning that other sessions share: the system messages.
     pub prefix_tokens: f64,
@@ -56,12 +58,34 @@
     Ok(parts.into_iter().map(|p| p.text).collect())
 }
 
-fn digest(text: &[&str]) -> String {
-    let mut h = blake3::Hasher::new();
-    for t in text {
-        h.update(&(t.len() as u64).to_le_bytes()).update(t.as_bytes());
+/// A rolling hash over messages: each step takes in what came before, so that equal beginnings have equal names at
+/// every node, and a longer one never has a shorter one's.
+#[derive(Clone, Copy)]
+struct Rolling(blake3::Hash);
+
+impl Rolling {
+    fn new(of: &str) -> Rolling {
+        Rolling(blake3::hash(of.as_bytes()))
+    }
+
+    fn then(self, role: &str, text: &str) -> Rolling {
+        let mut h = blake3::Hasher::new();
+        h.update(self.0.as_bytes()).update(&(role.len() as u64).to_le_bytes()).update(role.as_bytes());
+        Rolling(h.update(text.as_bytes()).finalize())
+    }
+
+    fn name(self) -> String {
+        self.0.to_hex().as_str()[..24].to_string()
     }
-    h.finalize().to_hex().as_str()[..24].to_string()
+}
+
+const ROLES: [&str; 6] = ["developer", "system", "user", "assistant", "tool", "function"];
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Stop {
+    One(String),
+    Some(Vec<String>),
 }
 
 impl ChatRequest {
@@ -91,32 +115,46 @@
             return Err(Malformed::field("n", "only 1 is served"));
         }
         let mut tokens = 0.0;
-        let (mut system, mut system_tokens, mut first) = (Vec::new(), 0.0, None);
+        let (mut beginning, mut system_tokens, mut first) = (Rolling::new("messages"), 0.0, None);
         for m in &messages {
+            if !ROLES.contains(&m.role.as_ref()) {
+                return Err(Malformed::field("messages", "a message has a role that is not known"));
+            }
             let text = content(m.content)?;
             // Role and markup of a message take a few tokens too.
             let t = estimate_tokens(&text) + 4.0;
             tokens += t;
             if matches!(m.role.as_ref(), "system" | "developer") && first.is_none() {
                 system_tokens += t;
-                system.push(text);
+                beginning = beginning.then(&m.role, &text);
             } else if first.is_none() {
-                first = Some(text);
+                first = Some(beginning.then(&m.role, &text));
             }
         }
         let user: Option<String> = get(&fields, "user", "text")?;
-        let begin: Vec<&str> = system.iter().map(String::as_str).collect();
-        let prefix = (!begin.is_empty()).then(|| digest(&begin));
-        let opening = first.unwrap_or_default();
-        let session = digest(&[user.as_deref().unwrap_or(""), prefix.as_deref().unwrap_or(""), &opening]);
+        let prefix = (system_tokens > 0.0).then(|| beginning.name());
+        let session = first.unwrap_or(beginning).then("", user.as_deref().unwrap_or("")).name();
+        let stop = match get::<Stop>(&fields, "stop", "text or a list of up to four")? {
+            None => Vec::new(),
+            Some(Stop::One(s)) => vec![s],
+            Some(Stop::Some(all)) => all,
+        };
+        if stop.len() > 4 || stop.iter().any(String::is_empty) {
+            return Err(Malformed::field("stop", "must be text or a list of up to four, none empty"));
+        }
         let max: Option<u64> = get(&fields, "max_completion_tokens", "a whole number")?;
         let max = max.or(get(&fields, "max_tokens", "a whole number")?);
         if max == Some(0) {
             return Err(Malformed::field("max_tokens", "must be at least 1"));
         }
         let options: Option<Value> = get(&fields, "stream_options", "an object")?;
+        let stream = get(&fields, "stream", "true or false")?.unwrap_or(false);
+        if options.is_some() && !stream {
+            return Err(Malformed::field("stream_options", "is only allowed when stream is true"));
+        }
         Ok(ChatRequest {
-            stream: get(&fields, "stream", "true or false")?.unwrap_or(false),
+            stream,
+            stop,
             include_usage: options.is_some_and(|o| o["include_usage"] == true),
             max_tokens: max,
             prompt_tokens: tokens,
@@ -175,10 +213,38 @@
 pub struct Delta {
     #[serde(default)]
     pub content: Option<String>,
+    #[serde(default)]
+    pub refusal: Option<String>,
+    #[serde(default)]
+    pub tool_calls: Vec<CallPart>,
+}
+
+/// A piece of a tool call; pieces of one call have one index.
+#[derive(Debug, Default, Deserialize)]
+pub struct CallPart {
+    #[serde(default)]
+    pub index: usize,
+    #[serde(default)]
+    pub id: Option<String>,
+    #[serde(default)]
+    pub function: FunctionPart,
 }
 
+#[derive(Debug, Default, Deserialize)]
+pub struct FunctionPart {
+    #[serde(default)]
+    pub name: Option<String>,
+    #[serde(default)]
+    pub arguments: Option<String>,
+}
+
+/// Tool calls of one answer at most; what an engine says beyond them is dropped.
+const MOST_CALLS: usize = 128;
+
 #[derive(Debug, Deserialize)]
 pub struct Choice {
+    #[serde(default)]
+    pub logprobs: Option<Value>,
     #[serde(default)]
     pub delta: Delta,
     #[serde(default)]
@@ -197,6 +263,8 @@
     #[serde(default)]
     pub usage: Option<Usage>,
     #[serde(default)]
+    pub system_fingerprint: Option<String>,
+    #[serde(default)]
     pub error: Option<Value>,
 }
 
@@ -216,7 +284,12 @@
     id: String,
     created: u64,
     text: String,
+    refusal: Option<String>,
+    /// Id, name and arguments of each.
+    calls: Vec<(String, String, String)>,
+    logprobs: Vec<Value>,
     finish: Option<String>,
+    fingerprint: Option<String>,
     usage: Usage,
 }
 
@@ -225,21 +298,51 @@
         if self.id.is_empty() {
             (self.id, self.created) = (chunk.id, chunk.created);
         }
-        for c in chunk.choices {
+        for mut c in chunk.choices {
             self.text.push_str(c.delta.content.as_deref().unwrap_or(""));
+            if let Some(r) = c.delta.refusal {
+                self.refusal.get_or_insert_default().push_str(&r);
+            }
+            for part in c.delta.tool_calls.into_iter().filter(|p| p.index < MOST_CALLS) {
+                if self.calls.len() <= part.index {
+                    self.calls.resize_with(part.index + 1, Default::default);
+                }
+                let call = &mut self.calls[part.index];
+                call.0.push_str(part.id.as_deref().unwrap_or(""));
+                call.1.push_str(part.function.name.as_deref().unwrap_or(""));
+                call.2.push_str(part.function.arguments.as_deref().unwrap_or(""));
+            }
+            if let Some(all) = c.logprobs.as_mut().and_then(|l| l["content"].as_array_mut()) {
+                self.logprobs.append(all);
+            }
             self.finish = c.finish_reason.or(self.finish.take());
         }
+        self.fingerprint = chunk.system_fingerprint.or(self.fingerprint.take());
         self.usage = chunk.usage.unwrap_or(self.usage);
     }
 
     pub fn body(self, model: &str) -> Bytes {
-        let message = json!({"role": "assistant", "content": self.text});
-        let choice = json!({"index": 0, "message": message, "finish_reason": self.finish});
-        Bytes::from(
-            json!({"id": self.id, "object": "chat.completion", "created": self.created, "model": model,
-                   "choices": [choice], "usage": self.usage})
-            .to_string(),
-        )
+        let mut message = json!({"role": "assistant", "content": self.text, "refusal": self.refusal});
+        if !self.calls.is_empty() {
+            let call = |(id, name, arguments): (String, String, String)| {
+                json!({"id": id, "type": "function",
+                "function": {"name": name, "arguments": arguments}})
+            };
+            message["tool_calls"] = self.calls.into_iter().map(call).collect();
+            if self.text.is_empty() {
+                message["content"] = Value::Null;
+            }
+        }
+        let mut choice = json!({"index": 0, "message": message, "finish_reason": self.finish});
+        if !self.logprobs.is_empty() {
+            choice["logprobs"] = json!({"content": self.logprobs});
+        }
+        let mut v = json!({"id": self.id, "object": "chat.completion", "created": self.created, "model": model,
+            "choices": [choice], "usage": self.usage});
+        if let Some(f) = self.fingerprint {
+            v["system_fingerprint"] = f.into();
+        }
+        Bytes::from(v.to_string())
     }
 }
 
@@ -288,6 +391,10 @@
             (r#"{"model":"m","messages":[]}"#, Some("messages")),
             (r#"{"model":"m","messages":[{"role":"user","content":5}]}"#, Some("messages")),
             (r#"{"model":"m","messages":[{"role":"user"}],"n":2}"#, Some("n")),
+            (r#"{"model":"m","messages":[{"role":"boss"}]}"#, Some("messages")),
+            (r#"{"model":"m","messages":[{"role":"user"}],"stop":["a","b","c","d","e"]}"#, Some("stop")),
+            (r#"{"model":"m","messages":[{"role":"user"}],"stop":""}"#, Some("stop")),
+            (r#"{"model":"m","messages":[{"role":"user"}],"stream_options":{}}"#, Some("stream_options")),
             (r#"{"model":"m","messages":[{"role":"user"}],"stream":"yes"}"#, Some("stream")),
             (r#"{"model":"m","#, None),
         ] {
@@ -313,4 +420,24 @@
             (&json!("stop"), &json!(5))
         );
     }
+
+    #[test]
+    fn calls_of_tools_are_put_together_from_their_pieces() {
+        let mut w = Whole::default();
+        for c in [
+            r#"{"choices":[{"delta":{"tool_calls":[{"index":0,"id":"c1","function":{"name":"rain","arguments":"{\"at\":"}}]}}]}"#,
+            r#"{"choices":[{"delta":{"tool_calls":[{"index":0,"function":{"arguments":"1}"}},{"index":1,"id":"c2","function":{"name":"sun","arguments":"{}"}},{"index":900}]}}]}"#,
+            r#"{"choices":[{"delta":{},"finish_reason":"tool_calls","logprobs":{"content":[{"token":"a"}]}}]}"#,
+        ] {
+            w.add(Chunk::parse(c.as_bytes()).unwrap());
+        }
+        let v: Value = serde_json::from_slice(&w.body("chat")).unwrap();
+        let m = &v["choices"][0]["message"];
+        assert_eq!(m["tool_calls"][0]["function"], json!({"name": "rain", "arguments": "{\"at\":1}"}));
+        assert_eq!((&m["tool_calls"][1]["id"], m["tool_calls"].as_array().unwrap().len()), (&json!("c2"), 2));
+        assert_eq!(
+            (&m["content"], &v["choices"][0]["logprobs"]["content"][0]["token"]),
+            (&Value::Null, &json!("a"))
+        );
+    }
 }
--- a/crates/nickelgw-protocol/src/engine.rs
+++ b/crates/nickelgw-protocol/src/engine.rs
@@ -23,6 +23,9 @@
     /// The name that the reader's certificate stands for, where it is spoken to by TLS.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub remote_tls_name: Option<String>,
+    /// The node's word that this writer may fetch the state; shown to the reader with the fetch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub remote_grant: Option<String>,
 }
 
 impl KvTransfer {
--- a/crates/nickelgw-protocol/src/lib.rs
+++ b/crates/nickelgw-protocol/src/lib.rs
@@ -15,6 +15,9 @@
 /// Which node sends, and from which zone.
 pub const NODE: &str = "x-node";
 pub const ZONE: &str = "x-zone";
+/// With a fetch: which writer fetches, and the node's word that it may.
+pub const ENGINE: &str = "x-engine-id";
+pub const GRANT: &str = "x-state-grant";
 pub const LOAD: &str = "endpoint-load-metrics";
 pub const LOAD_FORMAT: &str = "endpoint-load-metrics-format";
 
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -1,7 +1,7 @@
 //! Checks of settings: what cannot work is refused before anything listens, with its place.
 
 use crate::place::{line_of, Step};
-use crate::proto::{fault, Day, Fault, Group, Limits, ModelRoute, Node, Repeat, Rules, Tenant};
+use crate::proto::{fault, Day, Fault, Group, Limits, ModelRoute, Node, Repeat, Rules, StateGrants, Tenant};
 use crate::Problem;
 use nickelgw::interface as m;
 use std::collections::BTreeSet;
@@ -95,6 +95,7 @@
         self.limits(&n.limits.unwrap_or_default());
         self.tls(n);
         self.repeats(n);
+        self.grants(&n.state_grants);
         self.done()
     }
 
@@ -122,6 +123,28 @@
         }
     }
 
+    fn grants(&mut self, g: &Option<StateGrants>) {
+        let Some(g) = g else { return };
+        let at = ("state_grants", 0);
+        if g.key.is_empty() {
+            self.wrong(&[at, ("key", 0)], "none is given", "a key at least");
+        }
+        self.above_zero(&[at, ("lifetime_ms", 0)], g.lifetime_ms());
+        for (n, k) in g.key.iter().enumerate() {
+            if k.secret.len() < 16 {
+                // The secret itself is not shown.
+                self.wrong(&[at, ("key", n), ("secret", 0)], "is too short", "16 bytes or more");
+            }
+            if g.key[..n].iter().any(|o| o.number == k.number) {
+                self.wrong(&[at, ("key", n), ("number", 0)], "stands twice", "each number once");
+            }
+            if n > 0 && g.key[n - 1].sign_from() > k.sign_from() {
+                let wanted = "keys in the order of their times";
+                self.wrong(&[at, ("key", n), ("sign_from", 0)], "is before the key above", wanted);
+            }
+        }
+    }
+
     fn tls(&mut self, n: &Node) {
         if let Some(t) = &n.engine_tls {
             let at = ("engine_tls", 0);
@@ -192,6 +215,7 @@
             let at = ("tenant", n);
             self.named(&[at, ("name", 0)], &t.name);
             self.above_zero(&[at, ("quota_per_s", 0)], t.quota_per_s);
+            self.above_zero(&[at, ("most_open", 0)], t.most_open.map_or(1.0, f64::from));
             if t.key.len() < 8 {
                 self.wrong(&[at, ("key", 0)], "is too short", "a secret of eight bytes or more");
             }
@@ -277,6 +301,7 @@
         self.limits(&d.limits.unwrap_or_default());
         self.not_negative(&[("list_lag_ms", 0)], d.list_lag_ms());
         self.above_zero(&[("drain_grace_ms", 0)], d.drain_grace_ms());
+        self.grants(&d.state_grants);
         self.engines(d);
         for (n, t) in d.traffic.iter().enumerate() {
             let at = ("traffic", n);
@@ -294,6 +319,7 @@
                 ("leave_waiting_share", t.leave_waiting_share()),
                 ("leave_streaming_share", t.leave_streaming_share()),
                 ("malformed_share", t.malformed_share()),
+                ("slow_share", t.slow_share()),
             ] {
                 self.share(&[at, (name, 0)], value);
             }
--- a/crates/nickelgw-standin/src/client.rs
+++ b/crates/nickelgw-standin/src/client.rs
@@ -16,8 +16,9 @@
 use std::future::Future;
 use std::time::Duration;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Leave {
+    #[default]
     Never,
     /// Gives up after so many seconds without an answer.
     Waiting(f64),
@@ -25,7 +26,7 @@
     Streaming(usize),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Ask {
     pub req: String,
     pub node: String,
@@ -41,6 +42,11 @@
     /// When it should have been asked: a client that is behind hides no wait.
     pub intended: f64,
     pub leave: Leave,
+    /// Asked again: after which request, and how often before.
+    pub of: Option<String>,
+    pub again: u32,
+    /// Rests so long at each event.
+    pub slow_s: f64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -49,6 +55,7 @@
     pub status: u16,
     pub code: Option<String>,
     pub retry_after: Option<String>,
+    pub come_back_s: Option<f64>,
     pub text: String,
     pub events: usize,
     pub first_s: Option<f64>,
@@ -85,6 +92,9 @@
         if let Some(key) = &self.key {
             b = b.header("authorization", format!("Bearer {key}"));
         }
+        if self.again > 0 {
+            b = b.header("x-retry-count", self.again);
+        }
         b.body(Full::new(self.body())).ok()
     }
 }
@@ -98,7 +108,7 @@
     record.note(
         "ask",
         json!({"req": ask.req, "node": ask.node, "model": ask.model, "intended": ask.intended,
-        "timeout_s": ask.timeout_s, "target_s": ask.target_s}),
+        "timeout_s": ask.timeout_s, "target_s": ask.target_s, "of": ask.of}),
     );
     let mut seen = Seen::default();
     let talk = async {
@@ -118,12 +128,16 @@
         seen.status = head.status.as_u16();
         let header = |n: &str| head.headers.get(n).and_then(|v| v.to_str().ok()).map(str::to_string);
         seen.retry_after = header("retry-after");
+        seen.come_back_s = header("retry-after-ms").and_then(|v| v.parse::<f64>().ok()).map(|ms| ms / 1e3);
         if !header("content-type").unwrap_or_default().starts_with("text/event-stream") {
             let Ok(b) = body.collect().await else { return Some("cut") };
             let b = b.to_bytes();
             seen.code = error_code(&b);
             if seen.status != 200 {
-                let harmless = matches!(seen.code.as_deref(), Some("shed" | "node_full"));
+                let harmless = matches!(
+                    seen.code.as_deref(),
+                    Some("shed" | "node_full" | "retry_budget" | "too_many_open" | "node_draining")
+                );
                 return Some(if harmless { "shed" } else { "errored" });
             }
             let v: Value = serde_json::from_slice(&b).unwrap_or_default();
@@ -157,6 +171,9 @@
                             record.note("first", json!({"req": ask.req}));
                         }
                         seen.events += 1;
+                        if ask.slow_s > 0.0 {
+                            Timer::after(Duration::from_secs_f64(ask.slow_s)).await;
+                        }
                         seen.text.push_str(v["choices"][0]["delta"]["content"].as_str().unwrap_or(""));
                         if v["usage"].is_object() {
                             seen.usage = Some(v["usage"].clone());
--- a/crates/nickelgw-standin/src/engine.rs
+++ b/crates/nickelgw-standin/src/engine.rs
@@ -1,7 +1,7 @@
 //! Stand-in of a reader or a writer on sockets: the model's times passed for real, states moved as bytes, faults
 //! on demand by `POST /control`.
 
-use crate::model::{Figures, Model, Refused, Role};
+use crate::model::{Figures, Model, Refused, Role, Speech};
 use crate::record::{unix_now, Record};
 use crate::serve::{body, error, header, json, serve, Answer, Cut, Streamed};
 use crate::tls::{Stream, Tls};
@@ -12,10 +12,11 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{HeaderMap, Method, Request, Response};
 use nanorand::{Rng, WyRand};
+use nickelgw_chat::core::grant::{Checker, GrantKey, Granted};
 use nickelgw_protocol::chat::ChatRequest;
 use nickelgw_protocol::engine::{KvTransfer, DRAINING, FULL, NO_STATE};
 use nickelgw_protocol::load::{self, LoadReport};
-use nickelgw_protocol::{sse, LOAD, NODE, REQUEST_ID, SEND_ID, ZONE};
+use nickelgw_protocol::{sse, ENGINE, GRANT, LOAD, NODE, REQUEST_ID, SEND_ID, ZONE};
 use serde_json::{json, Value};
 use smol::Timer;
 use std::cell::{Cell, RefCell};
@@ -33,6 +34,18 @@
     lose: (f64, f64),
     /// Until when, how long each pause is and how often one begins.
     pause: (f64, f64, f64),
+    /// Sends to turn away for want of room.
+    refuse: u64,
+    /// The next fetch ends after half of its bytes, and the process with it.
+    die_in_fetch: bool,
+    /// "twice", "none" or "text": how streams end instead.
+    ending: String,
+    /// Said instead of numbered words, a character at a time.
+    say: String,
+    /// Bytes in each piece of a stream; 0: whole events.
+    split: usize,
+    /// Added to each token, so that few fill a buffer.
+    pad: usize,
 }
 
 pub struct Engine {
@@ -46,6 +59,7 @@
     die: Sender<()>,
     ex: smol::LocalExecutor<'static>,
     streams: Cell<u64>,
+    grants: Option<RefCell<Checker>>,
     tls: Option<Rc<Tls>>,
 }
 
@@ -91,7 +105,10 @@
         "tip_window_s": f.tip_window_s, "memory_tokens": f.memory_tokens}),
     );
     let tls = figures.tls.clone().map(|f| Rc::new(Tls::new(f, record.clone())));
+    let keys = figures.grant_keys.iter().filter_map(|(n, secret)| GrantKey::of(*n, secret));
+    let grants = (!figures.grant_keys.is_empty()).then(|| RefCell::new(Checker::new(keys)));
     let engine = Rc::new(Engine {
+        grants,
         tls: tls.clone(),
         model: RefCell::new(Model::new(figures, unix_now())),
         line: RefCell::default(),
@@ -212,7 +229,8 @@
         if path == "/control" {
             return self.control(request).await;
         }
-        let zone = header(request.headers(), ZONE).to_string();
+        let headers = request.headers().clone();
+        let zone = header(&headers, ZONE).to_string();
         let answer = match (method, path.as_str()) {
             // Recorded as it comes in: when it was sent, not when a cut that holds it up has healed.
             (Method::POST, "/v1/chat/completions") => self.clone().complete(request, &zone).await?,
@@ -220,7 +238,7 @@
                 self.through(&zone).await;
                 match self.clone().other(method, path, request).await? {
                     Some(a) => a,
-                    None => return self.fetched(path.trim_start_matches("/v1/states/")).await,
+                    None => return self.fetched(path.trim_start_matches("/v1/states/"), &headers).await,
                 }
             }
         };
@@ -253,7 +271,16 @@
     }
 
     /// A writer fetches a state: its bytes go out, and its memory is free when all of them have.
-    async fn fetched(self: Rc<Self>, name: &str) -> Result<Answer, Cut> {
+    async fn fetched(self: Rc<Self>, name: &str, headers: &HeaderMap) -> Result<Answer, Cut> {
+        if let Some(checker) = &self.grants {
+            let m = self.model.borrow();
+            let g =
+                Granted { state: name, reader: &m.figures.id, writer: header(headers, ENGINE), until: 0.0 };
+            if let Err(why) = checker.borrow_mut().check(unix_now(), header(headers, GRANT), &g) {
+                self.record.note("not_granted", json!({"state": name, "why": format!("{why:?}")}));
+                return Ok(error(403, "not_granted"));
+            }
+        }
         let found = self.model.borrow().states.get(name).map(|s| s.0);
         let Some(tokens) = found else { return Ok(error(404, NO_STATE)) };
         let bytes = (tokens * self.model.borrow().figures.state_bytes_per_token) as usize;
@@ -263,7 +290,13 @@
             .spawn(async move {
                 let piece = Bytes::from(vec![b'k'; 64 * 1024]);
                 let mut left = bytes;
+                let stop_at = if engine.faults.borrow().die_in_fetch { bytes / 2 } else { 0 };
                 while left > 0 {
+                    if left < stop_at {
+                        engine.record.note("died", json!({}));
+                        let _ = engine.die.try_send(());
+                        return;
+                    }
                     let n = left.min(piece.len());
                     if to.send(Frame::data(piece.slice(..n))).await.is_err() {
                         return;
@@ -299,7 +332,11 @@
         if fell {
             self.record.note("fell", json!({}));
         }
-        let refused = self.model.borrow().admit(chat.prompt_tokens).err();
+        let mut refused = self.model.borrow().admit(chat.prompt_tokens).err();
+        if self.faults.borrow().refuse > 0 {
+            self.faults.borrow_mut().refuse -= 1;
+            refused = Some(Refused::Full);
+        }
         if let Some(why) = refused {
             let (status, code) = match why {
                 Refused::Full => (429, FULL),
@@ -373,7 +410,15 @@
             let mean = self.model.borrow().figures.out_tokens as f64;
             (dice, (mean * (0.5 + dice)).round().max(1.0) as u64)
         };
-        let out = chat.max_tokens.map_or(out, |m| out.min(m));
+        let say = self.faults.borrow().say.clone();
+        let all: Vec<String> = match say.is_empty() {
+            true => (0..out).map(|n| format!("w{n} ")).collect(),
+            false => say.chars().map(String::from).collect(),
+        };
+        let pad = "x".repeat(self.faults.borrow().pad);
+        let all = all.into_iter().map(|t: String| t + &pad).collect();
+        let speech = Speech::of(all, &chat.stop, chat.max_tokens);
+        let out = speech.tokens.len() as u64;
         let room = self.room(chat.prompt_tokens, chat.prompt_tokens + out as f64).await;
         match kv {
             Some(kv) => {
@@ -402,7 +447,7 @@
         let (to, from) = async_channel::bounded(4);
         let engine = self.clone();
         self.streams.set(self.streams.get() + 1);
-        self.ex.spawn(async move { engine.speak(chat, out, room, to, req, send, zone).await }).detach();
+        self.ex.spawn(async move { engine.speak(chat, speech, room, to, req, send, zone).await }).detach();
         let b = Response::builder().header("content-type", "text/event-stream").header("trailer", LOAD);
         b.body(stream_body(from)).map_err(|_| Cut)
     }
@@ -411,7 +456,7 @@
     async fn speak(
         self: Rc<Self>,
         chat: ChatRequest,
-        out: u64,
+        speech: Speech,
         room: Room,
         to: Sender<Frame<Bytes>>,
         req: String,
@@ -419,19 +464,29 @@
         zone: String,
     ) {
         let created = unix_now() as u64;
+        let (ending, split) = (self.faults.borrow().ending.clone(), self.faults.borrow().split);
+        // Nobody hears it any more: none.
+        let put = async |f: Bytes| -> Option<()> {
+            let size = if split == 0 { f.len() } else { split };
+            for n in (0..f.len()).step_by(size.max(1)) {
+                to.send(Frame::data(f.slice(n..f.len().min(n + size)))).await.ok()?;
+            }
+            Some(())
+        };
+        let out = speech.tokens.len() as u64;
         let chunk = |choices: Value, usage: Value| {
             let v = json!({"id": send, "object": "chat.completion.chunk", "created": created,
                 "model": chat.model, "choices": choices, "usage": usage});
-            Frame::data(sse::frame(v.to_string().as_bytes()))
+            sse::frame(v.to_string().as_bytes())
         };
-        for n in 0..out {
-            let finish = if n + 1 == out { json!("stop") } else { Value::Null };
-            let mut delta = json!({"content": format!("w{n} ")});
+        for (n, token) in (0..out).zip(&speech.tokens) {
+            let finish = if n + 1 == out { json!(speech.finish) } else { Value::Null };
+            let mut delta = json!({"content": token});
             if n == 0 {
                 delta["role"] = json!("assistant");
             }
             let choice = json!([{"index": 0, "delta": delta, "finish_reason": finish}]);
-            if to.send(chunk(choice, Value::Null)).await.is_err() {
+            if put(chunk(choice, Value::Null)).await.is_none() {
                 self.record.note("dropped", json!({"req": req, "send": send, "tokens": n}));
                 return;
             }
@@ -444,9 +499,19 @@
         let prompt = chat.prompt_tokens as u64;
         let usage = json!({"prompt_tokens": prompt, "completion_tokens": out, "total_tokens": prompt + out});
         if chat.include_usage {
-            let _ = to.send(chunk(json!([]), usage)).await;
+            let _ = put(chunk(json!([]), usage)).await;
+        }
+        if ending != "none" {
+            let _ = put(sse::done()).await;
+        }
+        match ending.as_str() {
+            "twice" => drop(put(sse::done()).await),
+            "text" => {
+                let more = json!([{"index": 0, "delta": {"content": "and more"}, "finish_reason": null}]);
+                let _ = put(chunk(more, Value::Null)).await;
+            }
+            _ => {}
         }
-        let _ = to.send(Frame::data(sse::done())).await;
         drop(room);
         self.record.note("done", json!({"req": req, "send": send, "tokens": out}));
         let mut trailers = HeaderMap::new();
@@ -459,14 +524,15 @@
     /// Fetches a state from the reader that holds it; its size, or none where it cannot be had.
     async fn fetch(&self, kv: &KvTransfer) -> Option<usize> {
         let (host, name) = (kv.remote_host.as_ref()?, kv.remote_request_id.as_ref()?);
-        let zone = self.model.borrow().figures.zone.clone();
+        let (zone, id) = (self.model.borrow().figures.zone.clone(), self.model.borrow().figures.id.clone());
+        let grant = kv.remote_grant.as_deref().unwrap_or("");
         let fetch = async {
             let mut s: Box<dyn Stream> = match &self.tls {
                 None => Box::new(smol::net::TcpStream::connect(host).await.ok()?),
                 Some(tls) => tls.connect(host, kv.remote_tls_name.as_ref()?).await?,
             };
             let head = format!(
-                "GET /v1/states/{name} HTTP/1.1\r\nhost: {host}\r\n{ZONE}: {zone}\r\nconnection: close\r\n\r\n"
+                "GET /v1/states/{name} HTTP/1.1\r\nhost: {host}\r\n{ZONE}: {zone}\r\n{ENGINE}: {id}\r\n{GRANT}: {grant}\r\nconnection: close\r\n\r\n"
             );
             s.write_all(head.as_bytes()).await.ok()?;
             let (mut head, mut buffer) = (Vec::new(), vec![0; 64 * 1024]);
@@ -515,6 +581,12 @@
                     let (long, every) = (v["pause_s"].as_f64(), v["every_s"].as_f64());
                     f.pause = (until, long.unwrap_or(0.2), every.unwrap_or(1.0).max(0.01));
                 }
+                "refuse" => f.refuse = v["times"].as_u64().unwrap_or(1),
+                "die_in_fetch" => f.die_in_fetch = true,
+                "ending" => f.ending = v["how"].as_str().unwrap_or("").into(),
+                "say" => f.say = v["text"].as_str().unwrap_or("").into(),
+                "pad" => f.pad = v["bytes"].as_u64().unwrap_or(0) as usize,
+                "split" => f.split = v["bytes"].as_u64().unwrap_or(0) as usize,
                 "forget" => m.forget(),
                 "drain" => m.draining = true,
                 "cert" => {
--- a/crates/nickelgw-standin/src/model.rs
+++ b/crates/nickelgw-standin/src/model.rs
@@ -39,6 +39,8 @@
     pub tip_window_s: f64,
     /// Serves, and fetches from readers, in TLS.
     pub tls: Option<TlsFiles>,
+    /// A state is handed out only by a grant that one of these keys made; none: to anybody.
+    pub grant_keys: Vec<(u32, String)>,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -75,10 +77,39 @@
             tip_multiple: 3.0,
             tip_window_s: 2.0,
             tls: None,
+            grant_keys: Vec::new(),
         }
     }
 }
 
+/// What a writer will say: its tokens, and why it ends.
+pub struct Speech {
+    pub tokens: Vec<String>,
+    pub finish: &'static str,
+}
+
+impl Speech {
+    /// The tokens, ended before the first text of `stop` and after `most`.
+    pub fn of(all: Vec<String>, stop: &[String], most: Option<u64>) -> Speech {
+        let mut said = String::new();
+        let mut tokens: Vec<String> = Vec::new();
+        for t in all {
+            if most.is_some_and(|m| tokens.len() as u64 >= m) {
+                return Speech { tokens, finish: "length" };
+            }
+            said.push_str(&t);
+            if let Some(at) = stop.iter().filter_map(|s| said.find(s)).min() {
+                // The part of this token before it is said, if there is one.
+                let rest = said.len() - t.len();
+                tokens.extend(at.checked_sub(rest).filter(|n| *n > 0).map(|n| t[..n].to_string()));
+                break;
+            }
+            tokens.push(t);
+        }
+        Speech { tokens, finish: "stop" }
+    }
+}
+
 /// Texts kept at most.
 const TEXTS: usize = 2048;
 
