A node goes by stages, and hands its socket to a new process without losing a request

A signal ended the process at once, with every stream and held state in it. The life of a node is now a core of its own: starting, serving, leaving, draining, ending; the health check says so first, work is taken for a notice, what runs has its grace, then each gets one clear ending and held states are let go of; each further signal hastens; the exit code says how it went.

--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod bench_tls;
 mod rehearse;
+mod serve;
 mod signals;
 mod start;
 mod up;
@@ -39,14 +40,7 @@
     /// Runs nodes and stand-in engines on loopback, to try things out.
     Up(up::Up),
     /// Serves as a node.
-    Serve {
-        /// Its settings, in protobuf text format.
-        #[arg(long)]
-        config: PathBuf,
-        /// Measures itself, and writes what it measured to this file when it ends.
-        #[arg(long, hide = true)]
-        meter: Option<PathBuf>,
-    },
+    Serve(serve::Serve),
     /// Checks a settings file of a node or a day.
     Check { file: PathBuf },
     /// Runs a stand-in reader or writer.
@@ -150,20 +144,7 @@
             println!("{}: sound settings of a {kind}", file.display());
             Ok(ExitCode::SUCCESS)
         }
-        What::Serve { config, meter } => {
-            let node = nickelgw_settings::node(&config).map_err(|p| start::problems(&p))?;
-            let measured = meter.is_some().then(Default::default);
-            // Whatever is wrong is said before anything listens.
-            let start = start::start(&node, measured.clone())?;
-            let listener = bind(node.listen())?;
-            let until = signals::ended()?;
-            smol::block_on(futures_lite::future::or(nickelgw_node::run(listener, start), until))?;
-            if let (Some(path), Some(m)) = (meter, measured) {
-                let m = m.lock().unwrap_or_else(|e| e.into_inner());
-                std::fs::write(path, m.json().to_string())?;
-            }
-            Ok(ExitCode::SUCCESS)
-        }
+        What::Serve(s) => s.run(),
         What::Engine { id, role, zone, cell, cold, figures, port, seed, record: to } => {
             let wrong = |e: serde_json::Error| Unusable(format!("--figures: {e}"));
             let mut f: nickelgw_standin::model::Figures = serde_json::from_str(&figures).map_err(wrong)?;
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -617,6 +617,7 @@
         chat_tls: None,
         repeats: None,
         retries: d.retries,
+        leaving: None,
         state_grants: d.state_grants.clone(),
     };
     text_of(&node)
--- a/crates/nickelgw-cli/src/signals.rs
+++ b/crates/nickelgw-cli/src/signals.rs
@@ -1,16 +1,46 @@
-//! Ends on SIGINT and SIGTERM.
+//! Signals as events: SIGINT and SIGTERM end, SIGHUP renews.
 
 use futures_lite::AsyncReadExt;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::Async;
 use std::future::Future;
 use std::os::unix::net::UnixStream;
 
-/// Ready when one of the signals has come.
-pub fn ended() -> std::io::Result<impl Future<Output = std::io::Result<()>>> {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    End,
+    /// A new process with the settings as they are now takes over.
+    Renew,
+}
+
+pub struct Signals {
+    end: Async<UnixStream>,
+    renew: Async<UnixStream>,
+}
+
+fn pipe(signals: &[i32]) -> std::io::Result<Async<UnixStream>> {
     let (read, write) = UnixStream::pair()?;
-    signal_hook::low_level::pipe::register(SIGINT, write.try_clone()?)?;
-    signal_hook::low_level::pipe::register(SIGTERM, write)?;
-    let mut read = Async::new(read)?;
+    for s in signals {
+        signal_hook::low_level::pipe::register(*s, write.try_clone()?)?;
+    }
+    Async::new(read)
+}
+
+impl Signals {
+    pub fn new() -> std::io::Result<Signals> {
+        Ok(Signals { end: pipe(&[SIGINT, SIGTERM])?, renew: pipe(&[SIGHUP])? })
+    }
+
+    pub async fn next(&mut self) -> std::io::Result<Signal> {
+        let (mut one, mut other) = ([0], [0]);
+        let end = async { self.end.read(&mut one).await.map(|_| Signal::End) };
+        let renew = async { self.renew.read(&mut other).await.map(|_| Signal::Renew) };
+        futures_lite::future::or(end, renew).await
+    }
+}
+
+/// Ready when the process is to end.
+pub fn ended() -> std::io::Result<impl Future<Output = std::io::Result<()>>> {
+    let mut read = pipe(&[SIGINT, SIGTERM])?;
     Ok(async move { read.read(&mut [0]).await.map(|_| ()) })
 }
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -85,6 +85,7 @@
 const OVERLAP_S: f64 = 600.0;
 
 pub fn start(n: &Node, meter: Option<Arc<Mutex<Meter>>>) -> Result<Start, Unusable> {
+    let leaving = n.leaving.unwrap_or_default();
     let l = n.limits.unwrap_or_default();
     let epoch = unix_now();
     let model = |r: &nickelgw_settings::proto::ModelRoute| Model {
@@ -110,6 +111,7 @@
             most_open: l.most_open() as usize,
             stream_idle_s: l.stream_idle_ms() / 1e3,
             let_go_within_s: LET_GO_WITHIN_S,
+            come_back_s: l.come_back_ms() / 1e3,
             grants: n.state_grants.as_ref().map(|g| Grants {
                 keys: g
                     .key
@@ -141,6 +143,14 @@
         },
         list: n.list.clone(),
         last_list: n.last_list.as_ref().map(Into::into),
+        life: nickelgw_node::core::life::Figures {
+            notice_s: leaving.notice_ms() / 1e3,
+            grace_s: leaving.grace_ms() / 1e3,
+            end_s: leaving.end_ms() / 1e3,
+        },
+        // Told nothing, unless the caller puts its own here.
+        orders: async_channel::bounded(1).1,
+        on_serving: None,
         meter,
     })
 }
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -41,6 +41,8 @@
     Full,
     /// As many of the tenant's are open as it may have.
     TenantFull,
+    /// The node is on its way out.
+    Leaving,
     /// The queue to the core is full: the node is behind.
     Behind,
     Unknown(ApiError),
@@ -56,6 +58,12 @@
                 e.retry_after_s = Some(come_back_s);
                 return e;
             }
+            Refusal::Leaving => {
+                let word = "this node is stopping; another one takes it";
+                let mut e = ApiError::new(503, "server_error", "node_draining", word);
+                e.retry_after_s = Some(come_back_s);
+                return e;
+            }
             Refusal::Full => "as many requests are open as this node takes",
             Refusal::Behind => "this node is behind with its work",
         };
--- /dev/null
+++ b/crates/nickelgw-node/src/core/life.rs
@@ -0,0 +1,276 @@
+//! A node's life, without I/O: what is allowed in each stage, and when the next one comes.
+//!
+//! | stage | health | new connections | new requests | streams | ends when |
+//! | --- | --- | --- | --- | --- | --- |
+//! | starting | no | yes | yes (shed: nothing is known) | - | a list is heard |
+//! | serving | yes | yes | yes | run | told to leave |
+//! | leaving | no | yes; no, once handed over | yes, each the last of its connection | run | `notice_s` is over |
+//! | draining | no | no | refused, with a time to come back | run | nothing is open, or `grace_s` is over |
+//! | ending | no | no | refused | each gets one clear ending | states are let go of, or `end_s` is over |
+
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// How long work is still taken once the front layer is told: for its health checks to see it.
+    pub notice_s: f64,
+    /// How long what runs may run on after that.
+    pub grace_s: f64,
+    /// How long endings may take to reach clients, and states to be let go of.
+    pub end_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    Starting,
+    Serving,
+    Leaving { until: f64 },
+    Draining { until: f64 },
+    Ending { until: f64 },
+    Ended(Exit),
+}
+
+/// How it ended; the process's exit code says it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// All that was open ended by itself.
+    Clean,
+    /// Some was ended by the grace's end.
+    Cut,
+    /// Besides, states could not be let go of: their readers' own limits free them.
+    Held,
+}
+
+impl Exit {
+    pub fn code(self) -> u8 {
+        match self {
+            Exit::Clean => 0,
+            Exit::Cut => 3,
+            Exit::Held => 4,
+        }
+    }
+}
+
+/// What is still there.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Left {
+    pub open: usize,
+    pub states: usize,
+    pub connections: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Do {
+    /// The health check says that it goes, and answers close their connections.
+    SayLeaving,
+    StopListening,
+    /// New requests are refused, unused connections closed.
+    RefuseWork,
+    /// Everything open gets its ending now.
+    EndAll,
+    Exit(Exit),
+}
+
+#[derive(Debug)]
+pub struct Life {
+    figures: Figures,
+    stage: Stage,
+    listening: bool,
+    cut: bool,
+    /// Stages to be cut short: several signals may come between two looks.
+    hastened: u32,
+    ready: Vec<Do>,
+}
+
+/// How often what is left is looked at, once it counts.
+const LOOK_S: f64 = 0.02;
+
+impl Life {
+    pub fn new(figures: Figures) -> Life {
+        Life { figures, stage: Stage::Starting, listening: true, cut: false, hastened: 0, ready: Vec::new() }
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// A list of engines is known: it can serve.
+    pub fn heard(&mut self) {
+        if self.stage == Stage::Starting {
+            self.stage = Stage::Serving;
+        }
+    }
+
+    /// To go. `handed_over`: another process has the listening socket already.
+    pub fn leave(&mut self, now: f64, handed_over: bool) {
+        if !matches!(self.stage, Stage::Starting | Stage::Serving) {
+            return;
+        }
+        self.ready.push(Do::SayLeaving);
+        self.stage = Stage::Leaving { until: now + self.figures.notice_s };
+        if handed_over {
+            self.stop_listening();
+        }
+    }
+
+    /// Told once more: the next stage comes at once.
+    pub fn hasten(&mut self, now: f64) {
+        match self.stage {
+            Stage::Starting | Stage::Serving => self.leave(now, false),
+            Stage::Leaving { .. } | Stage::Draining { .. } | Stage::Ending { .. } => self.hastened += 1,
+            Stage::Ended(_) => {}
+        }
+    }
+
+    fn stop_listening(&mut self) {
+        if std::mem::take(&mut self.listening) {
+            self.ready.push(Do::StopListening);
+        }
+    }
+
+    fn over(&mut self, now: f64, until: f64) -> bool {
+        if now < until && self.hastened > 0 {
+            self.hastened -= 1;
+            return true;
+        }
+        now >= until
+    }
+
+    /// What to do, and when to look again.
+    pub fn act(&mut self, now: f64, left: Left) -> (Vec<Do>, Option<f64>) {
+        if let Stage::Leaving { until } = self.stage {
+            if self.over(now, until) {
+                self.stop_listening();
+                self.ready.push(Do::RefuseWork);
+                // From when it was due: a late look makes no longer life.
+                self.stage = Stage::Draining { until: until.min(now) + self.figures.grace_s };
+            }
+        }
+        if let Stage::Draining { until } = self.stage {
+            if left.open == 0 || self.over(now, until) {
+                self.cut = left.open > 0;
+                if self.cut {
+                    self.ready.push(Do::EndAll);
+                }
+                self.stage = Stage::Ending { until: until.min(now) + self.figures.end_s };
+                // What ending all has done is seen at the next look.
+                return (std::mem::take(&mut self.ready), Some(now + LOOK_S));
+            }
+        }
+        if let Stage::Ending { until } = self.stage {
+            let done = left.open == 0 && left.states == 0 && left.connections == 0;
+            if done || self.over(now, until) {
+                let exit = match (left.states > 0, self.cut) {
+                    (true, _) => Exit::Held,
+                    (false, true) => Exit::Cut,
+                    (false, false) => Exit::Clean,
+                };
+                self.stage = Stage::Ended(exit);
+                self.ready.push(Do::Exit(exit));
+            }
+        }
+        let wake = match self.stage {
+            Stage::Leaving { until } => Some(until),
+            Stage::Draining { until } | Stage::Ending { until } => Some(until.min(now + LOOK_S)),
+            _ => None,
+        };
+        (std::mem::take(&mut self.ready), wake)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    const F: Figures = Figures { notice_s: 1.0, grace_s: 5.0, end_s: 0.5 };
+
+    fn left(open: usize, states: usize, connections: usize) -> Left {
+        Left { open, states, connections }
+    }
+
+    #[test]
+    fn the_ordinary_end() {
+        let mut l = Life::new(F);
+        l.heard();
+        l.leave(10.0, false);
+        assert_eq!(l.act(10.0, left(3, 1, 4)), (vec![Do::SayLeaving], Some(11.0)));
+        assert_eq!(l.act(11.0, left(2, 1, 4)).0, vec![Do::StopListening, Do::RefuseWork]);
+        assert_eq!(l.act(12.0, left(1, 0, 1)).0, vec![]);
+        // Its last stream has ended, and the connection's last bytes are on their way.
+        assert_eq!(l.act(12.5, left(0, 0, 1)).0, vec![]);
+        assert_eq!(l.act(12.6, left(0, 0, 0)).0, vec![Do::Exit(Exit::Clean)]);
+    }
+
+    #[test]
+    fn what_outlasts_the_grace_is_ended() {
+        let mut l = Life::new(F);
+        l.leave(0.0, true);
+        assert_eq!(l.act(0.0, left(1, 1, 1)).0, vec![Do::SayLeaving, Do::StopListening]);
+        assert_eq!(l.act(1.0, left(1, 1, 1)).0, vec![Do::RefuseWork]);
+        assert_eq!(l.act(6.0, left(1, 1, 1)).0, vec![Do::EndAll]);
+        assert_eq!(l.act(6.1, left(0, 1, 0)).0, vec![]);
+        assert_eq!(l.act(6.5, left(0, 1, 0)).0, vec![Do::Exit(Exit::Held)]);
+    }
+
+    #[test]
+    fn each_further_signal_hastens() {
+        let mut l = Life::new(F);
+        l.leave(0.0, false);
+        l.act(0.0, left(1, 0, 1));
+        l.hasten(0.1);
+        assert!(l.act(0.1, left(1, 0, 1)).0.contains(&Do::RefuseWork));
+        l.hasten(0.2);
+        assert_eq!(l.act(0.2, left(1, 0, 1)).0, vec![Do::EndAll]);
+        l.hasten(0.25);
+        assert_eq!(l.act(0.25, left(0, 0, 1)).0, vec![Do::Exit(Exit::Cut)]);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(41), failure_persistence: None, ..ProptestConfig::default() })]
+        #[test]
+        fn it_only_goes_on_says_each_thing_once_and_ends_in_time(
+            steps in prop::collection::vec((0u8..6, 0usize..3, 0.0..0.6f64), 1..80),
+        ) {
+            let (mut l, mut now, mut said, mut told) = (Life::new(F), 0.0, Vec::new(), None);
+            let mut ended = None;
+            let rank = |s: Stage| match s {
+                Stage::Starting => 0, Stage::Serving => 1, Stage::Leaving { .. } => 2,
+                Stage::Draining { .. } => 3, Stage::Ending { .. } => 4, Stage::Ended(_) => 5,
+            };
+            for (what, n, dt) in steps {
+                now += dt;
+                let before = rank(l.stage());
+                match what {
+                    0 => l.heard(),
+                    1 => { l.leave(now, n == 1); told = told.or(Some(now)); }
+                    2 if told.is_some() => l.hasten(now),
+                    _ => {}
+                }
+                said.extend(l.act(now, left(n, n, n)).0);
+                ended = ended.or(matches!(l.stage(), Stage::Ended(_)).then_some(now));
+                prop_assert!(rank(l.stage()) >= before);
+            }
+            if let Some(told) = told {
+                let mut wake = Some(now);
+                while let Some(at) = wake.filter(|_| rank(l.stage()) < 5) {
+                    now = at.max(now + 1e-3);
+                    let (todo, next) = l.act(now, left(1, 1, 1));
+                    said.extend(todo);
+                    wake = next;
+                }
+                // A look comes up to 0.6 s late.
+                let most = told + F.notice_s + F.grace_s + F.end_s + 0.6;
+                prop_assert_eq!(rank(l.stage()), 5);
+                prop_assert!(ended.unwrap_or(now) <= most);
+                prop_assert_eq!(said.iter().filter(|d| matches!(d, Do::Exit(_))).count(), 1);
+            }
+            for d in &said {
+                prop_assert_eq!(said.iter().filter(|x| *x == d).count(), 1, "{:?}", d);
+            }
+            let at = |d: Do| said.iter().position(|x| *x == d);
+            if let (Some(refuse), Some(end)) = (at(Do::RefuseWork), at(Do::EndAll)) {
+                prop_assert!(at(Do::StopListening) < Some(refuse) && refuse < end);
+            }
+        }
+    }
+}
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod cause;
 pub mod door;
 pub mod ledger;
+pub mod life;
 
 pub use cause::Cause;
 pub use door::{Ask, Door, Refusal};
@@ -81,6 +82,8 @@
     SendsFailed,
     /// The stream broke after its first token.
     StreamBroken,
+    /// The node stops, and its grace is over.
+    Stopping,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -130,6 +133,8 @@
     pub most_open: usize,
     pub stream_idle_s: f64,
     pub let_go_within_s: f64,
+    /// What a client is told when the node goes.
+    pub come_back_s: f64,
     pub grants: Option<Grants>,
     /// Inferences open at once for each tenant; none: only the node's own limit counts.
     pub tenant_most_open: Vec<Option<usize>>,
@@ -178,6 +183,8 @@
 struct Sent {
     read: bool,
     live: bool,
+    /// A write that is not known not to have run.
+    may_have_run: bool,
 }
 
 struct Taken {
@@ -202,6 +209,8 @@
     pub ledger: Ledger,
     revision: Option<u64>,
     ready: Vec<Do>,
+    /// Nothing more is taken.
+    leaving: bool,
     /// Begun answers that clients do not stream, by the time when they must be whole (as bits: none is negative).
     unseen: BTreeSet<(u64, Ticket)>,
     pub tally: Tally,
@@ -231,6 +240,7 @@
             open_by_tenant: vec![0; figures.tenant_most_open.len()],
             revision: None,
             ready: Vec::new(),
+            leaving: false,
             unseen: BTreeSet::new(),
             tally: Tally::default(),
             figures,
@@ -314,6 +324,10 @@
 
     /// Takes a request, or says why not.
     pub fn take(&mut self, now: f64, ask: &Ask) -> Result<Ticket, Refusal> {
+        if self.leaving {
+            self.tally.refused += 1;
+            return Err(Refusal::Leaving);
+        }
         if self.open >= self.figures.most_open {
             self.tally.refused += 1;
             return Err(Refusal::Full);
@@ -395,6 +409,7 @@
         s.live = false;
         let outcome = cause.outcome();
         let never = matches!(cause, Cause::TurnedAway | Cause::NoConnection | Cause::NotSent);
+        s.may_have_run &= !never && cause != Cause::NoState;
         let state = Held { owner: t.serial, read: send };
         match (s.read, cause) {
             (true, Cause::Read) => self.ledger.read(now, state),
@@ -424,6 +439,27 @@
         self.router.settled(now, Inf(t.inf), send, ending, end.load.as_ref().map(load));
     }
 
+    /// Nothing more is taken from now on.
+    pub fn refuse_work(&mut self) {
+        self.leaving = true;
+    }
+
+    /// The grace is over: whatever is open gets its one answer now, and nothing more is sent for it.
+    pub fn end_all(&mut self, now: f64) {
+        self.leaving = true;
+        for inf in 0..self.taken.len() as u32 {
+            let Some(t) = self.ticket(Inf(inf)) else { continue };
+            let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { continue };
+            let begun = taken.stage != Stage::Waiting;
+            let harmless = !begun && taken.sends.iter().all(|s| !s.may_have_run);
+            let come_back_s = Some(self.figures.come_back_s);
+            let answer = if harmless { Answer::Shed { come_back_s } } else { Answer::Errored(Why::Stopping) };
+            self.answer(t, answer);
+            self.router.left(Inf(inf));
+            self.ledger.let_go(now, t.serial);
+        }
+    }
+
     /// The client has gone. What is out for it is called off; nothing more is owed.
     pub fn left(&mut self, now: f64, t: Ticket) {
         if self.leave(t) {
@@ -563,7 +599,7 @@
         let taken = self.get(ticket)?;
         let send = taken.sends.len() as u32;
         let read = role == Role::Read;
-        taken.sends.push(Sent { read, live: true });
+        taken.sends.push(Sent { read, live: true, may_have_run: !read });
         let name = format!("{}-{}-{send}", self.figures.boot, ticket.serial);
         let what = if read {
             let state = HeldState { name: name.clone(), reader: eng.clone() };
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -61,6 +61,7 @@
         most_open,
         stream_idle_s: 2.0,
         let_go_within_s: HOLD_S / 2.0,
+        come_back_s: 1.0,
         grants: None,
         tenant_most_open: vec![None],
     };
@@ -267,6 +268,7 @@
                     self.core.probed(self.now, &id, cause, None);
                 }
             }
+            14 if pick % 40 == 0 => self.core.end_all(self.now),
             13 => {
                 for c in std::mem::take(&mut self.calls) {
                     self.core.let_go(self.now, c, pick % 3 != 0);
@@ -305,7 +307,7 @@
     #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(20), failure_persistence: None, ..ProptestConfig::default() })]
     #[test]
     fn every_order_of_events_keeps_the_rules(
-        steps in prop::collection::vec((0u8..14, any::<usize>(), 0.0..0.2f64), 1..160),
+        steps in prop::collection::vec((0u8..15, any::<usize>(), 0.0..0.2f64), 1..160),
     ) {
         let mut w = World::new();
         steps.iter().for_each(|s| w.step(*s));
@@ -461,3 +463,39 @@
         assert_eq!(reader.check(1000.0 + at + 0.2, g, &granted), Ok(()));
     }
 }
+
+#[test]
+fn when_the_grace_is_over_each_gets_the_answer_that_is_true_of_it() {
+    let mut c = core(8);
+    let (read, held, written) = (c.take(1.0, &ask(0)), c.take(1.0, &ask(2)), c.take(1.0, &ask(2)));
+    let mut sends = Vec::new();
+    for k in 0..20 {
+        let todo = c.act(1.0 + 0.01 * f64::from(k)).todo;
+        sends.extend(todo.into_iter().filter_map(|d| if let Do::Send(o) = d { Some(o) } else { None }));
+    }
+    let of = |t: &Result<Ticket, Refusal>| sends.iter().find(|o| Ok(o.ticket) == *t).unwrap();
+    c.ended(1.3, held.clone().unwrap(), of(&held).send, end(Cause::Read));
+    c.ended(1.3, written.clone().unwrap(), of(&written).send, end(Cause::Read));
+    let writes = c.act(1.3).todo;
+    for d in &writes {
+        // One writer has proved that it has not run.
+        if let Do::Send(o) = d {
+            if Ok(o.ticket) == held {
+                c.ended(1.31, o.ticket, o.send, end(Cause::TurnedAway));
+            }
+        }
+    }
+    c.end_all(1.32);
+    let todo = c.act(1.32).todo;
+    let answer = |t: &Result<Ticket, Refusal>| {
+        todo.iter().find_map(|d| match d {
+            Do::Answer { ticket, answer } if Ok(*ticket) == *t => Some(*answer),
+            _ => None,
+        })
+    };
+    let shed = Some(Answer::Shed { come_back_s: Some(1.0) });
+    assert_eq!((answer(&read), answer(&held)), (shed, shed));
+    assert_eq!(answer(&written), Some(Answer::Errored(Why::Stopping)));
+    assert!(todo.iter().any(|d| matches!(d, Do::LetGo { .. })), "what waited is let go of");
+    assert_eq!((c.take(1.4, &ask(0)), c.open()), (Err(Refusal::Leaving), 0));
+}
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -1,6 +1,7 @@
 //! The one task that owns the core: tells it what happened, does what it says, waits on no peer.
 
 use crate::core::ledger::Held;
+use crate::core::life::{self, Exit, Left, Life};
 use crate::core::{Answer, Ask, Cause, Core, Do, End, Place, Refusal, Ticket, Why};
 use crate::engines::Engines;
 use crate::meter::Meter;
@@ -33,7 +34,19 @@
     }
 }
 
+/// What the process is told to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// To go: by stages, none of which loses what is open.
+    Leave,
+    /// To go, with the listening socket in another process's hands already.
+    HandOver,
+    /// To go on to the next stage at once.
+    Hasten,
+}
+
 pub enum Said {
+    Order(Order),
     Take { ask: Ask, job: Job, taken: Sender<Ticket> },
     Began { ticket: Ticket, send: u32, grant: Sender<Sink> },
     Ended { ticket: Ticket, send: u32, end: End, sink: Option<Sink> },
@@ -49,6 +62,8 @@
     pub chat: Rc<ChatRequest>,
     pub reply: Sender<Reply>,
     pub since: Instant,
+    /// The client's stream, once it has begun.
+    pub stream: Option<Sender<Bytes>>,
 }
 
 pub enum Reply {
@@ -101,23 +116,50 @@
     /// Sends out; dropped, a send is called off.
     pub sends: HashMap<(Ticket, u32), Task<()>>,
     pub meter: Option<Arc<Mutex<Meter>>>,
-    /// Whether a list has been heard.
-    pub ready: Rc<Cell<bool>>,
+    pub life: Life,
+    pub doors: Rc<Doors>,
+    /// Called once, when it can serve.
+    pub on_serving: Option<Box<dyn FnOnce() + Send>>,
     /// Address of the engine list, whose connection is kept too.
     pub list: String,
 }
 
+/// What the sockets' side has to know of the node's life.
+pub struct Doors {
+    pub healthy: Cell<bool>,
+    /// Each answer is the last of its connection.
+    pub parting: Cell<bool>,
+    pub connections: Cell<usize>,
+    /// Closed when nothing more is accepted, and when unused connections are closed.
+    pub listening: (Sender<()>, Receiver<()>),
+    pub idling: (Sender<()>, Receiver<()>),
+}
+
+impl Doors {
+    pub fn new() -> Rc<Doors> {
+        Rc::new(Doors {
+            healthy: Cell::new(false),
+            parting: Cell::new(false),
+            connections: Cell::new(0),
+            listening: async_channel::bounded(1),
+            idling: async_channel::bounded(1),
+        })
+    }
+}
+
 fn failed(why: Why) -> ApiError {
     let (status, code, word) = match why {
         Why::TimeUp => (504, "timeout", "no answer began in time"),
         Why::SendsFailed => (502, "engines_failed", "the engines asked did not answer"),
+        Why::Stopping => (503, "node_stopping", "the node stops; what came of the answer is not whole"),
         Why::StreamBroken => (502, "stream_broken", "the answer broke off; what came of it is not whole"),
     };
     ApiError::new(status, "server_error", code, word)
 }
 
 impl Driver {
-    pub async fn run(mut self) {
+    /// Ends when the node's life does.
+    pub async fn run(mut self) -> Exit {
         let mut wake = Timer::never();
         let mut stamps = Vec::new();
         loop {
@@ -147,6 +189,11 @@
                 self.gone(now, ticket);
             }
             let wake_at = self.act(now);
+            let (exit, look_at) = self.live(now);
+            if let Some(exit) = exit {
+                return exit;
+            }
+            let wake_at = [wake_at, look_at].into_iter().flatten().min_by(f64::total_cmp);
             match wake_at {
                 Some(at) => wake.set_after(seconds((at - self.clock.now()).max(0.0))),
                 None => wake = Timer::never(),
@@ -161,6 +208,41 @@
         }
     }
 
+    /// What its stage of life asks for.
+    fn live(&mut self, now: f64) -> (Option<Exit>, Option<f64>) {
+        let connections = self.doors.connections.get();
+        let left = Left { open: self.core.open(), states: self.core.ledger.len(), connections };
+        let (todo, mut wake) = self.life.act(now, left);
+        for d in todo {
+            tracing::info!(stage = ?self.life.stage(), open = left.open, states = left.states, "{d:?}");
+            match d {
+                life::Do::SayLeaving => {
+                    self.doors.healthy.set(false);
+                    self.doors.parting.set(true);
+                }
+                life::Do::StopListening => drop(self.doors.listening.0.close()),
+                life::Do::RefuseWork => {
+                    self.core.refuse_work();
+                    self.doors.idling.0.close();
+                }
+                life::Do::EndAll => {
+                    self.core.end_all(now);
+                    wake = Some(now);
+                }
+                life::Do::Exit(exit) => return (Some(exit), None),
+            }
+        }
+        (None, wake)
+    }
+
+    fn serving(&mut self) {
+        self.life.heard();
+        if self.life.stage() == life::Stage::Serving {
+            self.doors.healthy.set(true);
+            self.on_serving.take().into_iter().for_each(|say| say());
+        }
+    }
+
     fn gone(&mut self, now: f64, ticket: Ticket) {
         self.core.left(now, ticket);
         if let Some(job) = self.jobs.remove(&ticket) {
@@ -187,9 +269,11 @@
                     Err(refusal) => drop(job.reply.try_send(Reply::Error(self.refused(refusal)))),
                 }
             }
+            Said::Order(Order::Hasten) => self.life.hasten(now),
+            Said::Order(order) => self.life.leave(now, order == Order::HandOver),
             Said::Began { ticket, send, grant } => {
                 if self.core.began(now, ticket, send) {
-                    if let Some(job) = self.jobs.get(&ticket) {
+                    if let Some(job) = self.jobs.get_mut(&ticket) {
                         let _ = grant.try_send(sink(job));
                     }
                 }
@@ -223,7 +307,7 @@
             Said::LetGo { call, done } => self.core.let_go(now, call, done),
             Said::List(list) => {
                 self.core.list(now, &list);
-                self.ready.set(true);
+                self.serving();
                 let list_address = self.list.clone();
                 let wanted = |a: &str| a == list_address || list.engines.iter().any(|l| l.address == a);
                 self.engines.pool.forget_others(wanted);
@@ -311,6 +395,13 @@
     fn answer(&mut self, ticket: Ticket, answer: Answer) {
         // Begun streams were answered where their end was heard.
         let Some(job) = self.jobs.remove(&ticket) else { return };
+        if let (Some(to), Answer::Errored(why)) = (job.stream.clone(), answer) {
+            // Its send is called off with this, so that nothing comes after.
+            let last = sse::frame(&failed(why).body());
+            let stall = self.engines.limits.client_stall_s;
+            self.ex.spawn(async move { drop(crate::within(stall, to.send(last)).await) }).detach();
+            return self.note(&job, "errored");
+        }
         let (error, word) = match answer {
             Answer::Shed { come_back_s } => {
                 let mut e = ApiError::new(503, "server_error", "shed", "no engine has room in time");
@@ -327,11 +418,12 @@
 }
 
 /// The begun stream of this client, and its receiving end in the client's hands.
-fn sink(job: &Job) -> Sink {
+fn sink(job: &mut Job) -> Sink {
     if !job.chat.stream {
         return Sink::Whole(Box::default());
     }
     let (to, from) = async_channel::bounded(FRAMES_AHEAD);
+    job.stream = Some(to.clone());
     let _ = job.reply.try_send(Reply::Stream(from));
     Sink::Stream { to, usage: job.chat.include_usage }
 }
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod client;
 pub mod core;
 mod driver;
+pub use crate::core::life::Exit;
+pub use driver::Order;
 mod engines;
 mod meter;
 mod repeat;
@@ -12,6 +14,7 @@
 
 pub use meter::Meter;
 
+use crate::core::life::Life;
 use crate::core::{Core, Door, Figures};
 use async_channel::{bounded, unbounded};
 use nickelgw::interface::Deployment;
@@ -63,6 +66,11 @@
     pub tls: TlsStart,
     pub repeats: repeats::Figures,
     pub retries: budget::Figures,
+    pub life: crate::core::life::Figures,
+    /// What the process is told to do, in service.
+    pub orders: async_channel::Receiver<Order>,
+    /// Called once, when it can serve.
+    pub on_serving: Option<Box<dyn FnOnce() + Send>>,
 }
 
 /// Keys and trust, looked at once already: what was not sound then keeps the node from starting.
@@ -109,8 +117,8 @@
     .await
 }
 
-/// Serves until the future is dropped. Everything it began ends with it.
-pub async fn run(listener: TcpListener, start: Start) -> std::io::Result<()> {
+/// Serves until its life ends or the future is dropped. Everything it began ends with it.
+pub async fn run(listener: TcpListener, start: Start) -> std::io::Result<Exit> {
     let clock = Clock(Instant::now());
     let listener = smol::Async::new(listener)?;
     let ex = Rc::new(LocalExecutor::new());
@@ -135,11 +143,15 @@
     let engines = engines::Engines::new(connections, &start.name, &start.zone, limits.clone());
     let seed = start.deployment.seed ^ u64::from(start.deployment.node);
     let mut core = Core::new(start.deployment, start.figures);
-    let mut heard = false;
+    let mut life = Life::new(start.life);
+    let doors = driver::Doors::new();
+    let mut on_serving = start.on_serving;
     if let Some(list) = watch::last(start.last_list.as_deref()) {
         tracing::info!(engines = list.engines.len(), revision = list.revision, "served from the last list");
         core.list_unproved(clock.now(), &list);
-        heard = true;
+        life.heard();
+        doors.healthy.set(true);
+        on_serving.take().into_iter().for_each(|say| say());
     }
     let watch = watch::Watch {
         address: start.list.clone(),
@@ -152,7 +164,6 @@
     let watching = ex.spawn(watch.run(engines.clone()));
     let names = Rc::new(start.door.models.iter().map(|m| m.name.clone()).collect::<Vec<_>>());
     let waiting = Rc::new(std::cell::Cell::new(0));
-    let ready = Rc::new(std::cell::Cell::new(heard));
     let driver = driver::Driver {
         core,
         clock,
@@ -166,10 +177,12 @@
         jobs: Default::default(),
         sends: Default::default(),
         meter: start.meter,
-        ready: ready.clone(),
+        life,
+        doors: doors.clone(),
+        on_serving,
         list: start.list,
     };
-    let driving = ex.spawn(driver.run());
+    let driving = driver.run();
     let server = Rc::new(server::Server {
         door: start.door,
         limits,
@@ -179,9 +192,8 @@
         name: start.name,
         serial: RefCell::new(0),
         models: names,
-        connections: std::cell::Cell::new(0),
+        doors,
         tls: start.tls.chat.map(|s| Arc::new(Mutex::new(s))),
-        ready,
         clock,
         ex: ex.clone(),
         budget: RefCell::new(budget::Budget::new(start.retries, seed)),
@@ -189,7 +201,14 @@
     });
     let repeating = ex.spawn(repeat::tend(server.clone()));
     let looking = ex.spawn(server::look(server.clone(), reload_s));
-    let result = ex.run(server::accept(listener, server, ex.clone())).await;
-    drop((watching, driving, tending, looking, repeating));
-    result
+    let (orders, told) = (start.orders, server.to_core.clone());
+    let ordering = ex.spawn(async move {
+        while let Ok(order) = orders.recv().await {
+            let _ = told.send(driver::Word::new(driver::Said::Order(order))).await;
+        }
+    });
+    let accepting = ex.spawn(server::accept(listener, server, ex.clone()));
+    let exit = ex.run(driving).await;
+    drop((watching, tending, looking, repeating, ordering, accepting));
+    Ok(exit)
 }
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::client::say;
 use crate::core::{Ask, Door, Refusal, Ticket};
-use crate::driver::{Job, Reply, Said, Word};
+use crate::driver::{Doors, Job, Reply, Said, Word};
 use crate::repeat::Relays;
 use crate::{seconds, unix_now, within, Clock, Limits};
 use async_channel::{bounded, Receiver, Sender};
@@ -11,7 +11,7 @@
 use futures_rustls::TlsAcceptor;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::{HeaderValue, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use nickelgw_chat::core::budget::{Budget, Verdict};
 use nickelgw_protocol::chat::{ApiError, ChatRequest};
@@ -22,7 +22,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
@@ -38,9 +38,8 @@
     pub name: String,
     pub serial: RefCell<u64>,
     pub models: Rc<Vec<String>>,
-    pub connections: Cell<usize>,
+    pub doors: Rc<Doors>,
     pub tls: Option<Arc<Mutex<nickelgw_tls::Server>>>,
-    pub ready: Rc<Cell<bool>>,
     pub clock: Clock,
     pub ex: Rc<LocalExecutor<'static>>,
     pub budget: RefCell<Budget>,
@@ -128,17 +127,21 @@
     (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
 }
 
-/// Accepts until dropped. Beyond the limit a connection is told to come back and closed.
-pub async fn accept(
-    listener: Async<TcpListener>,
-    server: Rc<Server>,
-    ex: Rc<LocalExecutor<'static>>,
-) -> std::io::Result<()> {
+/// Accepts until dropped, or nothing more is to be accepted. Beyond the limit a connection is told to come back and
+/// closed.
+pub async fn accept(listener: Async<TcpListener>, server: Rc<Server>, ex: Rc<LocalExecutor<'static>>) {
+    let closing = server.doors.listening.1.clone();
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let next = async { Some(listener.accept().await) };
+        let closed = async {
+            let _ = closing.recv().await;
+            None
+        };
+        let stream = match futures_lite::future::or(closed, next).await {
+            None => return,
+            Some(Ok((stream, _))) => stream,
             // Out of descriptors, or the peer went while it waited: the next may do.
-            Err(e) => {
+            Some(Err(e)) => {
                 tracing::warn!(error = %e, "a connection was not accepted");
                 smol::Timer::after(seconds(0.01)).await;
                 continue;
@@ -149,54 +152,77 @@
             // Else the system takes megabytes for a client that reads nothing, and nobody is slowed.
             let _ = socket2::SockRef::from(stream.get_ref()).set_send_buffer_size(server.limits.send_buffer);
         }
-        let server = server.clone();
-        if server.connections.get() >= server.limits.most_connections {
+        if server.doors.connections.get() >= server.limits.most_connections {
             let busy = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\n\
                          content-length: 0\r\n\r\n";
             use std::io::Write;
             let _ = stream.get_ref().write(busy);
             continue;
         }
-        server.connections.set(server.connections.get() + 1);
-        ex.spawn(async move {
-            let served = server.clone();
-            let service = hyper::service::service_fn(move |r| {
-                let server = served.clone();
-                async move { Ok::<_, Infallible>(server.serve(r).await) }
-            });
-            let mut http = hyper::server::conn::http1::Builder::new();
-            http.timer(SmolTimer::new()).header_read_timeout(seconds(server.limits.head_s));
-            http.max_buf_size(64 * 1024);
-            let blocked = Rc::new(Cell::new(None));
-            let stall_s = server.limits.client_stall_s;
-            let stream = Watched { inner: stream, blocked: blocked.clone() };
-            let serving = async {
-                match server.accepted() {
-                    None => http.serve_connection(FuturesIo::new(stream), service).await,
-                    Some(config) => {
-                        let hands = TlsAcceptor::from(config).accept(stream);
-                        match within(server.limits.head_s, hands).await {
-                            Some(Ok(stream)) => http.serve_connection(FuturesIo::new(stream), service).await,
-                            other => {
-                                let why = other.and_then(|o| o.err()).map(|e| e.to_string());
-                                tracing::debug!(why, "no handshake on the chat port");
-                                Ok(())
-                            }
-                        }
+        ex.spawn(connection(stream, server.clone())).detach();
+    }
+}
+
+/// Counts a connection while it stands.
+struct Standing(Rc<Doors>);
+
+impl Drop for Standing {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+async fn connection(stream: Async<TcpStream>, server: Rc<Server>) {
+    server.doors.connections.set(server.doors.connections.get() + 1);
+    let _standing = Standing(server.doors.clone());
+    let blocked = Rc::new(Cell::new(None));
+    let stall_s = server.limits.client_stall_s;
+    let stream = Watched { inner: stream, blocked: blocked.clone() };
+    let serving = async {
+        match server.accepted() {
+            None => http(stream, server.clone()).await,
+            Some(config) => {
+                let hands = TlsAcceptor::from(config).accept(stream);
+                match within(server.limits.head_s, hands).await {
+                    Some(Ok(stream)) => http(stream, server.clone()).await,
+                    other => {
+                        let why = other.and_then(|o| o.err()).map(|e| e.to_string());
+                        tracing::debug!(why, "no handshake on the chat port");
                     }
                 }
-            };
-            let stalled = async {
-                stalled(&blocked, stall_s).await;
-                tracing::info!("a client that took nothing was cut off");
-                Ok(())
-            };
-            if let Err(e) = futures_lite::future::or(serving, stalled).await {
-                tracing::debug!(error = %e, "connection ended");
             }
-            server.connections.set(server.connections.get() - 1);
-        })
-        .detach();
+        }
+    };
+    let stalled = async {
+        stalled(&blocked, stall_s).await;
+        tracing::info!("a client that took nothing was cut off");
+    };
+    futures_lite::future::or(serving, stalled).await;
+}
+
+/// Serves requests one after the other; once unused connections are to go, no further one.
+async fn http(stream: impl AsyncRead + AsyncWrite + Unpin, server: Rc<Server>) {
+    let served = server.clone();
+    let service = hyper::service::service_fn(move |r| {
+        let server = served.clone();
+        async move { Ok::<_, Infallible>(server.serve(r).await) }
+    });
+    let mut http = hyper::server::conn::http1::Builder::new();
+    http.timer(SmolTimer::new()).header_read_timeout(seconds(server.limits.head_s));
+    http.max_buf_size(64 * 1024);
+    let mut conn = std::pin::pin!(http.serve_connection(FuturesIo::new(stream), service));
+    let idling = server.doors.idling.1.clone();
+    let told = async {
+        let _ = idling.recv().await;
+        None
+    };
+    let mut ended = futures_lite::future::or(async { Some(conn.as_mut().await) }, told).await;
+    if ended.is_none() {
+        conn.as_mut().graceful_shutdown();
+        ended = Some(conn.await);
+    }
+    if let Some(Err(e)) = ended {
+        tracing::debug!(error = %e, "connection ended");
     }
 }
 
@@ -325,8 +351,9 @@
                 }
             }
             // Before a list is heard there is no engine to send to: a front layer does better to wait.
-            (&Method::GET, "/healthz") if !self.ready.get() => {
-                json_answer(503, "{\"status\":\"no list yet\"}".into())
+            (&Method::GET, "/healthz") if !self.doors.healthy.get() => {
+                let why = if self.doors.parting.get() { "leaving" } else { "no list yet" };
+                json_answer(503, json!({ "status": why }).to_string().into())
             }
             (&Method::GET, "/healthz") => json_answer(200, "{\"status\":\"ok\"}".into()),
             (_, path) => {
@@ -335,6 +362,9 @@
             }
         };
         answer.headers_mut().extend(HeaderValue::from_str(&id).ok().map(|v| (ID, v)));
+        if self.doors.parting.get() {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         answer
     }
 
@@ -392,7 +422,7 @@
         }
         let (reply, replied) = bounded(1);
         let (taken, ticket) = bounded(1);
-        let job = Job { id: a.id, chat: a.chat, reply, since: a.since };
+        let job = Job { id: a.id, chat: a.chat, reply, since: a.since, stream: None };
         self.waiting.set(self.waiting.get() + 1);
         let word = Word::new(Said::Take { ask: a.ask, job, taken });
         if self.to_core.try_send(word).is_err() {
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -31,6 +31,9 @@
     pub list: String,
     pub engines: BTreeMap<String, String>,
     pub record: Record,
+    /// Orders to the node, and how it ends.
+    pub tell: Option<async_channel::Sender<nickelgw_node::Order>>,
+    pub exit: Option<thread::JoinHandle<nickelgw_node::Exit>>,
 }
 
 /// Engines "r*" read, "w*" write; the last letter of an id is its zone.
@@ -103,6 +106,7 @@
             most_open: 1000,
             stream_idle_s: 0.8,
             let_go_within_s: 10.0,
+            come_back_s: 1.0,
             grants: None,
             tenant_most_open: vec![None],
         },
@@ -131,13 +135,20 @@
         tls: TlsStart { reload_s: 0.05, at_once: 16, at_once_engine: 2, ..TlsStart::default() },
         repeats: Default::default(),
         retries: Default::default(),
+        life: nickelgw_node::core::life::Figures { notice_s: 0.1, grace_s: 5.0, end_s: 1.0 },
+        orders: async_channel::bounded(1).1,
+        on_serving: None,
     }
 }
 
 pub fn serve(start: Start) -> String {
+    serve_until(start).0
+}
+
+/// With how it will have ended.
+pub fn serve_until(start: Start) -> (String, thread::JoinHandle<nickelgw_node::Exit>) {
     let (l, address) = listener();
-    thread::spawn(move || smol::block_on(nickelgw_node::run(l, start)));
-    address
+    (address, thread::spawn(move || smol::block_on(nickelgw_node::run(l, start)).unwrap()))
 }
 
 impl World {
@@ -155,12 +166,22 @@
             "review": {"repeat": "deduped", "group": "zone", "memory_s": MEMORY_S}}}),
         );
         let (l, list) = listener();
-        let mut world = World { node: String::new(), list, engines: BTreeMap::new(), record: record.clone() };
+        let mut world = World {
+            node: String::new(),
+            list,
+            engines: BTreeMap::new(),
+            record: record.clone(),
+            tell: None,
+            exit: None,
+        };
         let lines: Vec<list::Line> = engines.into_iter().map(|f| world.engine(f)).collect();
         thread::spawn(move || smol::block_on(nickelgw_standin::list::run(l, lines, 0.0, record.of("list"))));
         let mut s = start(&world.list);
+        let (tell, orders) = async_channel::bounded(4);
+        s.orders = orders;
         tweak(&mut s);
-        world.node = serve(s);
+        let (node, exit) = serve_until(s);
+        (world.node, world.tell, world.exit) = (node, Some(tell), Some(exit));
         world.wait("the node hears the list", |lines| lines.iter().any(|l| l["ev"] == "told"));
         world
     }
--- /dev/null
+++ b/crates/nickelgw-node/tests/leaving.rs
@@ -0,0 +1,98 @@
+//! A node that goes: what is open ends well or with one clear word, and no state stays behind.
+
+mod common;
+
+use common::{figures, World, KEY};
+use nickelgw_node::{Exit, Order};
+use nickelgw_standin::client::{self, status, Ask};
+use nickelgw_standin::model;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn world(grace_s: f64) -> World {
+    let slow = model::Figures { step_s: 0.05, ..figures("w0a") };
+    World::with(vec![figures("r0a"), slow], |s| s.life.grace_s = grace_s)
+}
+
+fn tell(w: &World, order: Order) {
+    w.tell.as_ref().unwrap().send_blocking(order).unwrap();
+}
+
+fn healthy(w: &World) -> u16 {
+    let call = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    status(&smol::block_on(client::raw(&w.node, &[call], 0.0, 1.0)))
+}
+
+#[test]
+fn what_is_open_ends_and_what_comes_is_sent_elsewhere() {
+    let mut w = world(5.0);
+    assert_eq!(healthy(&w), 200);
+    // An unused connection, kept open by its client.
+    let mut idle = TcpStream::connect(&w.node).unwrap();
+    let stream = w.later(w.ask("stream", "booking"));
+    w.wait_for("first", "stream");
+    tell(&w, Order::Leave);
+    let from = Instant::now();
+    while healthy(&w) == 200 {
+        assert!(from.elapsed() < Duration::from_secs(2));
+    }
+    // While its notice lasts it takes what comes, each the last of its connection.
+    let body = r#"{"model":"chat","max_tokens":2,"messages":[{"role":"user","content":"hi"}]}"#;
+    let text = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    idle.write_all(text.as_bytes()).unwrap();
+    let mut answer = String::new();
+    idle.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
+    assert_eq!(stream.join().unwrap().how, "completed");
+    assert_eq!(w.exit.take().unwrap().join().unwrap(), Exit::Clean);
+    assert!(TcpStream::connect(&w.node).is_err(), "it listens no longer");
+    w.assert_empty(&["r0a", "w0a"]);
+    w.assert_sound();
+}
+
+#[test]
+fn when_the_grace_is_over_each_gets_one_ending_and_held_states_go() {
+    let mut w = world(0.3);
+    w.control("w0a", json!({"fault": "slow", "for_s": 30.0, "factor": 8.0}));
+    let mut ask = w.ask("stream", "booking");
+    ask.max_tokens = None;
+    let stream = w.later(ask);
+    w.wait_for("first", "stream");
+    let whole = w.later(Ask { stream: false, max_tokens: None, ..w.ask("whole", "chat") });
+    w.wait_for("ran", "whole");
+    // One whose state is held at its reader while a silent writer is asked.
+    w.control("w0a", json!({"fault": "silence", "for_s": 0.9}));
+    let held = w.later(w.ask("held", "chat"));
+    w.wait_for("read", "held");
+    tell(&w, Order::Leave);
+    let (stream, whole, held) = (stream.join().unwrap(), whole.join().unwrap(), held.join().unwrap());
+    assert_eq!((stream.how.as_str(), stream.code.as_deref()), ("errored", Some("node_stopping")));
+    assert_eq!((whole.status, whole.code.as_deref()), (503, Some("node_stopping")));
+    assert_ne!(held.how, "completed");
+    assert_eq!(w.exit.take().unwrap().join().unwrap(), Exit::Cut);
+    thread::sleep(Duration::from_millis(900));
+    w.assert_empty(&["r0a", "w0a"]);
+    w.assert_sound();
+}
+
+#[test]
+fn told_again_it_hurries() {
+    let mut w = world(60.0);
+    w.control("w0a", json!({"fault": "slow", "for_s": 30.0, "factor": 8.0}));
+    let mut ask = w.ask("stream", "chat");
+    ask.max_tokens = None;
+    let stream = w.later(ask);
+    w.wait_for("first", "stream");
+    let from = Instant::now();
+    [Order::Leave, Order::Hasten, Order::Hasten].map(|o| tell(&w, o));
+    assert_eq!(stream.join().unwrap().code.as_deref(), Some("node_stopping"));
+    assert_eq!(w.exit.take().unwrap().join().unwrap(), Exit::Cut);
+    assert!(from.elapsed() < Duration::from_secs(5));
+    w.assert_empty(&["r0a", "w0a"]);
+}
--- a/crates/nickelgw-node/tests/repeats.rs
+++ b/crates/nickelgw-node/tests/repeats.rs
@@ -42,7 +42,7 @@
 fn later(w: &World, req: &str, key: &str, body: &str, patience: f64) -> thread::JoinHandle<String> {
     let (node, record) = (w.node.clone(), w.record.clone());
     let (req, key, body) = (req.to_string(), key.to_string(), body.to_string());
-    let w = World { node, list: String::new(), engines: Default::default(), record };
+    let w = World { node, list: String::new(), engines: Default::default(), record, tell: None, exit: None };
     thread::spawn(move || ask(&w, &req, &key, &body, patience))
 }
 
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -96,6 +96,11 @@
         self.tls(n);
         self.repeats(n);
         self.grants(&n.state_grants);
+        let l = n.leaving.unwrap_or_default();
+        let at = ("leaving", 0);
+        self.not_negative(&[at, ("notice_ms", 0)], l.notice_ms());
+        self.not_negative(&[at, ("grace_ms", 0)], l.grace_ms());
+        self.above_zero(&[at, ("end_ms", 0)], l.end_ms());
         self.done()
     }
 
