--- a/crates/nickelgw-chat/src/core/budget.rs
+++ b/crates/nickelgw-chat/src/core/budget.rs
@@ -6,7 +6,8 @@
 
 #[derive(Clone, Debug)]
 pub struct Figures {
-    /// Retries admitted for each first try admitted, in the mean.
+    /// Retries admitted for each request answered, in the mean. Not for each that comes: in an overload, when most is
+    /// shed, retries must fall with what is served or they keep it going.
     pub share: f64,
     /// Retries that may come at once although few first tries came before.
     pub burst: f64,
@@ -24,8 +25,8 @@
 impl Default for Figures {
     fn default() -> Self {
         Figures {
-            share: 0.2,
-            burst: 10.0,
+            share: 0.1,
+            burst: 5.0,
             first_come_back_s: 0.5,
             longest_come_back_s: 8.0,
             by_body: false,
@@ -115,7 +116,6 @@
         let retry = marked.map_or_else(|| f.by_body && self.seen.has(&body), |n| n > 0);
         let bucket = self.buckets.entry((tenant, route)).or_insert(Bucket { left: f.burst, refused: 0 });
         if !retry {
-            bucket.left = (bucket.left + f.share).min(f.burst);
             self.admitted += 1;
             if f.by_body {
                 self.seen.add(now, body, &f);
@@ -139,6 +139,14 @@
         Verdict::Refused { come_back_s: f.first_come_back_s + dice * (most - f.first_come_back_s).max(0.0) }
     }
 
+    /// One has begun to be answered.
+    pub fn answered(&mut self, tenant: usize, route: usize) {
+        let f = &self.figures;
+        if let Some(b) = self.buckets.get_mut(&(tenant, route)) {
+            b.left = (b.left + f.share).min(f.burst);
+        }
+    }
+
     pub fn remembered(&self) -> usize {
         self.seen.order.len()
     }
@@ -161,10 +169,11 @@
         for n in 0..2000u64 {
             let now = n as f64 * 0.01;
             assert_eq!(b.judge(now, 0, 0, Some(0), body(n)), Verdict::FirstTry);
+            b.answered(0, 0);
             (1..=5).map(|k| b.judge(now, 0, 0, Some(k), body(n))).for_each(|_| {});
         }
-        assert!(b.retries as f64 <= 0.2 * 2000.0 + 10.0, "{}", b.retries);
-        assert!(b.retries as f64 >= 0.19 * 2000.0 && b.refused > 9000);
+        assert!(b.retries as f64 <= 0.1 * 2000.0 + 5.0, "{}", b.retries);
+        assert!(b.retries as f64 >= 0.095 * 2000.0 && b.refused > 9000);
         // Another tenant's, and another route's, budget is its own.
         assert_eq!(b.judge(20.0, 1, 0, Some(1), body(1)), Verdict::Retry);
         assert_eq!(b.judge(20.0, 0, 1, Some(1), body(1)), Verdict::Retry);
@@ -175,13 +184,24 @@
         let mut b = Budget::new(Figures { by_body: true, ..Figures::default() }, 1);
         for n in 0..1000u64 {
             b.judge(n as f64, 0, 0, None, body(n));
-            if n % 10 == 0 {
+            b.answered(0, 0);
+            if n % 20 == 0 {
                 assert_eq!(b.judge(n as f64 + 0.5, 0, 0, None, body(n)), Verdict::Retry);
             }
         }
         assert_eq!(b.refused, 0);
     }
 
+    #[test]
+    fn while_nothing_is_answered_only_the_burst_is_let_in() {
+        let mut b = Budget::new(Figures::default(), 1);
+        let admitted = (0..1000).filter(|n| {
+            b.judge(0.01 * f64::from(*n), 0, 0, Some(0), body(1));
+            b.judge(0.01 * f64::from(*n), 0, 0, Some(1), body(1)) == Verdict::Retry
+        });
+        assert_eq!(admitted.count(), 5);
+    }
+
     #[test]
     fn come_back_times_spread_and_stay_in_bounds() {
         let mut b = Budget::new(Figures { burst: 0.0, ..Figures::default() }, 7);
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -420,6 +420,7 @@
         if self.waiting.get() >= self.limits.most_waiting {
             return Err(behind());
         }
+        let (tenant, route) = (a.ask.tenant.unwrap_or(usize::MAX), a.ask.route);
         let (reply, replied) = bounded(1);
         let (taken, ticket) = bounded(1);
         let job = Job { id: a.id, chat: a.chat, reply, since: a.since, stream: None };
@@ -434,6 +435,9 @@
         let lost = || ApiError::new(500, "server_error", "node_stopping", "the node is stopping");
         gone.ticket = ticket.recv().await.ok();
         let reply = replied.recv().await.map_err(|_| lost())?;
+        if !matches!(reply, Reply::Error(_)) {
+            self.budget.borrow_mut().answered(tenant, route);
+        }
         Ok((reply, gone))
     }
 
--- a/crates/nickelgw-node/tests/leaving.rs
+++ b/crates/nickelgw-node/tests/leaving.rs
@@ -90,7 +90,9 @@
     let stream = w.later(ask);
     w.wait_for("first", "stream");
     let from = Instant::now();
-    [Order::Leave, Order::Hasten, Order::Hasten].map(|o| tell(&w, o));
+    for o in [Order::Leave, Order::Hasten, Order::Hasten] {
+        tell(&w, o);
+    }
     assert_eq!(stream.join().unwrap().code.as_deref(), Some("node_stopping"));
     assert_eq!(w.exit.take().unwrap().join().unwrap(), Exit::Cut);
     assert!(from.elapsed() < Duration::from_secs(5));
