A restarted node knows which requests may not run again, and lets go of what it left at readers

A node came back with nothing but a list: a repeat of a booking could run twice over a crash, and states stayed pinned for a dead process. Requests that may not run twice are on disk before they run (group commit); what the module has learnt is kept and recalled, believed by its age (Router::learnt, recall); readers are asked once after a start to let go of what earlier processes of the node left (a core of its own; a process that takes over waits for the old one). Certificate looks, the repeat table, keeping and expiry run under the scheduler. Process tests: killed mid-stream, holding states, five times in a row, with damaged stores, taken over.

--- a/crates/nickelgw-background/src/core/mod.rs
+++ b/crates/nickelgw-background/src/core/mod.rs
@@ -61,7 +61,7 @@
     pub bytes: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId(pub usize);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/nickelgw-chat/src/core/repeats.rs
+++ b/crates/nickelgw-chat/src/core/repeats.rs
@@ -175,6 +175,19 @@
         Enter::New(serial)
     }
 
+    /// One that an earlier process of the node took at `at`, on a route that may not run again: whether it ended, and
+    /// how, is not known, so that a repeat of it does not run.
+    pub fn restore(&mut self, at: f64, key: Key, body: [u8; 32]) {
+        if self.entries.len() >= self.figures.most_entries || self.by_key.contains_key(&key) {
+            return;
+        }
+        self.next += 1;
+        let stage = Stage::Done { at, how: Ended::Errored };
+        self.by_key.insert(key, Serial(self.next));
+        let entry = Entry { key, body, may_repeat: false, stage, bytes: 0, whole: false };
+        self.entries.insert(Serial(self.next), entry);
+    }
+
     /// The oldest ended one that may repeat goes first: forgetting it costs work, never a second effect. One that
     /// may not repeat stays until its time is up.
     fn make_room(&mut self) -> bool {
--- a/crates/nickelgw-chat/src/core/repeats_tests.rs
+++ b/crates/nickelgw-chat/src/core/repeats_tests.rs
@@ -131,3 +131,13 @@
         prop_assert_eq!((r.len(), r.bytes()), (0, 0));
     }
 }
+
+#[test]
+fn what_an_earlier_process_took_is_known_and_does_not_run() {
+    let mut r = Repeats::new(Figures::default());
+    r.restore(-20.0, Key::of("t", "k"), [1; 32]);
+    assert_eq!(r.enter(0.0, Key::of("t", "k"), [1; 32], false), Enter::NotKept);
+    assert_eq!(r.enter(0.0, Key::of("t", "k"), [2; 32], false), Enter::Mismatch);
+    // Its time counts from when it was taken.
+    assert!(matches!(r.enter(41.0, Key::of("t", "k"), [1; 32], false), Enter::New(_)));
+}
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -35,6 +35,9 @@
     /// Clients ask again so often, at once, whatever the day and the answers say.
     #[arg(long)]
     retries: Option<u32>,
+    /// Nodes keep nothing over restarts.
+    #[arg(long)]
+    cold: bool,
     /// Nodes let every retry in.
     #[arg(long)]
     no_retry_budget: bool,
@@ -50,6 +53,7 @@
 /// Child processes and where they listen.
 struct Stage {
     day: Day,
+    cold: bool,
     seed: u64,
     dir: PathBuf,
     list: String,
@@ -467,7 +471,7 @@
         };
         made().map_err(|e| Unusable(format!("{}: {e}", dir.display())))?;
         let ex = Rc::new(LocalExecutor::new());
-        let played = smol::block_on(ex.run(play(day, self.seed, dir.clone(), ex.clone())));
+        let played = smol::block_on(ex.run(play(day, self.seed, self.cold, dir.clone(), ex.clone())));
         let done = played.and_then(|stall| report(&dir, self.seed, stall, kept));
         if !kept {
             let _ = std::fs::remove_dir_all(&dir);
@@ -477,7 +481,13 @@
 }
 
 /// Plays the day; gives the longest stall of this driver itself.
-async fn play(day: Day, seed: u64, dir: PathBuf, ex: Rc<LocalExecutor<'static>>) -> Result<f64, Unusable> {
+async fn play(
+    day: Day,
+    seed: u64,
+    cold: bool,
+    dir: PathBuf,
+    ex: Rc<LocalExecutor<'static>>,
+) -> Result<f64, Unusable> {
     let record = Record::file(&dir.join("records/driver.jsonl"), "driver")?;
     let listed = texts(&["list", "--lag-ms", &day.list_lag_ms().to_string()]);
     let path = dir.join("records/list.jsonl").display().to_string();
@@ -485,6 +495,7 @@
     let (list_child, list_address) = child(&args, &dir.join("logs/list.log")).await?;
     let authority = day.tls().then(|| Authority::new("first")).transpose().map_err(no_certificate)?;
     let stage = Rc::new(Stage {
+        cold,
         seed,
         dir,
         list: list_address,
@@ -618,6 +629,7 @@
         repeats: None,
         retries: d.retries,
         leaving: None,
+        store: (!stage.cold).then(|| stage.file(&format!("node{number}.store")).display().to_string()),
         state_grants: d.state_grants.clone(),
     };
     text_of(&node)
--- a/crates/nickelgw-cli/src/serve.rs
+++ b/crates/nickelgw-cli/src/serve.rs
@@ -41,6 +41,13 @@
         let measured = self.meter.is_some().then(Default::default);
         // Whatever is wrong is said before anything listens.
         let mut start = start::start(&node, measured.clone())?;
+        start.patient = self.inherited;
+        if self.inherited {
+            // The process before needs its states until it has gone.
+            let l = start.life;
+            let gone = l.notice_s + l.grace_s + l.end_s + 1.0;
+            start.figures.sweep_s = (gone, start.figures.sweep_s.1 + gone);
+        }
         let listener = match self.inherited {
             true => TcpListener::from(std::io::stdin().as_fd().try_clone_to_owned()?),
             false => TcpListener::bind(node.listen())
@@ -62,9 +69,10 @@
                     (Signal::End, false) => Order::Leave,
                     (Signal::End, true) => Order::Hasten,
                     (Signal::Renew, true) => continue,
-                    (Signal::Renew, false) => match take_over(&spare).await {
+                    (Signal::Renew, false) => match renew(&tell, &spare).await {
                         Ok(()) => Order::HandOver,
                         Err(Unusable(why)) => {
+                            let _ = tell.send(Order::Resume).await;
                             tracing::error!("no new process took over, this one serves on: {why}");
                             continue;
                         }
@@ -83,6 +91,11 @@
     }
 }
 
+async fn renew(tell: &async_channel::Sender<Order>, spare: &TcpListener) -> Result<(), Unusable> {
+    let _ = tell.send(Order::Release).await;
+    take_over(spare).await
+}
+
 /// Starts this command anew with the listening socket in its hands, and waits until it serves.
 async fn take_over(listener: &TcpListener) -> Result<(), Unusable> {
     let mut args: Vec<String> = std::env::args().skip(1).collect();
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -20,6 +20,9 @@
 /// How long a let-go call is repeated: a reader back from a longer cut frees its states by itself.
 const LET_GO_WITHIN_S: f64 = 15.0;
 
+/// Readers listed within this time of the start may hold states that an earlier process left.
+const SWEEP_S: f64 = 60.0;
+
 fn repeats(n: &Node) -> RepeatFigures {
     let r = n.repeats.unwrap_or_default();
     RepeatFigures {
@@ -111,6 +114,7 @@
             most_open: l.most_open() as usize,
             stream_idle_s: l.stream_idle_ms() / 1e3,
             let_go_within_s: LET_GO_WITHIN_S,
+            sweep_s: (0.0, SWEEP_S),
             come_back_s: l.come_back_ms() / 1e3,
             grants: n.state_grants.as_ref().map(|g| Grants {
                 keys: g
@@ -143,6 +147,7 @@
         },
         list: n.list.clone(),
         last_list: n.last_list.as_ref().map(Into::into),
+        store: n.store.as_ref().map(Into::into),
         life: nickelgw_node::core::life::Figures {
             notice_s: leaving.notice_ms() / 1e3,
             grace_s: leaving.grace_ms() / 1e3,
@@ -151,6 +156,7 @@
         // Told nothing, unless the caller puts its own here.
         orders: async_channel::bounded(1).1,
         on_serving: None,
+        patient: false,
         meter,
     })
 }
--- a/crates/nickelgw-cli/tests/life.rs
+++ b/crates/nickelgw-cli/tests/life.rs
@@ -18,7 +18,8 @@
 struct Site {
     dir: PathBuf,
     list: String,
-    reader: String,
+    engines: Vec<String>,
+    record: Record,
     address: String,
 }
 
@@ -33,6 +34,7 @@
         let dir = std::env::temp_dir().join(format!("nickelgw-life-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
         let mut lines = Vec::new();
+        let record = Record::memory("driver");
         for (id, role) in [("r0", Role::Read), ("w0", Role::Write), ("w1", Role::Write)] {
             let f = Figures { id: id.into(), role, out_tokens: 8, step_s, slots: 64, ..Figures::default() };
             let l = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -47,15 +49,16 @@
                 started_at: None,
                 tls_name: None,
             });
-            thread::spawn(move || smol::block_on(nickelgw_standin::engine::run(l, f, Record::default(), 1)));
+            let of = record.of(id);
+            thread::spawn(move || smol::block_on(nickelgw_standin::engine::run(l, f, of, 1)));
         }
-        let reader = lines[0].address.clone();
+        let engines = lines.iter().map(|l| l.address.clone()).collect();
         let l = TcpListener::bind("127.0.0.1:0").unwrap();
         let listed = l.local_addr().unwrap().to_string();
         thread::spawn(move || smol::block_on(nickelgw_standin::list::run(l, lines, 0.0, Record::default())));
         // A port that a node started anew can listen on again.
         let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
-        let site = Site { dir, list: listed, reader, address: free };
+        let site = Site { dir, list: listed, engines, record, address: free };
         site.settings("");
         site
     }
@@ -64,10 +67,13 @@
         let text = format!(
             "name: 'node0' zone: 'a' zones: 'a' listen: '{}' list: '{}'\n\
              model_route {{ model: 'chat' first_token_target_ms: 2000 route_timeout_ms: 8000 }}\n\
+             model_route {{ model: 'booking' first_token_target_ms: 2000 route_timeout_ms: 8000 repeat: NON_RETRIABLE }}
+\
              leaving {{ notice_ms: 300 grace_ms: 4000 end_ms: 1000 }}\n{more}",
             self.address, self.list
         );
-        std::fs::write(self.dir.join("node.txtpb"), text).unwrap();
+        let store = format!("store: '{}'\n", self.dir.join("node.store").display());
+        std::fs::write(self.dir.join("node.txtpb"), text + &store).unwrap();
     }
 
     /// Starts a node and waits until it serves.
@@ -100,9 +106,40 @@
     }
 
     fn states(&self) -> i64 {
-        let all = smol::block_on(client::control(&self.reader, &serde_json::json!({"fault": "forget"})));
+        let all = smol::block_on(client::control(&self.engines[0], &serde_json::json!({"fault": "forget"})));
         all.and_then(|v| v["states"].as_i64()).unwrap_or(-1)
     }
+
+    /// A request with a key; what comes back within the patience.
+    fn keyed(&self, model: &str, key: &str, patience: f64) -> String {
+        let body = format!(
+            r#"{{"model":"{model}","stream":true,"messages":[{{"role":"user","content":"pay {key}"}}]}}"#
+        );
+        let text = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nidempotency-key: {key}\r\nconnection: close\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let out = smol::block_on(client::raw(&self.address, &[text.as_bytes()], 0.0, patience));
+        String::from_utf8_lossy(&out).to_string()
+    }
+
+    fn count(&self, ev: &str) -> usize {
+        self.record.lines().iter().filter(|l| l["ev"] == ev).count()
+    }
+
+    fn wait(&self, what: &str, seen: impl Fn() -> bool) {
+        let from = Instant::now();
+        while !seen() {
+            assert!(from.elapsed() < Duration::from_secs(10), "not seen in ten seconds: {what}");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+fn kill(node: &mut Child) {
+    node.kill().unwrap();
+    node.wait().unwrap();
 }
 
 fn signal(child: &Child, s: Signal) {
@@ -212,3 +249,84 @@
     assert_eq!(exit_of(&mut node), 3);
     assert_eq!(site.states(), 0);
 }
+
+#[test]
+fn a_killed_node_runs_no_repeat_of_what_may_not_run_twice() {
+    let site = Site::new("twice", 0.05);
+    let mut node = site.start();
+    // Killed while it streams, and while the prompt is read.
+    thread::scope(|scope| {
+        let first = scope.spawn(|| site.keyed("booking", "a", 3.0));
+        site.wait("it has run", || site.count("ran") == 1);
+        kill(&mut node);
+        assert!(!first.join().unwrap().contains("[DONE]"));
+    });
+    let mut node = site.start();
+    let again = site.keyed("booking", "a", 3.0);
+    assert!(again.starts_with("HTTP/1.1 409") && again.contains("already_taken"), "{again}");
+    // What may run again does.
+    assert!(site.keyed("chat", "b", 3.0).contains("[DONE]"));
+    kill(&mut node);
+    let mut node = site.start();
+    assert!(site.keyed("chat", "b", 3.0).contains("[DONE]"));
+    assert!(site.keyed("booking", "a", 3.0).starts_with("HTTP/1.1 409"));
+    // Taken over, the new process knows it too.
+    assert!(site.keyed("booking", "c", 3.0).contains("[DONE]"));
+    signal(&node, Signal::HUP);
+    assert_eq!(exit_of(&mut node), 0);
+    let again = site.keyed("booking", "c", 3.0);
+    end(&site);
+    assert!(again.starts_with("HTTP/1.1 409"), "{again}");
+    assert_eq!(site.count("ran"), 4);
+}
+
+#[test]
+fn what_a_killed_node_held_is_let_go_of_by_the_next() {
+    let site = Site::new("held", 0.01);
+    let mut node = site.start();
+    for w in &site.engines[1..] {
+        smol::block_on(client::control(w, &serde_json::json!({"fault": "silence", "for_s": 2.0})));
+    }
+    thread::scope(|scope| {
+        let asked: Vec<_> = (0..5)
+            .map(|n| {
+                scope.spawn({
+                    let site = &site;
+                    move || site.ask(&format!("q{n}"))
+                })
+            })
+            .collect();
+        site.wait("all are read", || site.count("read") == 5);
+        kill(&mut node);
+        asked.into_iter().for_each(|a| drop(a.join()));
+    });
+    assert!(site.states() > 0);
+    let mut node = site.start();
+    let from = Instant::now();
+    site.wait("they are let go of", || site.states() == 0);
+    assert!(from.elapsed() < Duration::from_millis(1500), "{:?}", from.elapsed());
+    kill(&mut node);
+}
+
+#[test]
+fn a_node_started_again_and_again_serves_whatever_its_store_is_like() {
+    let site = Site::new("often", 0.002);
+    for n in 0..5 {
+        let mut node = site.start();
+        assert!(site.keyed("booking", &format!("k{n}"), 3.0).contains("[DONE]"));
+        kill(&mut node);
+    }
+    let mut node = site.start();
+    for n in 0..5 {
+        assert!(site.keyed("booking", &format!("k{n}"), 3.0).starts_with("HTTP/1.1 409"));
+    }
+    kill(&mut node);
+    let store = site.dir.join("node.store");
+    let sound = std::fs::read(&store).unwrap();
+    for bad in [b"no store at all".to_vec(), sound[..sound.len() / 2].to_vec(), Vec::new()] {
+        std::fs::write(&store, bad).unwrap();
+        let mut node = site.start();
+        assert!(site.ask("q").is_some_and(|s| s.how == "completed"));
+        kill(&mut node);
+    }
+}
--- a/crates/nickelgw-node/src/client.rs
+++ b/crates/nickelgw-node/src/client.rs
@@ -147,26 +147,25 @@
     }
 
     /// Looks after time's own matters: idle connections, rotations, files. Runs until dropped.
-    pub async fn tend(self: Rc<Self>, reload_s: f64) {
-        let mut look_at = reload_s;
+    /// Looks at the files of keys and trust.
+    pub async fn look(&self) {
+        let Some(tls) = self.tls.clone() else { return };
+        let (looked, now) = (tls.clone(), unix_now());
+        let said = smol::unblock(move || looked.0.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
+        say("engines", &said);
+        if let Some((_, generation)) = tls.config() {
+            if said.iter().any(|s| !matches!(s, Said::Unreadable(_) | Said::Refused(_))) {
+                self.core.borrow_mut().rotate(self.now(), generation);
+            }
+        }
+    }
+
+    pub async fn tend(self: Rc<Self>) {
         loop {
             let (todo, wake) = self.core.borrow_mut().due(self.now());
             self.act(todo);
             let wake = wake.map_or(0.25, |w| (w - self.now()).clamp(0.01, 0.25));
             Timer::after(seconds(wake)).await;
-            if let Some(tls) = self.tls.clone().filter(|_| self.now() >= look_at) {
-                look_at = self.now() + reload_s;
-                let looked = tls.clone();
-                let now = unix_now();
-                let said =
-                    smol::unblock(move || looked.0.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
-                say("engines", &said);
-                if let Some((_, generation)) = tls.config() {
-                    if said.iter().any(|s| !matches!(s, Said::Unreadable(_) | Said::Refused(_))) {
-                        self.core.borrow_mut().rotate(self.now(), generation);
-                    }
-                }
-            }
         }
     }
 
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -3,19 +3,24 @@
 
 pub mod cause;
 pub mod door;
+pub mod kept;
 pub mod ledger;
 pub mod life;
+pub mod sweep;
 
 pub use cause::Cause;
 pub use door::{Ask, Door, Refusal};
 use ledger::{Held, Ledger};
 use nickelgw::decide::Router;
-use nickelgw::interface::{Arrival, Deployment, Ending, EngineLine, Inf, Load, Outcome, Role, Standing};
+use nickelgw::interface::{
+    Arrival, Deployment, Ending, EngineLine, Inf, Learnt, Load, Outcome, Role, Standing,
+};
 use nickelgw_chat::core::grant::{grant, GrantKey, Granted};
 use nickelgw_protocol::list::{self, List};
 use nickelgw_protocol::load::{self, LoadReport};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
+use sweep::Sweep;
 
 /// Names a request taken. A late word for one that is over finds nothing and is passed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -103,6 +108,8 @@
         state: HeldState,
     },
     Probe(Rc<Place>),
+    /// Whatever earlier processes of this node left at the reader is let go of.
+    Sweep(Rc<Place>),
     AskList,
 }
 
@@ -133,6 +140,8 @@
     pub most_open: usize,
     pub stream_idle_s: f64,
     pub let_go_within_s: f64,
+    /// From when, and until when, states that an earlier process left are looked for.
+    pub sweep_s: (f64, f64),
     /// What a client is told when the node goes.
     pub come_back_s: f64,
     pub grants: Option<Grants>,
@@ -207,6 +216,9 @@
     open_by_tenant: Vec<usize>,
     serial: u64,
     pub ledger: Ledger,
+    sweep: Sweep,
+    /// What an earlier process had learnt, and how far it is believed; used with the first list.
+    recall: Option<(Learnt, f64)>,
     revision: Option<u64>,
     ready: Vec<Do>,
     /// Nothing more is taken.
@@ -237,6 +249,8 @@
             open: 0,
             serial: 0,
             ledger,
+            sweep: Sweep::new(figures.sweep_s.0, figures.sweep_s.1),
+            recall: None,
             open_by_tenant: vec![0; figures.tenant_most_open.len()],
             revision: None,
             ready: Vec::new(),
@@ -309,7 +323,27 @@
         // Out of the list, or listed at another address: a process that has ended.
         let ended = |s: &HeldState| places.get(&s.reader.id).is_none_or(|p| p.0.address != s.reader.address);
         self.ledger.readers_gone(now, ended);
+        let readers = places.values().filter(|p| p.1 != Role::Write).map(|p| p.0.clone());
+        self.sweep.listed(now, readers);
         self.router.list(now, &lines, true);
+        if let Some((learnt, trust)) = self.recall.take_if(|_| !lines.is_empty()) {
+            self.router.recall(now, &learnt, trust);
+        }
+    }
+
+    /// What an earlier process of this node had learnt, as it was kept; false: it cannot be read.
+    pub fn recall(&mut self, kept: &[u8], trust: f64) -> bool {
+        self.recall = kept::read(kept, self.figures.epoch_unix_s).map(|l| (l, trust));
+        self.recall.is_some()
+    }
+
+    /// What is to be kept for the next one.
+    pub fn learnt(&self, now: f64) -> Vec<u8> {
+        kept::write(&self.router.learnt(now), self.figures.epoch_unix_s)
+    }
+
+    pub fn swept(&mut self, now: f64, address: &str, done: bool) {
+        self.sweep.told(now, address, done);
     }
 
     /// The last list of an earlier process: used until a source speaks, whose first word counts at any revision.
@@ -582,8 +616,10 @@
         }
         let (calls, let_go_at) = self.ledger.due(now);
         todo.extend(calls.into_iter().map(|(call, state)| Do::LetGo { call, state }));
+        let (readers, sweep_at) = self.sweep.due(now);
+        todo.extend(readers.into_iter().map(Do::Sweep));
         let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
-        let wake_at = [d.wake_at, let_go_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
+        let wake_at = [d.wake_at, let_go_at, sweep_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
         Actions { todo, wake_at }
     }
 
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -61,6 +61,7 @@
         most_open,
         stream_idle_s: 2.0,
         let_go_within_s: HOLD_S / 2.0,
+        sweep_s: (0.0, -1.0),
         come_back_s: 1.0,
         grants: None,
         tenant_most_open: vec![None],
@@ -157,7 +158,7 @@
                     self.calls.push(call);
                 }
                 Do::Probe(p) => self.probes.push(p.id.clone()),
-                Do::AskList => {}
+                Do::AskList | Do::Sweep(_) => {}
             }
         }
         for (name, (t, since)) in &self.states {
@@ -499,3 +500,57 @@
     assert!(todo.iter().any(|d| matches!(d, Do::LetGo { .. })), "what waited is let go of");
     assert_eq!((c.take(1.4, &ask(0)), c.open()), (Err(Refusal::Leaving), 0));
 }
+
+#[test]
+fn what_one_process_learns_the_next_knows_as_far_as_it_is_fresh() {
+    let mut old = core(64);
+    let (mut now, mut bad) = (1.0, None);
+    // Reads take longer than first guessed, and the last one fails.
+    for n in 0..3 {
+        let t = old.take(now, &Ask { timeout_s: 9.0, ..ask(0) }).unwrap();
+        for _ in 0..4 {
+            let todo = old.act(now).todo;
+            now += 0.1;
+            for d in todo {
+                if let Do::Send(o) = d {
+                    let fails = n == 2 && o.what == Work::Read;
+                    bad = bad.or(fails.then(|| o.eng.id.clone()));
+                    old.ended(
+                        now,
+                        o.ticket,
+                        o.send,
+                        end(if fails { Cause::Failed(500) } else { Cause::Read }),
+                    );
+                }
+            }
+        }
+        old.left(now, t);
+        // What is called off by that, or sent meanwhile, ends too.
+        for d in old.act(now).todo {
+            if let Do::Send(Order { ticket, send, .. }) | Do::CallOff { ticket, send } = d {
+                old.ended(now, ticket, send, end(Cause::CalledOff));
+            }
+        }
+    }
+    let kept = old.learnt(now);
+    let learnt = kept::read(&kept, 0.0).unwrap();
+    let bad = |l: &Learnt| l.engines.iter().any(|e| Some(&e.id) == bad.as_ref() && e.faults > 0.2);
+    assert!(bad(&learnt), "{learnt:?}");
+    // The next process began at another time of its own.
+    let fresh = |trust: f64| {
+        let mut c = core(64);
+        c.figures.epoch_unix_s = now;
+        assert!(c.recall(&kept, trust));
+        c.list(0.1, &list(2, &[State::In; 8]));
+        kept::read(&c.learnt(0.2), now).unwrap()
+    };
+    let (whole, half, none) = (fresh(1.0), fresh(0.5), fresh(0.0));
+    assert_eq!(whole.figures, learnt.figures);
+    let prompt = |l: &Learnt| l.figures[1];
+    assert!(prompt(&none) == 0.0 && prompt(&half) == prompt(&whole) / 2.0);
+    assert!(bad(&whole) && none.engines.is_empty());
+    let mut c = core(4);
+    assert!(!c.recall(b"junk", 1.0));
+    assert!(c.recall(br#"{"figures":[1,2],"engines":[]}"#, 1.0));
+    c.list(0.1, &list(2, &[State::In; 8]));
+}
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -4,6 +4,7 @@
 use crate::core::life::{self, Exit, Left, Life};
 use crate::core::{Answer, Ask, Cause, Core, Do, End, Place, Refusal, Ticket, Why};
 use crate::engines::Engines;
+use crate::keep::Keeper;
 use crate::meter::Meter;
 use crate::{seconds, Clock};
 use async_channel::{Receiver, Sender};
@@ -41,6 +42,9 @@
     Leave,
     /// To go, with the listening socket in another process's hands already.
     HandOver,
+    /// To let go of the store, which another process is about to open; or to take it back, as none did.
+    Release,
+    Resume,
     /// To go on to the next stage at once.
     Hasten,
 }
@@ -52,6 +56,8 @@
     Ended { ticket: Ticket, send: u32, end: End, sink: Option<Sink> },
     Probed { place: Rc<Place>, cause: Cause, load: Option<LoadReport> },
     LetGo { call: Held, done: bool },
+    Swept { place: Rc<Place>, done: bool },
+    Learnt { to: Sender<Vec<u8>> },
     List(List),
     ListFailed,
 }
@@ -117,6 +123,8 @@
     pub sends: HashMap<(Ticket, u32), Task<()>>,
     pub meter: Option<Arc<Mutex<Meter>>>,
     pub life: Life,
+    pub boot: String,
+    pub keeper: Rc<Keeper>,
     pub doors: Rc<Doors>,
     /// Called once, when it can serve.
     pub on_serving: Option<Box<dyn FnOnce() + Send>>,
@@ -270,6 +278,8 @@
                 }
             }
             Said::Order(Order::Hasten) => self.life.hasten(now),
+            Said::Order(Order::Release) => self.keeper.release(true),
+            Said::Order(Order::Resume) => self.keeper.release(false),
             Said::Order(order) => self.life.leave(now, order == Order::HandOver),
             Said::Began { ticket, send, grant } => {
                 if self.core.began(now, ticket, send) {
@@ -305,6 +315,8 @@
             }
             Said::Probed { place, cause, load } => self.core.probed(now, &place.id, cause, load),
             Said::LetGo { call, done } => self.core.let_go(now, call, done),
+            Said::Swept { place, done } => self.core.swept(now, &place.address, done),
+            Said::Learnt { to } => drop(to.try_send(self.core.learnt(now))),
             Said::List(list) => {
                 self.core.list(now, &list);
                 self.serving();
@@ -383,6 +395,11 @@
                         let task = self.engines.clone().probe(place, self.to_core.clone());
                         self.ex.spawn(task).detach();
                     }
+                    Do::Sweep(place) => {
+                        let boot = self.boot.clone();
+                        let task = self.engines.clone().sweep(place, boot, self.to_core.clone());
+                        self.ex.spawn(task).detach();
+                    }
                     Do::AskList => drop(self.poke.try_send(())),
                 }
             }
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -183,6 +183,20 @@
         let _ = words.send(Word::new(crate::driver::Said::Probed { place, cause, load })).await;
     }
 
+    /// Whatever this node's earlier processes left at the reader is let go of; `boot`: what is this one's stays.
+    pub async fn sweep(self: Rc<Self>, place: Rc<Place>, boot: String, words: Sender<Word>) {
+        let path = format!("/v1/states?except={boot}");
+        let done = match self.request(Method::DELETE, &place.address, &path).body(Full::default()) {
+            Err(_) => false,
+            Ok(r) => {
+                let answer = within(self.limits.probe_s, self.pool.fetch(self.peer(&place), &r)).await;
+                // A reader that does not know the call will not learn it: its own limit frees them.
+                matches!(answer, Some(Ok((200 | 204 | 404 | 405 | 501, _, _))))
+            }
+        };
+        let _ = words.send(Word::new(crate::driver::Said::Swept { place, done })).await;
+    }
+
     pub async fn let_go(self: Rc<Self>, call: Held, state: HeldState, words: Sender<Word>) {
         let path = format!("/v1/states/{}", state.name);
         let address = &state.reader.address;
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -1,12 +1,14 @@
 //! A node: the I/O-free [`core`] around the decision module, and the sockets, timers and files that act for it.
 //! All of a node runs on one thread; `docs/design-node.md` says why.
 
+mod background;
 pub mod client;
 pub mod core;
 mod driver;
 pub use crate::core::life::Exit;
 pub use driver::Order;
 mod engines;
+mod keep;
 mod meter;
 mod repeat;
 mod server;
@@ -18,7 +20,9 @@
 use crate::core::{Core, Door, Figures};
 use async_channel::{bounded, unbounded};
 use nickelgw::interface::Deployment;
+use nickelgw_background::core::{Class, Spec};
 use nickelgw_chat::core::{budget, repeats};
+use nickelgw_store::core::{belief, Kind};
 use nickelgw_tls::core::pool;
 use smol::{LocalExecutor, Timer};
 use std::cell::RefCell;
@@ -62,6 +66,8 @@
     /// host:port of the engine list.
     pub list: String,
     pub last_list: Option<PathBuf>,
+    /// File that keeps what the next process is to know.
+    pub store: Option<PathBuf>,
     pub meter: Option<Arc<Mutex<Meter>>>,
     pub tls: TlsStart,
     pub repeats: repeats::Figures,
@@ -71,6 +77,8 @@
     pub orders: async_channel::Receiver<Order>,
     /// Called once, when it can serve.
     pub on_serving: Option<Box<dyn FnOnce() + Send>>,
+    /// Accepts nothing before it can serve: another process listens on the same socket meanwhile.
+    pub patient: bool,
 }
 
 /// Keys and trust, looked at once already: what was not sound then keeps the node from starting.
@@ -139,13 +147,33 @@
     };
     let connections = client::Pool::new(ex.clone(), limits.connect_s, figures, tls);
     let reload_s = start.tls.reload_s;
-    let tending = ex.spawn(connections.clone().tend(reload_s));
+    let tending = ex.spawn(connections.clone().tend());
+    let looked = connections.clone();
     let engines = engines::Engines::new(connections, &start.name, &start.zone, limits.clone());
     let seed = start.deployment.seed ^ u64::from(start.deployment.node);
+    let boot = start.figures.boot.clone();
+    let (keeper, found) = keep::Keeper::open(start.store, clock);
     let mut core = Core::new(start.deployment, start.figures);
+    let relays = repeat::Relays::new(start.repeats);
+    for f in found {
+        match f.kind {
+            Kind::Repeat => relays.restore(clock.now() - f.age_s.unwrap_or(0.0), &f.key, &f.value),
+            Kind::Learnt => {
+                let trust = belief::weight(f.age_s.unwrap_or(f64::INFINITY));
+                let read = core.recall(&f.value, trust);
+                tracing::info!(trust, read, "what the process before had learnt");
+            }
+            Kind::List => {}
+        }
+    }
     let mut life = Life::new(start.life);
     let doors = driver::Doors::new();
-    let mut on_serving = start.on_serving;
+    let (gate, opened) = bounded::<()>(1);
+    let (say, patient) = (start.on_serving, start.patient);
+    let mut on_serving: Option<Box<dyn FnOnce() + Send>> = Some(Box::new(move || {
+        gate.close();
+        say.into_iter().for_each(|say| say());
+    }));
     if let Some(list) = watch::last(start.last_list.as_deref()) {
         tracing::info!(engines = list.engines.len(), revision = list.revision, "served from the last list");
         core.list_unproved(clock.now(), &list);
@@ -178,6 +206,8 @@
         sends: Default::default(),
         meter: start.meter,
         life,
+        boot,
+        keeper: keeper.clone(),
         doors: doors.clone(),
         on_serving,
         list: start.list,
@@ -197,18 +227,99 @@
         clock,
         ex: ex.clone(),
         budget: RefCell::new(budget::Budget::new(start.retries, seed)),
-        repeats: repeat::Relays::new(start.repeats),
+        repeats: relays,
+        keeper: keeper.clone(),
     });
-    let repeating = ex.spawn(repeat::tend(server.clone()));
-    let looking = ex.spawn(server::look(server.clone(), reload_s));
+    let keeping = ex.spawn(keeper.clone().run());
+    let behind = background::Background::new(ex.clone(), clock, seed);
+    chores(&behind, &server, looked, reload_s);
+    let chores = ex.spawn(behind.run());
     let (orders, told) = (start.orders, server.to_core.clone());
     let ordering = ex.spawn(async move {
         while let Ok(order) = orders.recv().await {
             let _ = told.send(driver::Word::new(driver::Said::Order(order))).await;
         }
     });
-    let accepting = ex.spawn(server::accept(listener, server, ex.clone()));
+    let of = ex.clone();
+    let accepting = ex.spawn(async move {
+        if patient {
+            let _ = opened.recv().await;
+        }
+        server::accept(listener, server, of).await;
+    });
     let exit = ex.run(driving).await;
-    drop((watching, tending, looking, repeating, ordering, accepting));
+    drop((watching, tending, chores, ordering, accepting, keeping));
+    ex.run(keeper.flush()).await;
     Ok(exit)
 }
+
+/// How often what was learnt is kept, and what is too old is dropped.
+const LEARNT_S: f64 = 2.0;
+const EXPIRE_S: f64 = 30.0;
+
+/// What no request waits for.
+fn chores(
+    behind: &Rc<background::Background>,
+    server: &Rc<server::Server>,
+    pool: Rc<client::Pool>,
+    reload_s: f64,
+) {
+    use background::Done;
+    let spec = |class, every_s| Spec {
+        class,
+        every_s: Some(every_s),
+        deadline_s: every_s,
+        most_s: 10.0,
+        takes_s: 1e-4,
+        bytes: 0.0,
+    };
+    let of = server.clone();
+    behind.add("repeats", spec(Class::Owed, 0.1), move || {
+        let of = of.clone();
+        async move {
+            repeat::tend(of).await;
+            Done { bytes: 0.0, done: true }
+        }
+    });
+    let of = server.clone();
+    behind.add("certificates", spec(Class::Needed, reload_s.max(0.01)), move || {
+        let (of, pool) = (of.clone(), pool.clone());
+        async move {
+            pool.look().await;
+            server::look(of).await;
+            Done { bytes: 0.0, done: true }
+        }
+    });
+    let of = server.clone();
+    behind.add("learnt", spec(Class::Needed, LEARNT_S), move || {
+        let of = of.clone();
+        async move {
+            let (to, learnt) = bounded(1);
+            let asked = of.to_core.send(driver::Word::new(driver::Said::Learnt { to })).await;
+            let Ok(bytes) = learnt.recv().await else { return Done { bytes: 0.0, done: asked.is_ok() } };
+            of.keeper.put(Kind::Learnt, b"", &bytes);
+            Done { bytes: bytes.len() as f64, done: true }
+        }
+    });
+    let of = server.clone();
+    behind.add("expire", spec(Class::Idle, EXPIRE_S), move || {
+        let of = of.clone();
+        async move {
+            of.keeper.expire();
+            Done { bytes: 0.0, done: true }
+        }
+    });
+    let me = Rc::downgrade(behind);
+    behind.add("account", spec(Class::Idle, EXPIRE_S), move || {
+        let me = me.clone();
+        async move {
+            if let Some(me) = me.upgrade() {
+                for (task, waits_s) in me.overdue() {
+                    tracing::warn!(task, waits_s, "background work is overdue");
+                }
+                tracing::debug!(took_s = me.took_s(), "background work so far");
+            }
+            Done { bytes: 0.0, done: true }
+        }
+    });
+}
--- a/crates/nickelgw-node/src/repeat.rs
+++ b/crates/nickelgw-node/src/repeat.rs
@@ -2,14 +2,15 @@
 
 use crate::driver::Reply;
 use crate::server::{json_answer, streamed, Answer, Asked, Server};
-use crate::{seconds, within};
+use crate::within;
 use async_channel::{bounded, Receiver, Sender};
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
 use nickelgw_chat::core::repeats::{Do, Ended, Enter, Figures, Key, Repeats, Serial};
 use nickelgw_protocol::chat::ApiError;
 use nickelgw_protocol::sse;
-use smol::{Task, Timer};
+use nickelgw_store::core::Kind;
+use smol::Task;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
@@ -85,6 +86,13 @@
         Relays { table, relays: RefCell::default(), runs: RefCell::default() }
     }
 
+    /// One that an earlier process took, and that may not run again.
+    pub fn restore(&self, now: f64, key: &[u8], body: &[u8]) {
+        if let (Ok(key), Ok(body)) = (key.try_into(), body.try_into()) {
+            self.table.borrow_mut().restore(now, Key(key), body);
+        }
+    }
+
     fn act(&self, now: f64) {
         let (todo, _) = self.table.borrow_mut().due(now);
         for d in todo {
@@ -102,12 +110,9 @@
     }
 }
 
-/// Looks after the table's own times until dropped.
+/// Looks after the table's own times.
 pub async fn tend(server: Rc<Server>) {
-    loop {
-        Timer::after(seconds(0.1)).await;
-        server.repeats.act(server.clock.now());
-    }
+    server.repeats.act(server.clock.now());
 }
 
 /// A client that hears a run; dropped, it has left.
@@ -207,9 +212,21 @@
                     self.repeats.table.borrow_mut().ended(now, s, Ended::Shed);
                     return Err(e);
                 }
+                // Known to the next process before it can have an effect: a crash must not let a repeat run.
+                if !may_repeat {
+                    let kept = !self.keeper.is_released()
+                        && self.keeper.put_and_wait(Kind::Repeat, &key.0, &a.digest).await;
+                    if !kept {
+                        self.repeats.table.borrow_mut().ended(now, s, Ended::Shed);
+                        let word = "this request may not run twice, and cannot be remembered now";
+                        let mut e = ApiError::new(503, "server_error", "node_full", word);
+                        e.retry_after_s = Some(self.limits.come_back_s);
+                        return Err(e);
+                    }
+                }
                 let relay = Relay::new();
                 self.repeats.relays.borrow_mut().insert(s, relay.clone());
-                let run = self.ex.spawn(self.clone().relay(a, s, relay));
+                let run = self.ex.spawn(self.clone().relay(a, s, relay, (!may_repeat).then_some(key)));
                 self.repeats.runs.borrow_mut().insert(s, run);
                 s
             }
@@ -245,7 +262,7 @@
     }
 
     /// Runs it, and says what comes of it to all who hear.
-    async fn relay(self: Rc<Self>, a: Asked, serial: Serial, relay: Rc<Relay>) {
+    async fn relay(self: Rc<Self>, a: Asked, serial: Serial, relay: Rc<Relay>, kept: Option<Key>) {
         let how = match self.run(a).await {
             Err(e) | Ok((Reply::Error(e), _)) => {
                 // Refused or shed, nothing of it has run.
@@ -285,6 +302,10 @@
         relay.said.borrow_mut().done = true;
         relay.ring();
         self.repeats.table.borrow_mut().ended(self.clock.now(), serial, how);
+        // Nothing of it has run: its key is free again.
+        if let Some(key) = kept.filter(|_| how == Ended::Shed) {
+            self.keeper.remove(Kind::Repeat, &key.0);
+        }
         // Its own task is at its end: dropping the handle here would cancel nothing.
         if let Some(run) = self.repeats.runs.borrow_mut().remove(&serial) {
             run.detach();
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -3,6 +3,7 @@
 use crate::client::say;
 use crate::core::{Ask, Door, Refusal, Ticket};
 use crate::driver::{Doors, Job, Reply, Said, Word};
+use crate::keep::Keeper;
 use crate::repeat::Relays;
 use crate::{seconds, unix_now, within, Clock, Limits};
 use async_channel::{bounded, Receiver, Sender};
@@ -44,6 +45,7 @@
     pub ex: Rc<LocalExecutor<'static>>,
     pub budget: RefCell<Budget>,
     pub repeats: Relays,
+    pub keeper: Rc<Keeper>,
 }
 
 pub type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = Infallible>>>;
@@ -270,15 +272,12 @@
     }
 }
 
-/// Looks at the chat port's files until dropped; connections that stand keep what they began with.
-pub async fn look(server: Rc<Server>, reload_s: f64) {
+/// Looks at the chat port's files; connections that stand keep what they began with.
+pub async fn look(server: Rc<Server>) {
     let Some(tls) = server.tls.clone() else { return };
-    loop {
-        smol::Timer::after(seconds(reload_s)).await;
-        let (tls, now) = (tls.clone(), unix_now());
-        let said = smol::unblock(move || tls.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
-        say("chat", &said);
-    }
+    let now = unix_now();
+    let said = smol::unblock(move || tls.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
+    say("chat", &said);
 }
 
 /// A request that has passed the door.
@@ -355,7 +354,10 @@
                 let why = if self.doors.parting.get() { "leaving" } else { "no list yet" };
                 json_answer(503, json!({ "status": why }).to_string().into())
             }
-            (&Method::GET, "/healthz") => json_answer(200, "{\"status\":\"ok\"}".into()),
+            (&Method::GET, "/healthz") => {
+                let connections = self.doors.connections.get();
+                json_answer(200, json!({"status": "ok", "connections": connections}).to_string().into())
+            }
             (_, path) => {
                 let word = format!("no such call: {}", path.chars().take(64).collect::<String>());
                 error(&ApiError::new(404, "invalid_request_error", "not_found", word))
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -106,6 +106,7 @@
             most_open: 1000,
             stream_idle_s: 0.8,
             let_go_within_s: 10.0,
+            sweep_s: (0.0, 60.0),
             come_back_s: 1.0,
             grants: None,
             tenant_most_open: vec![None],
@@ -131,6 +132,7 @@
         },
         list: list.into(),
         last_list: None,
+        store: None,
         meter: None,
         tls: TlsStart { reload_s: 0.05, at_once: 16, at_once_engine: 2, ..TlsStart::default() },
         repeats: Default::default(),
@@ -138,6 +140,7 @@
         life: nickelgw_node::core::life::Figures { notice_s: 0.1, grace_s: 5.0, end_s: 1.0 },
         orders: async_channel::bounded(1).1,
         on_serving: None,
+        patient: false,
     }
 }
 
--- /dev/null
+++ b/crates/nickelgw-node/tests/stalled.rs
@@ -0,0 +1,88 @@
+//! Clients that take nothing, many at once. Alone in its binary: it fills the machine.
+
+mod common;
+
+use common::{figures, World, KEY};
+use nickelgw_standin::client::{self, Ask};
+use nickelgw_standin::model;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn post(body: &str, more: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n{more}\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn until(what: &str, seen: impl Fn() -> bool) {
+    let from = Instant::now();
+    while !seen() {
+        assert!(from.elapsed() < Duration::from_secs(60), "not seen in a minute: {what}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn a_thousand_clients_that_stall_are_cut_off_and_hold_nobody_up() {
+    let (soft, hard) = rlimit::Resource::NOFILE.get().unwrap();
+    let wanted = hard.min(16_384);
+    if soft < wanted {
+        rlimit::Resource::NOFILE.set(wanted, hard).unwrap();
+    }
+    // Where the machine allows fewer descriptors, as many clients as it allows.
+    let clients = (wanted as usize / 10).min(1000);
+    let wide = |id| model::Figures {
+        slots: 4000,
+        out_tokens: 240,
+        queue: 4000,
+        step_s: 0.002,
+        step_per_stream_s: 0.0,
+        read_s: 0.001,
+        memory_tokens: 1e8,
+        ..figures(id)
+    };
+    let w = World::with(vec![wide("r0a"), wide("r1a"), wide("w0a"), wide("w1a")], |s| {
+        (s.limits.most_connections, s.figures.most_open, s.limits.client_stall_s) = (3000, 3000, 1.0);
+        s.limits.most_waiting = 1024;
+        s.deployment.routes[0].first_token_target_s = 8.0;
+        s.door.models[0].timeout_s = 20.0;
+    });
+    for e in ["w0a", "w1a"] {
+        w.control(e, json!({"fault": "pad", "bytes": 8192}));
+    }
+    let body =
+        r#"{"model":"chat","stream":true,"max_tokens":120,"messages":[{"role":"user","content":"hi"}]}"#;
+    let stalled: Vec<TcpStream> = (0..clients)
+        .map(|n| {
+            let s = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            s.set_recv_buffer_size(4096).unwrap();
+            s.connect(&w.node.parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+            let mut s = TcpStream::from(s);
+            s.write_all(post(body, &format!("x-request-id: s{n}\r\n")).as_bytes()).unwrap();
+            s
+        })
+        .collect();
+    // All have begun. One that does not stall is served, then each of the others has had its second.
+    until("all have run", || w.count("ran", "") >= clients);
+    let seen =
+        w.play(Ask { timeout_s: 20.0, target_s: 20.0, max_tokens: Some(20), ..w.ask("quick", "chat") });
+    assert_eq!(seen.how, "completed");
+    let call = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    until("all but the asking connection are cut off", || {
+        let answer = smol::block_on(client::raw(&w.node, &[call], 0.0, 5.0));
+        String::from_utf8_lossy(&answer).contains("\"connections\":1")
+    });
+    w.assert_empty(&["r0a", "r1a", "w0a", "w1a"]);
+    for mut s in stalled {
+        s.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+        let mut got = Vec::new();
+        let end = s.read_to_end(&mut got);
+        assert!(!end.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock), "it was not cut off");
+        assert!(!String::from_utf8_lossy(&got).contains("[DONE]"), "it did not stall: {} bytes", got.len());
+    }
+}
--- a/crates/nickelgw-standin/src/engine.rs
+++ b/crates/nickelgw-standin/src/engine.rs
@@ -257,6 +257,16 @@
         Ok(Some(match (method, path) {
             (Method::GET, "/health") if self.model.borrow().fallen => error(500, "fallen"),
             (Method::GET, "/health") => json(200, json!({"status": "ok"})),
+            (Method::DELETE, "/v1/states") => {
+                let node = header(request.headers(), NODE).to_string();
+                let except = request.uri().query().and_then(|q| q.strip_prefix("except=")).unwrap_or("");
+                let left = self.model.borrow().left_by(&node, &format!("{except}-"));
+                for name in &left {
+                    self.model.borrow_mut().free(name);
+                    self.record.note("let_go", json!({"state": name, "found": true, "node": node}));
+                }
+                json(200, json!({"freed": left.len()}))
+            }
             (method, path) => match path.strip_prefix("/v1/states/") {
                 Some(name) if method == Method::DELETE => {
                     let found = self.model.borrow_mut().free(name);
@@ -352,7 +362,10 @@
             return Ok(error(500, "internal"));
         }
         match role {
-            Role::Read => self.read(&chat, &req, &send, zone).await,
+            Role::Read => {
+                let node = header(&headers, NODE).to_string();
+                self.read(&chat, &req, &send, zone, &node).await
+            }
             Role::Write => self.write(chat, headers, req, send, kv).await,
         }
     }
@@ -363,6 +376,7 @@
         req: &str,
         send: &str,
         zone: &str,
+        node: &str,
     ) -> Result<Answer, Cut> {
         let tokens = chat.prompt_tokens;
         let room = self.room(tokens, tokens).await;
@@ -373,6 +387,7 @@
         self.through(zone).await;
         drop(room);
         self.model.borrow_mut().hold(unix_now(), send, tokens);
+        self.model.borrow_mut().owners.insert(send.into(), node.into());
         self.record.note("read", json!({"req": req, "send": send, "tokens": tokens, "kept": kept}));
         let lose = self.faults.borrow().lose;
         if self.drawn(lose) {
--- a/crates/nickelgw-standin/src/model.rs
+++ b/crates/nickelgw-standin/src/model.rs
@@ -123,6 +123,8 @@
     pub memory: f64,
     /// States held: tokens, and since when.
     pub states: BTreeMap<String, (f64, f64)>,
+    /// Which node each was read for.
+    pub owners: BTreeMap<String, String>,
     kept: VecDeque<(String, f64)>,
     /// Work that came lately: when, and how much in slot seconds.
     recent: VecDeque<(f64, f64)>,
@@ -238,7 +240,14 @@
         self.memory += tokens;
     }
 
+    /// States of a node that are not named for the process given.
+    pub fn left_by(&self, node: &str, except: &str) -> Vec<String> {
+        let left = |(n, owner): &(&String, &String)| *owner == node && !n.starts_with(except);
+        self.owners.iter().filter(left).map(|o| o.0.clone()).collect()
+    }
+
     pub fn free(&mut self, name: &str) -> bool {
+        self.owners.remove(name);
         let found = self.states.remove(name);
         self.memory -= found.map_or(0.0, |s| s.0);
         found.is_some()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -160,3 +160,20 @@
     /// Handles that are void from now on.
     pub closed: Vec<Inf>,
 }
+
+/// What a node has learnt, for its next process. What the figures mean is the module's own.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learnt {
+    pub figures: Vec<f64>,
+    pub engines: Vec<LearntEngine>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LearntEngine {
+    pub id: String,
+    /// When its process started; none: long ago.
+    pub started: Option<f64>,
+    /// Failures of late, and when the last was.
+    pub faults: f64,
+    pub fault_at: f64,
+}
