--- a/crates/nickelgw-cli/src/bench.rs
+++ b/crates/nickelgw-cli/src/bench.rs
@@ -151,7 +151,7 @@
 }
 
 impl Point {
-    fn us(h: &Histogram<u64>, q: f64) -> f64 {
+    pub fn us(h: &Histogram<u64>, q: f64) -> f64 {
         h.value_at_quantile(q) as f64
     }
 }
@@ -207,18 +207,23 @@
     points
 }
 
-struct Fleet {
-    lane: Rc<Lane>,
-    node: Child,
+pub struct Fleet {
+    pub lane: Rc<Lane>,
+    pub node: Child,
     rest: Vec<Child>,
-    dir: PathBuf,
+    pub dir: PathBuf,
 }
 
-async fn fleet(
+/// Limits of a node that is to be measured, not to refuse.
+pub const WIDE: &str = "limits { most_idle_connections: 4096 stream_idle_ms: 60000 most_waiting: 1024 }";
+
+/// A node and its engines as processes; `more` is added to the node's settings.
+pub async fn fleet(
     ex: &Rc<LocalExecutor<'static>>,
     name: &str,
     writers: usize,
     f: Figures,
+    more: &str,
 ) -> Result<Fleet, Unusable> {
     let dir = std::env::temp_dir().join(format!("nickelgw-bench-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir)?;
@@ -254,13 +259,12 @@
     let (c, listed) = child(&args, &dir.join("log")).await?;
     children.push(c);
     let settings = dir.join("node.txtpb");
-    let text = format!(
-        "{} listen: '127.0.0.1:0' limits {{ most_idle_connections: 4096 stream_idle_ms: 60000 most_waiting: 1024 }}",
-        crate::up::settings(0, 1, &listed)
-    );
+    let text = format!("{} listen: '127.0.0.1:0' {more}", crate::up::settings(0, 1, &listed));
     std::fs::write(&settings, text)?;
     let meter = dir.join("meter.json").display().to_string();
     let args = texts(&["serve", "--config", &settings.display().to_string(), "--meter", &meter]);
+    let quiet = !more.contains("leaving");
+    let args = if quiet { args } else { [args, texts(&["--log-level", "info"])].concat() };
     let (node, address) = child(&args, &dir.join("log")).await?;
     rest(0.3).await;
     let wide = PoolFigures {
@@ -277,7 +281,7 @@
 
 impl Fleet {
     /// Processor seconds that the node has used, and its memory in KiB.
-    fn node_uses(&self) -> (f64, f64) {
+    pub fn node_uses(&self) -> (f64, f64) {
         let of =
             |f: &str| std::fs::read_to_string(format!("/proc/{}/{f}", self.node.id())).unwrap_or_default();
         let stat = of("schedstat");
@@ -288,7 +292,7 @@
         (ns / 1e9, kib)
     }
 
-    async fn end(mut self) -> Value {
+    pub async fn end(mut self) -> Value {
         let pid = self.node.id().to_string();
         let _ = smol::process::Command::new("kill").args(["-TERM", &pid]).status().await;
         let _ = self.node.status().await;
@@ -319,7 +323,7 @@
 
     async fn measure(&self, ex: Rc<LocalExecutor<'static>>) -> Result<Value, Unusable> {
         let quick = quick();
-        let f = fleet(&ex, "added", 2, quick.clone()).await?;
+        let f = fleet(&ex, "added", 2, quick.clone(), WIDE).await?;
         load(&ex, &f.lane, 200.0, 1.0, 20, &[true, false]).await;
         println!("added by the node, 100 requests a second each way, 20 tokens, {} runs:", self.runs);
         let mut added: Vec<[f64; 4]> = Vec::new();
@@ -349,7 +353,7 @@
         println!("  in the node: {}", out["meter_quiet"]);
 
         println!("rate on one core, 4 tokens an answer, until the first token's p99 doubles:");
-        let f = fleet(&ex, "rate", 2, quick.clone()).await?;
+        let f = fleet(&ex, "rate", 2, quick.clone(), WIDE).await?;
         load(&ex, &f.lane, 200.0, 1.0, 4, &[true]).await;
         let (mut base, mut rates) = (0.0, Vec::new());
         for rate in [250.0, 500.0, 1000.0, 1500.0, 2000.0, 2500.0, 3000.0, 4000.0, 5000.0] {
@@ -382,7 +386,7 @@
 
         println!("memory for open streams:");
         let slow = Figures { step_s: 2.0, ..quick };
-        let f = fleet(&ex, "memory", 4, slow).await?;
+        let f = fleet(&ex, "memory", 4, slow, WIDE).await?;
         let empty = f.node_uses().1;
         let begun = Instant::now();
         let mut held = Vec::new();
--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `nickelgw` command.
 
 mod bench;
+mod bench_path;
 mod bench_tls;
 mod rehearse;
 mod serve;
@@ -100,6 +101,8 @@
     },
     /// Measures what the node adds, beside the same stand-ins called directly.
     Bench(bench::Bench),
+    /// Measures grants, keys, ledger and store, stalled clients, and a take-over.
+    BenchPath(bench_path::BenchPath),
     /// Measures what TLS costs, and the rush after a rotation with and without a budget.
     BenchTls(bench_tls::BenchTls),
 }
@@ -140,6 +143,7 @@
         What::Rehearse(r) => r.run(),
         What::Bench(b) => b.run(),
         What::BenchTls(b) => b.run(),
+        What::BenchPath(b) => b.run(),
         What::Authority { dir, name } => {
             let made = nickelgw_standin::authority::write_all(&dir, &name);
             let made = made.map_err(|e| Unusable(format!("{}: {e}", dir.display())))?;
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -124,7 +124,7 @@
     pub waiting: Rc<Cell<usize>>,
     pub jobs: HashMap<Ticket, Job>,
     /// Sends out; dropped, a send is called off.
-    pub sends: HashMap<(Ticket, u32), (Task<()>, Rc<Cell<bool>>)>,
+    pub sends: HashMap<(Ticket, u32), Out>,
     pub meter: Option<Arc<Mutex<Meter>>>,
     /// First-token target of each route: a constant part, and one for each prompt token.
     pub targets: Vec<(f64, f64)>,
@@ -138,6 +138,9 @@
     pub list: String,
 }
 
+/// A send's task, and whether something of it may have gone out.
+type Out = (Task<()>, Rc<Cell<bool>>);
+
 /// What the sockets' side has to know of the node's life.
 pub struct Doors {
     pub healthy: Cell<bool>,
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -95,9 +95,9 @@
         let (ticket, send) = (order.ticket, order.send);
         let (end, sink) = match &order.what {
             Work::Read => (self.read(&order, &id, &chat, &out).await, None),
-            Work::Write { state, grant, idle_s } => {
+            Work::Write { state, grant, .. } => {
                 let kv = state.as_ref().map(|s| transfer(s, grant));
-                self.write(&order, &id, &chat, kv, *idle_s, &words, &out).await
+                self.write(&order, &id, &chat, kv, &words, &out).await
             }
         };
         // A full queue holds the task up; the event is never dropped.
@@ -133,10 +133,10 @@
         id: &str,
         chat: &ChatRequest,
         kv: Option<KvTransfer>,
-        idle_s: f64,
         words: &Sender<Word>,
         out: &Cell<bool>,
     ) -> (End, Option<Sink>) {
+        let Work::Write { idle_s, .. } = order.what else { return (End::default(), None) };
         let ended = |cause, load| (End { cause, load, kept: 0.0 }, None);
         let request = write_body(chat, kv.as_ref()).ok().and_then(|body| self.completion(order, id, body));
         let Some(request) = request else { return ended(Cause::NotSent, None) };
