--- a/crates/nickelgw-standin/src/lib.rs
+++ b/crates/nickelgw-standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod list;
 pub mod model;
 pub mod record;
+pub mod registry;
 mod serve;
 mod tls;
 
