Engine lines from an etcd registry, a file or the list, through a view that doubts; nodes take places

A node believed whatever its list said, and numbers of nodes stood in files. Sources now tell a view: an empty or shrinking list is held in doubt and its engines probed, drains act at once, flapping engines are held out, ids under which another process lives are told apart. An etcd-v3 client over the JSON gateway follows by range and watch, through compaction, silence, stale endpoints and a registry that went back; nodes hold their numbers by lease, and the module hears of a changed count (Router::place).

--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -6,7 +6,10 @@
 use nickelgw_chat::core::repeats::Figures as RepeatFigures;
 use nickelgw_node::core::door::{Model, Tenant};
 use nickelgw_node::core::{Door, Figures, Grants};
-use nickelgw_node::{Limits, Meter, Start, TlsStart};
+use nickelgw_node::fleet::Registry;
+use nickelgw_node::{Limits, Meter, Source, Start, TlsStart};
+use nickelgw_registry::core::member::Figures as MemberFigures;
+use nickelgw_registry::core::view::Figures as ViewFigures;
 use nickelgw_settings::{check, Node, Problem};
 use nickelgw_standin::record::unix_now;
 use nickelgw_tls::{Files, Said, Versions};
@@ -20,6 +23,39 @@
 /// How long a let-go call is repeated: a reader back from a longer cut frees its states by itself.
 const LET_GO_WITHIN_S: f64 = 15.0;
 
+fn source(n: &Node) -> Source {
+    if let Some(r) = &n.registry {
+        let lease_s = r.lease_ms() / 1e3;
+        return Source::Registry(Registry {
+            endpoints: r.endpoint.clone(),
+            tls_name: r.tls_name.clone(),
+            engines: r.engines_prefix().into(),
+            nodes: Some(r.nodes_prefix().to_string()).filter(|p| !p.is_empty()),
+            user: r.user.clone().zip(r.password.clone()),
+            member: MemberFigures {
+                lease_s,
+                margin_s: lease_s / 5.0,
+                look_s: lease_s / 2.0,
+                ..MemberFigures::default()
+            },
+        });
+    }
+    match &n.list_file {
+        Some(f) => Source::File(f.into()),
+        None => Source::List(n.list.clone().unwrap_or_default()),
+    }
+}
+
+fn doubt(n: &Node) -> ViewFigures {
+    let d = n.doubt.unwrap_or_default();
+    ViewFigures {
+        doubt_share: d.share(),
+        doubt_least: d.least() as usize,
+        doubt_s: d.doubt_ms() / 1e3,
+        ..ViewFigures::default()
+    }
+}
+
 /// Readers listed within this time of the start may hold states that an earlier process left.
 const SWEEP_S: f64 = 60.0;
 
@@ -145,7 +181,8 @@
             come_back_s: l.come_back_ms() / 1e3,
             send_buffer: l.send_buffer_bytes() as usize,
         },
-        list: n.list.clone(),
+        source: source(n),
+        view: doubt(n),
         last_list: n.last_list.as_ref().map(Into::into),
         store: n.store.as_ref().map(Into::into),
         admin: None,
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -279,6 +279,21 @@
         self.taken.iter().all(Option::is_none) && self.ledger.is_empty()
     }
 
+    /// Under these ids other processes live than before: what was known of the old ones is void with the next list.
+    pub fn renewed(&mut self, now: f64, ids: &[String]) {
+        let gone = |id: &String| EngineLine {
+            id: id.clone(),
+            zone: 0,
+            cell: 0,
+            role: Role::Read,
+            memory_tokens: 1.0,
+            standing: Standing::Gone,
+            started_at: None,
+        };
+        let lines: Vec<EngineLine> = ids.iter().map(gone).collect();
+        self.router.list(now, &lines, false);
+    }
+
     /// A list from the same source never goes back: an older one is an answer that was overtaken.
     pub fn list(&mut self, now: f64, list: &List) {
         if self.revision.is_some_and(|r| list.revision < r) {
@@ -336,6 +351,11 @@
         }
     }
 
+    /// What part of the whole is this node's has changed.
+    pub fn place(&mut self, now: f64, place: Option<(u32, u32)>) {
+        self.router.place(now, place);
+    }
+
     /// What an earlier process of this node had learnt, as it was kept; false: it cannot be read.
     pub fn recall(&mut self, kept: &[u8], trust: f64) -> bool {
         self.recall = kept::read(kept, self.figures.epoch_unix_s).map(|l| (l, trust));
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -15,6 +15,7 @@
 use nickelgw_protocol::list::List;
 use nickelgw_protocol::load::LoadReport;
 use nickelgw_protocol::sse;
+use nickelgw_registry::core::member::Part;
 use smol::{LocalExecutor, Task, Timer};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -60,9 +61,10 @@
     LetGo { call: Held, done: bool },
     Swept { place: Rc<Place>, done: bool },
     Learnt { to: Sender<Vec<u8>> },
+    Part(Part),
     Count { to: Sender<Counted> },
     Why { id: String, to: Sender<Option<String>> },
-    List(List),
+    List { list: List, renewed: Vec<String> },
     ListFailed,
 }
 
@@ -134,8 +136,8 @@
     pub doors: Rc<Doors>,
     /// Called once, when it can serve.
     pub on_serving: Option<Box<dyn FnOnce() + Send>>,
-    /// Address of the engine list, whose connection is kept too.
-    pub list: String,
+    /// Where engine lines come from: connections there are kept too.
+    pub sources: Vec<String>,
 }
 
 /// A send's task, and whether something of it may have gone out.
@@ -343,14 +345,17 @@
             Said::Probed { place, cause, load } => self.core.probed(now, &place.id, cause, load),
             Said::LetGo { call, done } => self.core.let_go(now, call, done),
             Said::Swept { place, done } => self.core.swept(now, &place.address, done),
+            Said::Part(p) => self.core.place(now, p.number.zip(p.of)),
             Said::Count { to } => drop(to.try_send(self.counted())),
             Said::Why { id, to } => drop(to.try_send(self.core.story(&id).map(Story::tell))),
             Said::Learnt { to } => drop(to.try_send(self.core.learnt(now))),
-            Said::List(list) => {
+            Said::List { list, renewed } => {
+                self.core.renewed(now, &renewed);
                 self.core.list(now, &list);
                 self.serving();
-                let list_address = self.list.clone();
-                let wanted = |a: &str| a == list_address || list.engines.iter().any(|l| l.address == a);
+                let sources = &self.sources;
+                let wanted =
+                    |a: &str| sources.iter().any(|s| s == a) || list.engines.iter().any(|l| l.address == a);
                 self.engines.pool.forget_others(wanted);
             }
             Said::ListFailed => self.core.list_failed(now),
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -213,6 +213,14 @@
         let _ = words.send(Word::new(crate::driver::Said::Probed { place, cause, load })).await;
     }
 
+    /// Whether an engine answers its probe at all, however it does.
+    pub async fn answers(&self, place: &Place) -> bool {
+        let built = self.request(Method::GET, &place.address, "/health").body(Full::default());
+        let Ok(r) = built else { return false };
+        let answer = within(self.limits.probe_s, self.pool.fetch(self.peer(place), &r)).await;
+        matches!(answer, Some(Ok(_)))
+    }
+
     /// Whatever this node's earlier processes left at the reader is let go of; `boot`: what is this one's stays.
     pub async fn sweep(self: Rc<Self>, place: Rc<Place>, boot: String, words: Sender<Word>) {
         let path = format!("/v1/states?except={boot}");
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -9,6 +9,7 @@
 pub use crate::core::life::Exit;
 pub use driver::Order;
 mod engines;
+pub mod fleet;
 mod keep;
 mod meter;
 mod repeat;
@@ -23,6 +24,7 @@
 use nickelgw::interface::Deployment;
 use nickelgw_background::core::{Class, Spec};
 use nickelgw_chat::core::{budget, repeats};
+use nickelgw_registry::core::view::View;
 use nickelgw_store::core::{belief, Kind};
 use nickelgw_tls::core::pool;
 use smol::{LocalExecutor, Timer};
@@ -64,8 +66,7 @@
     pub figures: Figures,
     pub door: Door,
     pub limits: Limits,
-    /// host:port of the engine list.
-    pub list: String,
+    pub source: Source,
     pub last_list: Option<PathBuf>,
     /// File that keeps what the next process is to know.
     pub store: Option<PathBuf>,
@@ -80,12 +81,24 @@
     pub life: crate::core::life::Figures,
     /// What the process is told to do, in service.
     pub orders: async_channel::Receiver<Order>,
+    /// What is doubted of the fleet.
+    pub view: nickelgw_registry::core::view::Figures,
     /// Called once, when it can serve.
     pub on_serving: Option<Box<dyn FnOnce() + Send>>,
     /// Accepts nothing before it can serve: another process listens on the same socket meanwhile.
     pub patient: bool,
 }
 
+/// Where engine lines come from.
+#[derive(Clone, Debug)]
+pub enum Source {
+    /// host:port of the engine list.
+    List(String),
+    /// A file of the same form, watched.
+    File(PathBuf),
+    Registry(fleet::Registry),
+}
+
 /// Keys and trust, looked at once already: what was not sound then keeps the node from starting.
 #[derive(Default)]
 pub struct TlsStart {
@@ -108,7 +121,7 @@
 
 /// Seconds since the node began.
 #[derive(Clone, Copy)]
-pub(crate) struct Clock(Instant);
+pub struct Clock(Instant);
 
 impl Clock {
     pub fn now(self) -> f64 {
@@ -181,22 +194,54 @@
         gate.close();
         say.into_iter().for_each(|say| say());
     }));
+    let fleet = Rc::new(fleet::Fleet {
+        view: RefCell::new(View::new(start.view)),
+        engines: engines.clone(),
+        words: to_core.clone(),
+        clock,
+        last: start.last_list.clone(),
+        ex: ex.clone(),
+        told: std::cell::Cell::new(0),
+    });
     if let Some(list) = watch::last(start.last_list.as_deref()) {
         tracing::info!(engines = list.engines.len(), revision = list.revision, "served from the last list");
         core.list_unproved(clock.now(), &list);
+        // What a source says next is reconciled with it: an empty first word is doubted too.
+        fleet.view.borrow_mut().full(clock.now(), 0, list.engines, false);
+        fleet.view.borrow_mut().news();
         life.heard();
         doors.healthy.set(true);
         on_serving.take().into_iter().for_each(|say| say());
     }
-    let watch = watch::Watch {
-        address: start.list.clone(),
-        node: start.name.clone(),
-        last: start.last_list,
-        words: to_core.clone(),
-        poked,
-        clock,
-    };
-    let watching = ex.spawn(watch.run(engines.clone()));
+    let mut sources = Vec::new();
+    let mut following = vec![ex.spawn(fleet.clone().tend())];
+    match start.source {
+        Source::List(address) => {
+            sources.push(address.clone());
+            let name = start.name.clone();
+            let watch = watch::Watch {
+                address,
+                node: name,
+                fleet: fleet.clone(),
+                words: to_core.clone(),
+                poked,
+                clock,
+            };
+            following.push(ex.spawn(watch.run(engines.clone())));
+        }
+        Source::File(path) => following.push(ex.spawn(fleet.clone().follow_file(path))),
+        Source::Registry(registry) => {
+            sources = registry.endpoints.clone();
+            if registry.nodes.is_some() {
+                // Until it has a place it uses nothing of what all share.
+                core.place(clock.now(), None);
+            }
+            let (name, token) = (start.name.clone(), RefCell::new(None));
+            let client = Rc::new(fleet::Client { registry, name, fleet: fleet.clone(), token });
+            following.push(ex.spawn(client.clone().follow(seed)));
+            following.push(ex.spawn(client.hold_place(seed)));
+        }
+    }
     let names = Rc::new(start.door.models.iter().map(|m| m.name.clone()).collect::<Vec<_>>());
     let waiting = Rc::new(std::cell::Cell::new(0));
     let driver = driver::Driver {
@@ -218,7 +263,7 @@
         keeper: keeper.clone(),
         doors: doors.clone(),
         on_serving,
-        list: start.list,
+        sources,
     };
     let driving = driver.run();
     let server = Rc::new(server::Server {
@@ -263,7 +308,7 @@
         server::accept(listener, server, of).await;
     });
     let exit = ex.run(driving).await;
-    drop((operators, watching, tending, chores, ordering, accepting, keeping));
+    drop((operators, following, tending, chores, ordering, accepting, keeping));
     ex.run(keeper.flush()).await;
     Ok(exit)
 }
--- a/crates/nickelgw-node/src/watch.rs
+++ b/crates/nickelgw-node/src/watch.rs
@@ -1,14 +1,15 @@
-//! Follows the engine list by long polls, and keeps the last one on disk for the next start.
+//! Follows the engine list by long polls, and reads the last one that was kept on disk.
 
 use crate::client::Peer;
 use crate::driver::{Said, Word};
 use crate::engines::Engines;
+use crate::fleet::Fleet;
 use crate::{within, Clock};
 use async_channel::{Receiver, Sender};
 use http_body_util::Full;
 use hyper::Method;
 use nickelgw_protocol::list::List;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 
 /// How long the list may hold a call back while there is no news; a call takes a little longer at most.
@@ -19,7 +20,7 @@
 pub struct Watch {
     pub address: String,
     pub node: String,
-    pub last: Option<PathBuf>,
+    pub fleet: Rc<Fleet>,
     pub words: Sender<Word>,
     pub poked: Receiver<()>,
     pub clock: Clock,
@@ -38,7 +39,7 @@
 }
 
 /// Written beside and renamed: a crash leaves the old list or the new one.
-fn write(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+pub fn write(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
     use std::io::Write;
     let beside = path.with_extension("new");
     let mut f = std::fs::File::create(&beside)?;
@@ -59,7 +60,7 @@
             let Ok(request) = request else { return };
             let answer = within(POLL_S + 1.0, engines.pool.fetch(Peer::plain(&self.address), &request)).await;
             let list = match answer {
-                Some(Ok((200, _, body))) => List::parse(&body).map_err(|e| e.to_string()).map(|l| (l, body)),
+                Some(Ok((200, _, body))) => List::parse(&body).map_err(|e| e.to_string()),
                 Some(Ok((204, _, _))) => {
                     fresh = false;
                     continue;
@@ -69,18 +70,9 @@
                 None => Err("no answer".into()),
             };
             match list {
-                Ok((list, body)) => {
+                Ok(list) => {
                     (after, fresh) = (list.revision, false);
-                    let said = Word::new(Said::List(list));
-                    if self.words.send(said).await.is_err() {
-                        return;
-                    }
-                    if let Some(path) = self.last.clone() {
-                        let kept = smol::unblock(move || write(&path, &body)).await;
-                        if let Err(e) = kept {
-                            tracing::warn!(error = %e, "the list was not kept on disk");
-                        }
-                    }
+                    self.fleet.full(list.revision, list.engines, false).await;
                 }
                 Err(error) => {
                     tracing::warn!(error, at = self.clock.now(), "the engine list was not had");
--- a/crates/nickelgw-registry/src/core/follow.rs
+++ b/crates/nickelgw-registry/src/core/follow.rs
@@ -119,13 +119,20 @@
         Worth::Good
     }
 
-    /// Events or progress up to a revision came over the watch.
-    pub fn heard(&mut self, now: f64, revision: u64) {
+    /// Events or progress up to a revision came over the watch. False: it is lower than what is known, so the endpoint
+    /// lags or the registry went back; everything is read again to tell which.
+    pub fn heard(&mut self, now: f64, revision: u64) -> bool {
+        if revision < self.revision {
+            self.read_first = true;
+            self.stage = Stage::Rest { until: now };
+            return false;
+        }
         if let Stage::Watching { heard } = &mut self.stage {
             *heard = now;
             self.failures = 0;
-            self.revision = self.revision.max(revision);
+            self.revision = revision;
         }
+        true
     }
 
     /// What is out has failed. After a break the watch goes on at the next revision: nothing is read anew for it.
@@ -206,7 +213,7 @@
     #[test]
     fn after_a_break_it_goes_on_at_the_next_revision_elsewhere() {
         let (mut f, mut now) = watching(3);
-        f.heard(now, 60);
+        assert!(f.heard(now, 60));
         let first = f.endpoint;
         f.failed(now);
         let broke = now;
@@ -229,7 +236,7 @@
     #[test]
     fn a_silent_watch_is_dropped_and_a_compaction_read_anew() {
         let (mut f, mut now) = watching(2);
-        f.heard(now + 1.0, 50);
+        assert!(f.heard(now + 1.0, 50));
         assert_eq!(f.due(now + 4.5).0, vec![]);
         let todo = f.due(now + 5.1).0;
         assert_eq!(todo, vec![Do::Drop]);
@@ -241,6 +248,13 @@
         assert!(matches!(next(&mut f, &mut now)[..], [Do::Watch { from: 91, .. }]));
     }
 
+    #[test]
+    fn a_watch_that_speaks_of_an_older_revision_is_left_for_a_read() {
+        let (mut f, mut now) = watching(2);
+        assert!(!f.heard(now, 20));
+        assert!(matches!(next(&mut f, &mut now)[..], [Do::Read { .. }]));
+    }
+
     #[test]
     fn an_endpoint_that_lags_is_passed_over_and_a_registry_that_went_back_is_believed_by_two() {
         let (mut f, mut now) = watching(2);
--- a/crates/nickelgw-registry/src/core/view.rs
+++ b/crates/nickelgw-registry/src/core/view.rs
@@ -54,8 +54,6 @@
     penalty: f64,
     at: f64,
     held_out: bool,
-    /// When this process was first seen, for one whose line does not say when it started.
-    since: f64,
 }
 
 /// What a change did, for the log and the metrics.
@@ -86,6 +84,8 @@
     revision: u64,
     changed: bool,
     probes: BTreeSet<String>,
+    /// Ids under which another process lives than was last told of.
+    renewed: BTreeSet<String>,
     pub account: Account,
 }
 
@@ -102,6 +102,7 @@
             revision: 0,
             changed: false,
             probes: BTreeSet::new(),
+            renewed: BTreeSet::new(),
             account: Account::default(),
         }
     }
@@ -162,10 +163,9 @@
             match e {
                 Event::Put(l) => {
                     // Deleted and put in one batch: another process, whatever its line says.
-                    if deleted.contains(&id) {
-                        if let Some(k) = self.known.get_mut(&id) {
-                            k.since = now;
-                        }
+                    if deleted.contains(&id) && self.known.contains_key(&id) {
+                        self.renewed.insert(id);
+                        self.changed = true;
                     }
                     self.put(now, l);
                 }
@@ -192,11 +192,16 @@
         match self.known.get_mut(&line.id) {
             None if full => self.account.refused += 1,
             None => {
-                let (past, at) = self.past.remove(&line.id).unwrap_or((0.0, now));
+                let past = self.past.remove(&line.id);
+                // One that was gone and is back is another process; of one never seen nobody knows.
+                if past.is_some() {
+                    self.renewed.insert(line.id.clone());
+                }
+                let (past, at) = past.unwrap_or((0.0, now));
                 let penalty = faded(past, at, now, f.flap_half_s);
                 let held_out = penalty > f.flap_out;
                 self.account.flapping += u64::from(held_out);
-                let known = Known { line, stand: Stand::Listed, penalty, at: now, held_out, since: now };
+                let known = Known { line, stand: Stand::Listed, penalty, at: now, held_out };
                 self.known.insert(known.line.id.clone(), known);
                 self.changed = true;
             }
@@ -209,7 +214,7 @@
                     || new.started_at > old.started_at;
                 let back = old.state != State::In && new.state == State::In;
                 if other || back {
-                    k.since = now;
+                    self.renewed.insert(line.id.clone());
                 }
                 if back {
                     k.penalty = faded(k.penalty, k.at, now, f.flap_half_s) + 1.0;
@@ -319,23 +324,26 @@
         wake
     }
 
+    /// Ids under which another process lives now than when last asked: what was known of the old one is void.
+    pub fn renewed(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.renewed).into_iter().collect()
+    }
+
     /// The engines as they are believed in, if that has changed since last asked.
-    pub fn news(&mut self, epoch_unix_s: f64) -> Option<Vec<Line>> {
+    pub fn news(&mut self) -> Option<Vec<Line>> {
         if !std::mem::take(&mut self.changed) {
             return None;
         }
-        Some(self.lines(epoch_unix_s))
+        Some(self.lines())
     }
 
-    pub fn lines(&self, epoch_unix_s: f64) -> Vec<Line> {
+    pub fn lines(&self) -> Vec<Line> {
         let believed = |k: &Known| {
             let mut l = k.line.clone();
             // One that flaps is not sent to; it drains, so that what is there ends.
             if k.held_out && l.state == State::In {
                 l.state = State::Draining;
             }
-            // Another process under its id: its start is when it was first seen, where nobody says it.
-            l.started_at = l.started_at.or((k.since > 0.0).then_some(epoch_unix_s + k.since));
             l
         };
         self.known.values().map(believed).collect()
--- a/crates/nickelgw-registry/src/core/view_tests.rs
+++ b/crates/nickelgw-registry/src/core/view_tests.rs
@@ -9,7 +9,7 @@
         address: format!("10.0.0.{n}:80"),
         zone: "a".into(),
         cell: 0,
-        role: if n % 2 == 0 { Role::Read } else { Role::Write },
+        role: if n.is_multiple_of(2) { Role::Read } else { Role::Write },
         memory_tokens: 1e5,
         state,
         started_at: None,
@@ -24,7 +24,7 @@
 }
 
 fn inside(v: &View) -> usize {
-    v.lines(0.0).iter().filter(|l| l.state == State::In).count()
+    v.lines().iter().filter(|l| l.state == State::In).count()
 }
 
 #[test]
@@ -33,7 +33,7 @@
     let mut lines = vec![line(3, State::Draining)];
     v.full(1.0, 11, lines.clone(), false);
     assert_eq!((inside(&v), v.doubted(), v.to_probe().len()), (9, 9, 9));
-    assert_eq!(v.lines(0.0).iter().find(|l| l.id == "e3").unwrap().state, State::Draining);
+    assert_eq!(v.lines().iter().find(|l| l.id == "e3").unwrap().state, State::Draining);
     // Those that do not answer are gone indeed; the others stay while the doubt lasts.
     (0..3).for_each(|n| v.probed(1.2, &format!("e{n}"), n == 2));
     assert_eq!(inside(&v), 7);
@@ -87,12 +87,11 @@
     let mut v = view(4);
     let moved = Line { address: "10.0.0.99:80".into(), ..line(1, State::In) };
     v.changes(5.0, 11, vec![Event::Put(moved)]);
-    let started = |v: &View, id: &str| v.lines(1000.0).iter().find(|l| l.id == id).unwrap().started_at;
-    assert_eq!((started(&v, "e1"), started(&v, "e2")), (Some(1005.0), None));
+    assert_eq!(v.renewed(), ["e1"]);
     // Deleted and put in one batch; another role.
     v.changes(6.0, 12, vec![Event::Gone("e2".into()), Event::Put(line(2, State::In))]);
     v.changes(7.0, 13, vec![Event::Put(Line { role: Role::Write, ..line(0, State::In) })]);
-    assert_eq!((started(&v, "e2"), started(&v, "e0")), (Some(1006.0), Some(1007.0)));
+    assert_eq!(v.renewed(), ["e0", "e2"]);
     // A record of an address that another has: the one heard last lives there.
     v.changes(8.0, 14, vec![Event::Put(Line { id: "new".into(), ..line(3, State::In) })]);
     assert_eq!((v.len(), v.account.doubles), (4, 1));
@@ -143,7 +142,7 @@
                 8 => { v.full(now, revision, registry.values().cloned().collect(), false); heard = revision; }
                 _ => { v.tick(now); }
             }
-            for l in v.lines(0.0) {
+            for l in v.lines() {
                 if heard == revision && registry.get(&l.id).is_some_and(|r| r.state == State::Draining) {
                     prop_assert!(l.state != State::In, "{} drains", l.id);
                 }
@@ -154,7 +153,7 @@
         }
         v.tick(now + 6.0);
         v.tick(now + 12.0);
-        let mut seen: Vec<(String, State)> = v.lines(0.0).into_iter().map(|l| (l.id, l.state)).collect();
+        let mut seen: Vec<(String, State)> = v.lines().into_iter().map(|l| (l.id, l.state)).collect();
         seen.sort_by(|a, b| a.0.cmp(&b.0));
         let want: Vec<(String, State)> = registry.into_values().map(|l| (l.id, l.state)).collect();
         prop_assert_eq!(seen, want);
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -88,7 +88,7 @@
             self.wrong(&[("zone", 0)], format!("is '{}'", n.zone), "one of zones");
         }
         self.address(&[("listen", 0)], n.listen());
-        self.address(&[("list", 0)], &n.list);
+        self.source(n);
         if let Some(a) = &n.admin {
             self.address(&[("admin", 0)], a);
         }
@@ -131,6 +131,36 @@
         }
     }
 
+    fn source(&mut self, n: &Node) {
+        let given = [n.list.is_some(), n.list_file.is_some(), n.registry.is_some()];
+        if given.iter().filter(|g| **g).count() != 1 {
+            let wanted = "one of list, list_file and registry";
+            self.wrong(&[("list", 0)], "engine lines come from no place, or from several", wanted);
+        }
+        if let Some(list) = &n.list {
+            self.address(&[("list", 0)], list);
+        }
+        if let Some(r) = &n.registry {
+            let at = ("registry", 0);
+            if r.endpoint.is_empty() {
+                self.wrong(&[at, ("endpoint", 0)], "none is given", "host:port of an endpoint at least");
+            }
+            for (k, e) in r.endpoint.iter().enumerate() {
+                self.address(&[at, ("endpoint", k)], e);
+            }
+            self.named(&[at, ("engines_prefix", 0)], r.engines_prefix());
+            if r.lease_ms().is_nan() || r.lease_ms() < 3000.0 {
+                self.wrong(&[at, ("lease_ms", 0)], format!("is {}", r.lease_ms()), "3000 or more");
+            }
+            if r.user.is_some() != r.password.is_some() {
+                self.wrong(&[at, ("user", 0)], "user and password belong together", "both, or neither");
+            }
+        }
+        let d = n.doubt.unwrap_or_default();
+        self.share(&[("doubt", 0), ("share", 0)], d.share());
+        self.above_zero(&[("doubt", 0), ("doubt_ms", 0)], d.doubt_ms());
+    }
+
     fn grants(&mut self, g: &Option<StateGrants>) {
         let Some(g) = g else { return };
         let at = ("state_grants", 0);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -82,8 +82,8 @@
         let (target, pace) = (target.clamp(0.01, 60.0), pace.clamp(0.001, 1.0));
         // Before the first sample: a read costs half a pace, and what the target grants a prompt token.
         let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
-        let quota = |q: &f64| q / d.nodes.max(1) as f64;
-        let share = |q: &f64| Share { left: 2.0 + 2.0 * quota(q), at: 0.0, rate: quota(q) };
+        let part = |q: &f64| q / d.nodes.max(1) as f64;
+        let share = |q: &f64| Share { left: 2.0 + 2.0 * part(q), at: 0.0, rate: part(q), quota: *q };
         Router {
             node: d.node as f64,
             nodes: d.nodes.max(1) as f64,
@@ -140,6 +140,20 @@
         self.ask_at = now + self.target * (0.5 + self.dice());
     }
 
+    /// Its number and how many nodes count have changed; none: it may use nothing of what all share for now.
+    pub fn place(&mut self, now: f64, place: Option<(u32, u32)>) {
+        self.unplaced = place.is_none();
+        if let Some((node, nodes)) = place {
+            (self.node, self.nodes) = (node as f64, nodes.max(1) as f64);
+        }
+        let of = if self.unplaced { f64::INFINITY } else { self.nodes };
+        for s in &mut self.shares {
+            s.left = (s.left + s.rate * (now - s.at)).min(2.0 + 2.0 * s.rate);
+            (s.at, s.rate) = (now, s.quota / of);
+            s.left = s.left.min(2.0 + 2.0 * s.rate);
+        }
+    }
+
     /// What a send was made on: prompts there before it as far as was known, and the time expected.
     pub fn grounds(&self, inf: Inf, send: u32) -> (f64, f64) {
         let s = self.infs[inf.0 as usize].sends[send as usize];
@@ -161,8 +175,8 @@
         Learnt { figures, engines: self.engines.iter().filter(struck).map(engine).collect() }
     }
 
-    /// What an earlier process had learnt, believed in part (0 to 1), after the first list. An engine's faults
-    /// count only for the process that had them.
+    /// What an earlier process had learnt, believed in part (0 to 1), after the first list. An engine's
+    /// faults count only for the process that had them.
     pub fn recall(&mut self, now: f64, l: &Learnt, trust: f64) {
         let sound = |f: &f64| f.is_finite() && *f >= 0.0;
         if l.figures.len() != 21
@@ -740,6 +754,9 @@
         if age >= self.warm_within {
             return true;
         }
+        if self.unplaced {
+            return false;
+        }
         let peers = self.stage(self.engines[e].role == Role::Read).len().max(1) as f64;
         let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
         let even = self.cold_multiple * grown / peers;
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,8 @@
 #[derive(Default)]
 pub struct Router {
     pub(crate) node: f64,
+    /// It has no number among the nodes now, and may use nothing of what all share.
+    pub(crate) unplaced: bool,
     pub(crate) nodes: f64,
     pub(crate) tick: f64,
     pub(crate) routes: Vec<ModelRoute>,
@@ -156,6 +158,8 @@
     pub left: f64,
     pub at: f64,
     pub rate: f64,
+    /// Of all nodes together.
+    pub quota: f64,
 }
 
 /// FNV-1a: the same at every node, so that all choose the same reader for a text.
