--- a/crates/nickelgw-audit/src/lib.rs
+++ b/crates/nickelgw-audit/src/lib.rs
@@ -81,6 +81,8 @@
     pub judged: BTreeMap<&'static str, usize>,
     /// States whose reader could not be reached, or whose node had died, when their time was up.
     pub excused: usize,
+    /// Sends to engines that one word took away together with too many others: it may be doubted for a time.
+    pub doubted: usize,
     /// Nearest that a cold engine came to being pushed over, as a part of what it stands.
     pub nearest_cold: f64,
     /// Seconds for which each state waited at its reader with no send out for it, sorted; those excused left out.
--- a/crates/nickelgw-audit/src/tests.rs
+++ b/crates/nickelgw-audit/src/tests.rs
@@ -94,3 +94,21 @@
 fn a_record_without_rules_is_no_verdict() {
     assert_eq!(judge(&[]).breaks.len(), 1);
 }
+
+#[test]
+fn a_word_that_takes_nearly_all_away_may_be_doubted_for_a_time_and_a_drain_never() {
+    let record = |draining: &str, sent_at: f64, doubt: &str| {
+        lines(&format!(
+            r#"{{"t":0.0,"who":"driver","ev":"rules","drain_grace_s":0.5,"hold_limit_s":0.5,"slack_s":0.1,"routes":{{}}{doubt}}}
+{{"t":1.0,"who":"list","ev":"told","node":"n0","in":["w0","w1","w2","w3"],"draining":[]}}
+{{"t":2.0,"who":"list","ev":"told","node":"n0","in":[],"draining":[{draining}]}}
+{{"t":{sent_at},"who":"w1","ev":"send","req":"q9","send":"s","node":"n0","role":"write","work":0.1}}
+"#
+        ))
+    };
+    let doubt = r#","doubt_share":0.34,"doubt_least":2,"doubt_s":10.0"#;
+    let broken = |draining, at, doubt| judge(&record(draining, at, doubt)).count(Rule::Drain);
+    assert_eq!((broken("", 4.0, ""), broken("", 4.0, doubt), broken("", 13.0, doubt)), (1, 0, 1));
+    assert_eq!(broken("\"w1\"", 4.0, doubt), 1);
+    assert_eq!(judge(&record("", 4.0, doubt)).doubted, 1);
+}
--- a/crates/nickelgw-chat/src/core/repeats.rs
+++ b/crates/nickelgw-chat/src/core/repeats.rs
@@ -1,7 +1,7 @@
 //! Repeated requests: the same `Idempotency-Key` joins what still runs, or gets the answer that was recorded. One
 //! that may have had an effect is never run again by a repeat. Bounded in entries, bytes and time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
 pub struct Figures {
@@ -107,6 +107,10 @@
     figures: Figures,
     by_key: BTreeMap<Key, Serial>,
     entries: BTreeMap<Serial, Entry>,
+    /// Entries by the time, in microseconds, when they are to be looked at: forgotten, or called off.
+    due: BTreeSet<(i64, Serial)>,
+    /// Ended ones that may run again: what goes first when there is no room.
+    spare: BTreeSet<Serial>,
     bytes: usize,
     next: u64,
     ready: Vec<Do>,
@@ -120,6 +124,8 @@
             figures,
             by_key: BTreeMap::new(),
             entries: BTreeMap::new(),
+            due: BTreeSet::new(),
+            spare: BTreeSet::new(),
             bytes: 0,
             next: 0,
             ready: Vec::new(),
@@ -149,8 +155,8 @@
                     return Enter::Mismatch;
                 }
                 match &mut e.stage {
-                    Stage::Running { heard_by, .. } if e.whole => {
-                        *heard_by += 1;
+                    Stage::Running { .. } if e.whole => {
+                        self.heard(now, serial, 1);
                         self.joined += 1;
                         return Enter::Join(serial);
                     }
@@ -186,20 +192,41 @@
         self.by_key.insert(key, Serial(self.next));
         let entry = Entry { key, body, may_repeat: false, stage, bytes: 0, whole: false };
         self.entries.insert(Serial(self.next), entry);
+        self.filed(Serial(self.next), true);
     }
 
     /// The oldest ended one that may repeat goes first: forgetting it costs work, never a second effect. One that
     /// may not repeat stays until its time is up.
     fn make_room(&mut self) -> bool {
-        let ended = |e: &Entry| matches!(e.stage, Stage::Done { .. }) && e.may_repeat;
-        let oldest = self.entries.iter().find(|(_, e)| ended(e)).map(|(s, _)| *s);
+        let oldest = self.spare.first().copied();
         oldest.is_some_and(|s| {
             self.forget(s);
             true
         })
     }
 
+    /// Puts an entry into the tables by time, or takes it out of them: around each change of its stage.
+    fn filed(&mut self, serial: Serial, is: bool) {
+        let Some(e) = self.entries.get(&serial) else { return };
+        let at = match e.stage {
+            Stage::Running { heard_by: 0, alone_since } => alone_since + self.figures.takeover_s,
+            Stage::Running { .. } => return,
+            Stage::Done { at, .. } => at + self.figures.keep_s,
+        };
+        let (at, done) = ((at * 1e6) as i64, matches!(e.stage, Stage::Done { .. }));
+        if is {
+            self.due.insert((at, serial));
+            if done && e.may_repeat {
+                self.spare.insert(serial);
+            }
+        } else {
+            self.due.remove(&(at, serial));
+            self.spare.remove(&serial);
+        }
+    }
+
     fn forget(&mut self, serial: Serial) {
+        self.filed(serial, false);
         if let Some(e) = self.entries.remove(&serial) {
             self.bytes -= e.bytes;
             if self.by_key.get(&e.key) == Some(&serial) {
@@ -226,18 +253,25 @@
 
     /// A client that heard it has gone.
     pub fn left(&mut self, now: f64, serial: Serial) {
-        if let Some(e) = self.entries.get_mut(&serial) {
-            if let Stage::Running { heard_by, alone_since } = &mut e.stage {
-                *heard_by = heard_by.saturating_sub(1);
-                if *heard_by == 0 {
-                    *alone_since = now;
-                }
+        self.heard(now, serial, -1);
+    }
+
+    fn heard(&mut self, now: f64, serial: Serial, more: isize) {
+        self.filed(serial, false);
+        if let Some(Stage::Running { heard_by, alone_since }) =
+            self.entries.get_mut(&serial).map(|e| &mut e.stage)
+        {
+            *heard_by = heard_by.saturating_add_signed(more);
+            if *heard_by == 0 {
+                *alone_since = now;
             }
         }
+        self.filed(serial, true);
     }
 
     /// It has ended. What a repeat may run again is kept only if its answer is whole and good.
     pub fn ended(&mut self, now: f64, serial: Serial, how: Ended) {
+        self.filed(serial, false);
         let Some(e) = self.entries.get_mut(&serial) else { return };
         e.stage = Stage::Done { at: now, how };
         let again = match how {
@@ -251,6 +285,8 @@
         }
         if again {
             self.forget(serial);
+        } else {
+            self.filed(serial, true);
         }
     }
 
@@ -261,30 +297,25 @@
         }
     }
 
+    /// Forgets what has been kept for its time. Looks at nothing else: every request comes through here.
     fn expire(&mut self, now: f64) {
-        let keep_s = self.figures.keep_s;
-        let old = |e: &Entry| matches!(e.stage, Stage::Done { at, .. } if now - at >= keep_s);
-        let gone: Vec<Serial> = self.entries.iter().filter(|(_, e)| old(e)).map(|(s, _)| *s).collect();
-        gone.into_iter().for_each(|s| self.forget(s));
+        let now = (now * 1e6) as i64;
+        while let Some(&(_, s)) = self.due.first().filter(|d| d.0 <= now) {
+            match self.entries.get(&s).map(|e| e.stage) {
+                Some(Stage::Done { .. }) => self.forget(s),
+                // Nobody has come for it.
+                _ => {
+                    self.filed(s, false);
+                    self.ready.push(Do::CallOff(s));
+                }
+            }
+        }
     }
 
     /// What to do now, and when to look again.
     pub fn due(&mut self, now: f64) -> (Vec<Do>, Option<f64>) {
         self.expire(now);
-        let mut wake: Option<f64> = None;
-        for (s, e) in &self.entries {
-            let at = match e.stage {
-                Stage::Running { heard_by: 0, alone_since } => alone_since + self.figures.takeover_s,
-                Stage::Running { .. } => continue,
-                Stage::Done { at, .. } => at + self.figures.keep_s,
-            };
-            if at <= now {
-                self.ready.push(Do::CallOff(*s));
-            } else {
-                wake = Some(wake.map_or(at, |w| w.min(at)));
-            }
-        }
-        (std::mem::take(&mut self.ready), wake)
+        (std::mem::take(&mut self.ready), self.due.first().map(|d| d.0 as f64 / 1e6))
     }
 }
 
--- a/crates/nickelgw-cli/src/bench.rs
+++ b/crates/nickelgw-cli/src/bench.rs
@@ -264,7 +264,7 @@
     let meter = dir.join("meter.json").display().to_string();
     let args = texts(&["serve", "--config", &settings.display().to_string(), "--meter", &meter]);
     let quiet = !more.contains("leaving");
-    let args = if quiet { args } else { [args, texts(&["--log-level", "info"])].concat() };
+    let args = if quiet { args } else { [args, texts(&["--log", "json", "--log-level", "info"])].concat() };
     let (node, address) = child(&args, &dir.join("log")).await?;
     rest(0.3).await;
     let wide = PoolFigures {
--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `nickelgw` command.
 
 mod bench;
+mod bench_fleet;
 mod bench_path;
 mod bench_tls;
 mod rehearse;
@@ -80,6 +81,13 @@
         #[arg(long)]
         record: Option<PathBuf>,
     },
+    /// Runs a stand-in etcd-v3 registry behind its JSON gateway.
+    Registry {
+        #[arg(long, default_value_t = 0)]
+        port: u16,
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
     /// Plays a day of traffic and faults on child processes, and judges the five rules.
     Rehearse(rehearse::Rehearse),
     /// Judges the records of an earlier rehearsal: its folder, or any with such records.
@@ -103,6 +111,8 @@
     Bench(bench::Bench),
     /// Measures grants, keys, ledger and store, stalled clients, and a take-over.
     BenchPath(bench_path::BenchPath),
+    /// Measures resyncs and changes of the fleet, and what a mistaken empty list costs.
+    BenchFleet(bench_fleet::BenchFleet),
     /// Measures what TLS costs, and the rush after a rotation with and without a budget.
     BenchTls(bench_tls::BenchTls),
 }
@@ -143,6 +153,7 @@
         What::Rehearse(r) => r.run(),
         What::Bench(b) => b.run(),
         What::BenchTls(b) => b.run(),
+        What::BenchFleet(b) => b.run(),
         What::BenchPath(b) => b.run(),
         What::Authority { dir, name } => {
             let made = nickelgw_standin::authority::write_all(&dir, &name);
@@ -184,6 +195,12 @@
             smol::block_on(futures_lite::future::or(work, signals::ended()?))?;
             Ok(ExitCode::SUCCESS)
         }
+        What::Registry { port, record: to } => {
+            let listener = bind(&format!("127.0.0.1:{port}"))?;
+            let work = nickelgw_standin::registry::run(listener, record(to, "registry")?);
+            smol::block_on(futures_lite::future::or(work, signals::ended()?))?;
+            Ok(ExitCode::SUCCESS)
+        }
         What::List { engines, lag_ms, port, record: to } => {
             let lines = match engines {
                 None => Vec::new(),
--- a/crates/nickelgw-rehearsal/src/core/script.rs
+++ b/crates/nickelgw-rehearsal/src/core/script.rs
@@ -212,6 +212,7 @@
     let (engines, nodes) = (engine_names(day), day.nodes());
     s.faults.iter().all(|f| match f.kind() {
         Kind::StallList | Kind::CaRotate => true,
+        kind if kind as i32 >= Kind::RegistryRestart as i32 => true,
         Kind::CutZone => day.zones.iter().any(|z| z == f.target()),
         Kind::KillNode => (0..nodes).any(|n| format!("node{n}") == f.target()),
         _ => engines.iter().any(|e| e == f.target()),
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -404,6 +404,9 @@
         self.share(&[at, ("share", 0)], f.share());
         self.above_zero(&[at, ("factor", 0)], f.factor());
         let target = &[at, ("target", 0)];
+        if f.kind() as i32 >= Kind::RegistryRestart as i32 && !d.registry() {
+            self.wrong(&[at, ("kind", 0)], "is a fault of the registry", "registry: true in the day");
+        }
         use Kind::{CaRotate, CertExpire, CertRotate, CertWrongName, HandshakeCut, HandshakeSlow};
         let of_tls = [CaRotate, CertExpire, CertRotate, CertWrongName, HandshakeCut, HandshakeSlow];
         if of_tls.contains(&f.kind()) && !d.tls() {
@@ -420,6 +423,8 @@
             Kind::StallList | Kind::CaRotate | Kind::DiscoveryStale => return,
             Kind::Burst | Kind::HotKey | Kind::RetryAbuse => return,
             Kind::BalancerCrash | Kind::BalancerRoll | Kind::MassRestart => return,
+            Kind::RegistryRestart | Kind::RegistryCompact | Kind::RegistryPartition => return,
+            Kind::RegistryEmpty | Kind::RegistryRollback | Kind::WatchStall => return,
             Kind::CutZone | Kind::ZoneCut | Kind::ZoneLoss if !d.zones.iter().any(|z| z == f.target()) => {
                 "one of zones"
             }
