--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -5,7 +5,7 @@
 use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_chat::core::repeats::Figures as RepeatFigures;
 use nickelgw_node::core::door::{Model, Tenant};
-use nickelgw_node::core::{Door, Figures, Grants};
+use nickelgw_node::core::{Door, FairShares, Figures, Grants};
 use nickelgw_node::fleet::Registry;
 use nickelgw_node::{Limits, Meter, Source, Start, TlsStart};
 use nickelgw_registry::core::member::Figures as MemberFigures;
@@ -152,6 +152,15 @@
             let_go_within_s: LET_GO_WITHIN_S,
             sweep_s: (0.0, SWEEP_S),
             come_back_s: l.come_back_ms() / 1e3,
+            fair: n.fair_admission().then(|| FairShares {
+                figures: Default::default(),
+                weights: n.tenant.iter().map(|t| t.weight()).collect(),
+                targets: n
+                    .model_route
+                    .iter()
+                    .map(|r| (r.first_token_target_ms / 1e3, r.target_per_1000_tokens_ms() / 1e6))
+                    .collect(),
+            }),
             grants: n.state_grants.as_ref().map(|g| Grants {
                 keys: g
                     .key
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -41,6 +41,8 @@
     Full,
     /// As many of the tenant's are open as it may have.
     TenantFull,
+    /// There is not enough for all, and the tenant has its part.
+    OverPart,
     /// The node is on its way out.
     Leaving,
     /// The queue to the core is full: the node is behind.
@@ -58,6 +60,12 @@
                 e.retry_after_s = Some(come_back_s);
                 return e;
             }
+            Refusal::OverPart => {
+                let word = "there is not enough for all now, and this tenant has its part";
+                let mut e = ApiError::new(429, "rate_limit_error", "fair_share", word);
+                e.retry_after_s = Some(come_back_s);
+                return e;
+            }
             Refusal::Leaving => {
                 let word = "this node is stopping; another one takes it";
                 let mut e = ApiError::new(503, "server_error", "node_draining", word);
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -19,6 +19,7 @@
 use nickelgw_chat::core::grant::{grant, GrantKey, Granted};
 use nickelgw_protocol::list::{self, List};
 use nickelgw_protocol::load::{self, LoadReport};
+use nickelgw_tenants::core::fair;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use sweep::Sweep;
@@ -147,10 +148,23 @@
     /// What a client is told when the node goes.
     pub come_back_s: f64,
     pub grants: Option<Grants>,
+    /// Tenants are let in by their parts when there is not enough for all.
+    pub fair: Option<FairShares>,
     /// Inferences open at once for each tenant; none: only the node's own limit counts.
     pub tenant_most_open: Vec<Option<usize>>,
 }
 
+/// Weights of the tenants, and first-token targets of the routes: a constant part, and one for each prompt token.
+#[derive(Clone, Debug)]
+pub struct FairShares {
+    pub figures: fair::Figures,
+    pub weights: Vec<f64>,
+    pub targets: Vec<(f64, f64)>,
+}
+
+/// Part of its target past which a first token counts as late for the limit: one that waits for misses has had them.
+const IN_GOOD_TIME: f64 = 0.4;
+
 /// Keys that grants of states are made with.
 #[derive(Clone)]
 pub struct Grants {
@@ -202,6 +216,8 @@
     serial: u64,
     story: Option<Story>,
     tenant: Option<usize>,
+    /// A first token later than this says that there is too much.
+    good_until: f64,
     stage: Stage,
     due_at: f64,
     whole_at: f64,
@@ -217,6 +233,8 @@
     taken: Vec<Option<Taken>>,
     open: usize,
     open_by_tenant: Vec<usize>,
+    fair: fair::Fair,
+    limit: fair::Limit,
     serial: u64,
     pub ledger: Ledger,
     sweep: Sweep,
@@ -257,6 +275,11 @@
             recall: None,
             ring: Ring::default(),
             open_by_tenant: vec![0; figures.tenant_most_open.len()],
+            fair: fair::Fair::default(),
+            limit: fair::Limit::new(
+                figures.fair.as_ref().map_or_else(Default::default, |f| f.figures),
+                figures.most_open as f64,
+            ),
             revision: None,
             ready: Vec::new(),
             leaving: false,
@@ -396,6 +419,14 @@
             self.tally.refused += 1;
             return Err(Refusal::TenantFull);
         }
+        let weight = self.weight(ask.tenant);
+        if let (Some(f), Some((t, w))) = (&self.figures.fair, weight) {
+            if !self.fair.admits(self.limit.get(), f.figures.reserve, t, w) {
+                self.tally.refused += 1;
+                return Err(Refusal::OverPart);
+            }
+            self.fair.opened(t, w);
+        }
         let arrival = Arrival {
             route: ask.route,
             tenant: ask.tenant,
@@ -416,11 +447,15 @@
         if slot >= self.taken.len() {
             self.taken.resize_with(slot + 1, || None);
         }
+        let target = self.figures.fair.as_ref().and_then(|f| f.targets.get(ask.route));
+        let target = target.map_or(f64::INFINITY, |t| t.0 + t.1 * ask.prompt_tokens);
+        let good_until = now + IN_GOOD_TIME * target;
         let whole_at = ask.whole_within_s.map_or(f64::INFINITY, |s| now + s);
         self.taken[slot] = Some(Taken {
             serial: self.serial,
             story: None,
             tenant: ask.tenant,
+            good_until,
             stage: Stage::Waiting,
             due_at: arrival.due_at,
             whole_at,
@@ -429,6 +464,11 @@
         Ok(Ticket { inf, serial: self.serial })
     }
 
+    fn weight(&self, tenant: Option<usize>) -> Option<(usize, f64)> {
+        let t = tenant?;
+        Some((t, *self.figures.fair.as_ref()?.weights.get(t)?))
+    }
+
     fn get(&mut self, t: Ticket) -> Option<&mut Taken> {
         self.taken.get_mut(t.inf as usize)?.as_mut().filter(|x| x.serial == t.serial)
     }
@@ -465,6 +505,9 @@
             return false;
         }
         taken.stage = Stage::Streaming(send);
+        let late = now > taken.good_until;
+        self.limit.answered(now, self.open, late);
+        let Some(taken) = self.get(t) else { return false };
         // A begun stream has no deadline, but a client that does not stream sees none of it before its end.
         if taken.whole_at.is_finite() {
             let at = taken.whole_at - self.tick;
@@ -554,8 +597,10 @@
     fn close(&mut self, now: f64, t: Ticket, how: Step) -> bool {
         let tick = self.tick;
         let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { return false };
+        let before = taken.stage;
         taken.stage = Stage::Over;
         let tenant = taken.tenant;
+        let begun = matches!(before, Stage::Streaming(_));
         let story = taken.story.take();
         let at = (taken.whole_at - tick).max(0.0).to_bits();
         self.unseen.remove(&(at, t));
@@ -563,6 +608,13 @@
         if let Some(n) = tenant.and_then(|t| self.open_by_tenant.get_mut(t)) {
             *n -= 1;
         }
+        if self.weight(tenant).is_some() {
+            tenant.into_iter().for_each(|t| self.fair.closed(t));
+            // Given up before it began: there was too much.
+            if !begun && matches!(how, Step::Answered(_)) {
+                self.limit.answered(now, self.open, true);
+            }
+        }
         if let Some(mut story) = story {
             story.add(now, how);
             self.ring.over(story);
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -21,7 +21,7 @@
         zone: 0,
         tick_s: 0.004,
         routes: REPEATS.map(route).to_vec(),
-        tenant_quotas: vec![1000.0],
+        tenant_quotas: vec![1000.0; 2],
         most_sends: 6,
         writers_read: true,
         hold_limit_s: HOLD_S,
@@ -64,6 +64,7 @@
         sweep_s: (0.0, -1.0),
         come_back_s: 1.0,
         grants: None,
+        fair: None,
         tenant_most_open: vec![None],
     };
     let mut c = Core::new(deployment(), figures);
@@ -554,3 +555,36 @@
     assert!(c.recall(br#"{"figures":[1,2],"engines":[]}"#, 1.0));
     c.list(0.1, &list(2, &[State::In; 8]));
 }
+
+#[test]
+fn when_there_is_not_enough_a_tenant_with_its_part_is_refused_and_another_is_not() {
+    let mut c = core(100);
+    let shares = FairShares {
+        figures: fair::Figures { least: 4.0, window: 10, ..fair::Figures::default() },
+        weights: vec![1.0, 1.0],
+        targets: vec![(0.5, 0.0); 3],
+    };
+    c.figures.fair = Some(shares);
+    c.limit = fair::Limit::new(fair::Figures { least: 4.0, window: 10, ..fair::Figures::default() }, 100.0);
+    let of = |tenant| Ask { tenant: Some(tenant), ..ask(0) };
+    // One alone is never refused for fairness; what is given up late tells that there is too much.
+    let mut open = Vec::new();
+    for n in 0..60 {
+        let now = 1.0 + 0.05 * f64::from(n);
+        open.push(c.take(now, &of(0)).unwrap());
+        c.act(now);
+    }
+    for k in 0..60 {
+        c.act(4.0 + 0.05 * f64::from(k));
+    }
+    assert!(c.limit.get() < 60.0, "{}", c.limit.get());
+    let now = 7.0;
+    let most = c.limit.get();
+    while (c.open() as f64) < most {
+        c.take(now, &of(0)).unwrap();
+    }
+    let other = c.take(now, &of(1)).unwrap();
+    assert_eq!(c.take(now, &of(0)), Err(Refusal::OverPart));
+    assert!(c.take(now, &of(1)).is_ok() || most < 6.0);
+    c.left(now, other);
+}
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -109,6 +109,7 @@
             sweep_s: (0.0, 60.0),
             come_back_s: 1.0,
             grants: None,
+            fair: None,
             tenant_most_open: vec![None],
         },
         door: Door {
--- a/crates/nickelgw-registry/src/core/view.rs
+++ b/crates/nickelgw-registry/src/core/view.rs
@@ -79,6 +79,8 @@
 pub struct View {
     figures: Figures,
     known: BTreeMap<String, Known>,
+    /// Which id lives at an address.
+    at: BTreeMap<String, String>,
     /// Penalties of engines that are gone, so that one that comes back is known to flap.
     past: BTreeMap<String, (f64, f64)>,
     revision: u64,
@@ -98,6 +100,7 @@
         View {
             figures,
             known: BTreeMap::new(),
+            at: BTreeMap::new(),
             past: BTreeMap::new(),
             revision: 0,
             changed: false,
@@ -183,8 +186,8 @@
     fn put(&mut self, now: f64, line: Line) {
         let f = self.figures;
         // Two records of one address: the one heard last is the process that lives there.
-        let double = self.known.iter().find(|(id, k)| **id != line.id && k.line.address == line.address);
-        if let Some(old) = double.map(|(id, _)| id.clone()) {
+        let double = self.at.get(&line.address).filter(|id| **id != line.id).cloned();
+        if let Some(old) = double {
             self.account.doubles += 1;
             self.forget(now, &old);
         }
@@ -192,6 +195,7 @@
         match self.known.get_mut(&line.id) {
             None if full => self.account.refused += 1,
             None => {
+                self.at.insert(line.address.clone(), line.id.clone());
                 let past = self.past.remove(&line.id);
                 // One that was gone and is back is another process; of one never seen nobody knows.
                 if past.is_some() {
@@ -229,6 +233,10 @@
                     self.account.cleared += 1;
                     self.probes.remove(&line.id);
                 }
+                if k.line.address != line.address {
+                    self.at.remove(&k.line.address);
+                    self.at.insert(line.address.clone(), line.id.clone());
+                }
                 (k.line, k.stand) = (line, Stand::Listed);
             }
         }
@@ -237,6 +245,9 @@
 
     fn forget(&mut self, now: f64, id: &str) {
         if let Some(k) = self.known.remove(id) {
+            if self.at.get(&k.line.address).is_some_and(|at| at == id) {
+                self.at.remove(&k.line.address);
+            }
             let penalty = faded(k.penalty, k.at, now, self.figures.flap_half_s) + 1.0;
             // Bounded: the faintest goes.
             if self.past.len() >= self.figures.most_engines {
--- a/crates/nickelgw-rehearsal/src/core/bench_day.rs
+++ b/crates/nickelgw-rehearsal/src/core/bench_day.rs
@@ -195,6 +195,7 @@
         key: format!("sk-{}-example", text(t, "name")),
         quota_per_s: (num(t, &["quota"]).unwrap_or(1.0) * rate).max(0.1),
         most_open: None,
+        weight: None,
     };
     let mut faults = Vec::new();
     for t in list(v, "troubles")? {
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -254,6 +254,7 @@
             self.named(&[at, ("name", 0)], &t.name);
             self.above_zero(&[at, ("quota_per_s", 0)], t.quota_per_s);
             self.above_zero(&[at, ("most_open", 0)], t.most_open.map_or(1.0, f64::from));
+            self.above_zero(&[at, ("weight", 0)], t.weight());
             if t.key.len() < 8 {
                 self.wrong(&[at, ("key", 0)], "is too short", "a secret of eight bytes or more");
             }
--- a/crates/nickelgw-tenants/src/core/fair.rs
+++ b/crates/nickelgw-tenants/src/core/fair.rs
@@ -90,9 +90,11 @@
         self.open
     }
 
-    /// Whether one more of a tenant comes in. Its part is of those who have something open, and of itself.
+    /// Whether one more of a tenant comes in. `reserve`: part of the limit beyond it, for those under their part. Its part is of those who have something open, and of itself.
     pub fn admits(&self, limit: f64, reserve: f64, tenant: usize, weight: f64) -> bool {
-        if (self.open as f64) < limit {
+        let others = self.weights - self.of.get(&tenant).map_or(0.0, |e| e.1) > 1e-9;
+        // With nobody beside it there is nobody to be fair to: what is too much is shed by who knows the engines.
+        if (self.open as f64) < limit || !others {
             return true;
         }
         let (mine, sum) = match self.of.get(&tenant) {
