--- a/crates/nickelgw-rehearsal/src/core/series.rs
+++ b/crates/nickelgw-rehearsal/src/core/series.rs
@@ -78,10 +78,7 @@
     }
 
     fn span(&mut self, model: &str, at: usize) -> &mut Span {
-        if !self.routes.contains_key(model) {
-            self.routes.insert(model.into(), vec![Span::default(); self.seconds]);
-        }
-        &mut self.routes.get_mut(model).expect("just put there")[at]
+        &mut self.routes.entry(model.into()).or_insert_with(|| vec![Span::default(); self.seconds])[at]
     }
 
     /// All routes together, in a range of seconds.
