--- a/crates/nickelgw-node/src/fleet.rs
+++ b/crates/nickelgw-node/src/fleet.rs
@@ -32,6 +32,8 @@
     pub ex: Rc<LocalExecutor<'static>>,
     /// The core's own count of lists: a registry's revision may go back, this one does not.
     pub told: Cell<u64>,
+    /// The count of the list on disk: writes take turns, and an older one is left out.
+    pub written: smol::lock::Mutex<u64>,
 }
 
 impl Fleet {
@@ -74,11 +76,17 @@
         self.told.set(self.told.get() + 1);
         let list = List { revision: self.told.get(), engines };
         let bytes = serde_json::to_vec(&list).unwrap_or_default();
+        let list_number = list.revision;
         let renewed = self.view.borrow_mut().renewed();
         if self.words.send(Word::new(Said::List { list, renewed })).await.is_err() {
             return;
         }
         if let Some(path) = self.last.clone() {
+            let mut written = self.written.lock().await;
+            if *written > list_number {
+                return;
+            }
+            *written = list_number;
             let kept = smol::unblock(move || crate::watch::write(&path, &bytes)).await;
             if let Err(e) = kept {
                 tracing::warn!(error = %e, "the list was not kept on disk");
@@ -221,7 +229,7 @@
         match answer.and_then(|b| wire::plain::<wire::Ranged>(&b)) {
             Ok(r) => {
                 let revision = r.header.revision.max(0) as u64;
-                let worth = f.read(clock.now(), revision);
+                let worth = f.read(clock.now(), revision, &r.header.cluster_id);
                 let (lines, bad) = wire::engines(prefix, &r.kvs);
                 if bad > 0 {
                     tracing::warn!(bad, "lines in the registry that cannot be read are left out");
@@ -270,6 +278,9 @@
                     return f.failed(clock.now());
                 }
                 let revision = w.header.revision.max(0) as u64;
+                if !f.is_same(clock.now(), &w.header.cluster_id) {
+                    return;
+                }
                 if w.created && revision >= f.revision() {
                     // Where a watch begins is not yet progress: events of before may follow.
                     continue;
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -202,6 +202,7 @@
         last: start.last_list.clone(),
         ex: ex.clone(),
         told: std::cell::Cell::new(0),
+        written: Default::default(),
     });
     if let Some(list) = watch::last(start.last_list.as_deref()) {
         tracing::info!(engines = list.engines.len(), revision = list.revision, "served from the last list");
--- a/crates/nickelgw-registry/src/core/follow.rs
+++ b/crates/nickelgw-registry/src/core/follow.rs
@@ -62,6 +62,8 @@
     revision: u64,
     /// Whether the next step is a full read.
     read_first: bool,
+    /// The cluster that the revisions are of; empty: not known.
+    cluster: String,
     /// A lower revision was heard: where, and when.
     lower: Option<(usize, f64)>,
     chance: WyRand,
@@ -83,6 +85,7 @@
             failures: 0,
             revision: 0,
             read_first: true,
+            cluster: String::new(),
             lower: None,
             chance,
             breaks: 0,
@@ -94,8 +97,29 @@
         self.revision
     }
 
+    /// Whether a word is of the cluster that is followed. Another id is that of a restored one, whose revisions mean
+    /// something else, be they higher or lower: everything is read again.
+    pub fn is_same(&mut self, now: f64, cluster: &str) -> bool {
+        if cluster.is_empty() || self.cluster.is_empty() || self.cluster == cluster {
+            return true;
+        }
+        self.read_first = true;
+        self.stage = Stage::Rest { until: now };
+        false
+    }
+
     /// A full read has come.
-    pub fn read(&mut self, now: f64, revision: u64) -> Worth {
+    pub fn read(&mut self, now: f64, revision: u64, cluster: &str) -> Worth {
+        let other = !cluster.is_empty() && !self.cluster.is_empty() && self.cluster != cluster;
+        if !cluster.is_empty() {
+            self.cluster = cluster.into();
+        }
+        if other {
+            self.revision = revision;
+            (self.lower, self.read_first, self.failures) = (None, false, 0);
+            self.stage = Stage::Rest { until: now };
+            return Worth::RolledBack;
+        }
         if revision < self.revision {
             let sure = self.lower.is_some_and(|(at, since)| {
                 at != self.endpoint || (self.endpoints == 1 && now >= since + self.figures.rollback_s)
@@ -204,7 +228,7 @@
     fn watching(endpoints: usize) -> (Follow, f64) {
         let (mut f, mut now) = (Follow::new(Figures::default(), endpoints, 1), 0.0);
         assert!(matches!(next(&mut f, &mut now)[..], [Do::Read { .. }]));
-        assert_eq!(f.read(0.1, 50), Worth::Good);
+        assert_eq!(f.read(0.1, 50, "c"), Worth::Good);
         now = 0.1;
         assert!(matches!(next(&mut f, &mut now)[..], [Do::Watch { from: 51, .. }]));
         (f, now)
@@ -244,7 +268,7 @@
         assert!(matches!(next(&mut f, &mut now)[..], [Do::Watch { from: 51, .. }]));
         f.was_compacted(now);
         assert!(matches!(next(&mut f, &mut now)[..], [Do::Read { .. }]));
-        assert_eq!(f.read(now, 90), Worth::Good);
+        assert_eq!(f.read(now, 90, "c"), Worth::Good);
         assert!(matches!(next(&mut f, &mut now)[..], [Do::Watch { from: 91, .. }]));
     }
 
@@ -255,27 +279,36 @@
         assert!(matches!(next(&mut f, &mut now)[..], [Do::Read { .. }]));
     }
 
+    #[test]
+    fn a_restored_registry_is_known_by_its_cluster_whatever_its_revision() {
+        let (mut f, mut now) = watching(1);
+        assert!(f.is_same(now, "c") && f.is_same(now, "") && !f.is_same(now, "restored"));
+        assert!(matches!(next(&mut f, &mut now)[..], [Do::Read { .. }]));
+        assert_eq!(f.read(now, 70, "restored"), Worth::RolledBack);
+        assert!(matches!(next(&mut f, &mut now)[..], [Do::Watch { from: 71, .. }]));
+    }
+
     #[test]
     fn an_endpoint_that_lags_is_passed_over_and_a_registry_that_went_back_is_believed_by_two() {
         let (mut f, mut now) = watching(2);
         f.was_compacted(now);
         next(&mut f, &mut now);
         let lagging = f.endpoint;
-        assert_eq!(f.read(now, 40), Worth::Stale);
+        assert_eq!(f.read(now, 40, "c"), Worth::Stale);
         next(&mut f, &mut now);
         assert_ne!(f.endpoint, lagging);
-        assert_eq!(f.read(now, 55), Worth::Good);
+        assert_eq!(f.read(now, 55, "c"), Worth::Good);
         f.was_compacted(now);
         next(&mut f, &mut now);
-        assert_eq!(f.read(now, 12), Worth::Stale);
+        assert_eq!(f.read(now, 12, "c"), Worth::Stale);
         next(&mut f, &mut now);
-        assert_eq!((f.read(now, 12), f.revision()), (Worth::RolledBack, 12));
+        assert_eq!((f.read(now, 12, "c"), f.revision()), (Worth::RolledBack, 12));
         // A lone endpoint must say it twice over a time.
         let (mut f, mut now) = watching(1);
         f.was_compacted(now);
         next(&mut f, &mut now);
         let from = now;
-        while f.read(now, 12) == Worth::Stale {
+        while f.read(now, 12, "c") == Worth::Stale {
             next(&mut f, &mut now);
         }
         assert!(now >= from + 1.0 && f.revision() == 12);
--- a/crates/nickelgw-registry/src/core/member.rs
+++ b/crates/nickelgw-registry/src/core/member.rs
@@ -156,10 +156,13 @@
             self.kept_at = now;
             todo.push(Do::KeepAlive);
         }
-        if let Some((number, _)) = self.mine {
+        if let Some((number, since)) = self.mine {
             if self.places.get(&number).is_some_and(|p| p.name != self.name) {
                 self.mine = None;
                 todo.push(Do::GiveUp(number));
+            } else if !self.places.contains_key(&number) && self.seen.is_some_and(|s| s > since) {
+                // A registry that went back has forgotten it: it is taken anew.
+                self.mine = None;
             }
         }
         let waits = self.claiming.is_some_and(|c| now < c.1 + f.lease_s);
@@ -308,6 +311,19 @@
         }
     }
 
+    #[test]
+    fn a_place_that_the_registry_has_forgotten_is_taken_anew() {
+        let mut m = Member::new(F, "a");
+        m.kept(0.0, 100.0);
+        m.nodes(0.0, vec![]);
+        m.due(0.0);
+        m.claimed(0.1, 0, true);
+        m.nodes(1.0, vec![place(0, "a", 3)]);
+        assert!(!m.due(1.0).0.iter().any(|d| matches!(d, Do::Claim(_))));
+        m.nodes(2.0, vec![place(1, "b", 2)]);
+        assert!(m.due(2.0).0.contains(&Do::Claim(0)));
+    }
+
     #[test]
     fn with_little_churn_nearly_all_is_used() {
         assert!(play(3, 0.002, 300.0) > 0.9);
--- a/crates/nickelgw-registry/src/wire.rs
+++ b/crates/nickelgw-registry/src/wire.rs
@@ -25,6 +25,15 @@
     }
 }
 
+/// An id that does not fit a signed number: kept as it was written.
+fn text<'de, D: serde::Deserializer<'de>>(d: D) -> Result<String, D::Error> {
+    match Value::deserialize(d)? {
+        Value::String(s) => Ok(s),
+        Value::Number(n) => Ok(n.to_string()),
+        _ => Ok(String::new()),
+    }
+}
+
 fn bytes<'de, D: serde::Deserializer<'de>>(d: D) -> Result<Vec<u8>, D::Error> {
     let text = String::deserialize(d)?;
     BASE64_STANDARD.decode(text).map_err(serde::de::Error::custom)
@@ -35,6 +44,9 @@
 pub struct Header {
     #[serde(deserialize_with = "number")]
     pub revision: i64,
+    /// Another after a restore, which begins a new cluster; empty: not said.
+    #[serde(deserialize_with = "text")]
+    pub cluster_id: String,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
--- a/crates/nickelgw-standin/src/registry.rs
+++ b/crates/nickelgw-standin/src/registry.rs
@@ -48,12 +48,18 @@
     saved: Option<(u64, Keys)>,
     /// All connections end when it changes.
     boot: u64,
+    /// A restore begins a new cluster.
+    restored: u64,
     /// Name and password that are asked for, and the token given last: none is taken that is older.
     user: Option<(String, String)>,
     token: u64,
 }
 
 impl State {
+    fn cluster(&self) -> String {
+        (14_841_639_068_965_178_418 + self.restored).to_string()
+    }
+
     fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: i64) {
         self.revision += 1;
         let create = self.keys.get(&key).map_or(self.revision, |h| h.create);
@@ -163,7 +169,8 @@
         return Ok(failed(401, 16, "etcdserver: invalid auth token"));
     }
     s.expire(unix_now());
-    let head = json!({"cluster_id": "14841639068965178418", "revision": s.revision.to_string()});
+    let cluster = s.cluster();
+    let head = json!({"cluster_id": cluster, "revision": s.revision.to_string()});
     Ok(match path.as_str() {
         "/v3/kv/range" => {
             let (from, to) = (bytes(&v["key"]), bytes(&v["range_end"]));
@@ -176,7 +183,7 @@
             let kvs: Vec<Value> = keys.range(from..to).map(|(k, h)| pair(k, h)).collect();
             json(
                 200,
-                json!({"header": {"revision": revision.to_string()}, "kvs": kvs, "count": kvs.len().to_string()}),
+                json!({"header": {"cluster_id": cluster, "revision": revision.to_string()}, "kvs": kvs, "count": kvs.len().to_string()}),
             )
         }
         "/v3/lease/grant" => {
@@ -238,7 +245,8 @@
     let boot = state.borrow().boot;
     let (mut next, mut quiet) = (start, 0.0);
     let revision = state.borrow().revision;
-    let head = |r: u64| json!({"revision": r.to_string()});
+    let cluster = state.borrow().cluster();
+    let head = |r: u64| json!({"cluster_id": cluster, "revision": r.to_string()});
     if !say(json!({"result": {"header": head(revision), "watch_id": "0", "created": true}})).await {
         return;
     }
@@ -341,6 +349,7 @@
         "roll_back" => {
             if let Some((revision, keys)) = s.saved.clone() {
                 (s.revision, s.keys, s.compacted) = (revision, keys, revision);
+                s.restored += 1;
                 s.log.clear();
                 s.boot += 1;
             }
