One short call to engines, one place for targets, refusals and last events

Each has one place now. A doubted engine's probe no longer copies the whole view, a sent step no longer copies the engine's name.

--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -155,11 +155,6 @@
             fair: n.fair_admission().then(|| FairShares {
                 figures: Default::default(),
                 weights: n.tenant.iter().map(|t| t.weight()).collect(),
-                targets: n
-                    .model_route
-                    .iter()
-                    .map(|r| (r.first_token_target_ms / 1e3, r.target_per_1000_tokens_ms() / 1e6))
-                    .collect(),
             }),
             grants: n.state_grants.as_ref().map(|g| Grants {
                 keys: g
--- a/crates/nickelgw-node/src/client.rs
+++ b/crates/nickelgw-node/src/client.rs
@@ -152,9 +152,7 @@
     /// Looks at the files of keys and trust.
     pub async fn look(&self) {
         let Some(tls) = self.tls.clone() else { return };
-        let (looked, now) = (tls.clone(), unix_now());
-        let said = smol::unblock(move || looked.0.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
-        say("engines", &said);
+        let said = looked("engines", tls.0.clone(), nickelgw_tls::Client::look).await;
         if let Some((_, generation)) = tls.config() {
             if said.iter().any(|s| !matches!(s, Said::Unreadable(_) | Said::Refused(_))) {
                 self.core.borrow_mut().rotate(self.now(), generation);
@@ -354,8 +352,20 @@
     }
 }
 
+/// Looks at files of keys and trust on a thread that may wait, and says what that brought.
+pub(crate) async fn looked<T: Send + 'static>(
+    side: &str,
+    files: Arc<Mutex<T>>,
+    look: fn(&mut T, f64) -> Vec<Said>,
+) -> Vec<Said> {
+    let now = unix_now();
+    let said = smol::unblock(move || look(&mut files.lock().unwrap_or_else(|e| e.into_inner()), now)).await;
+    say(side, &said);
+    said
+}
+
 /// What a look at keys and trust brought, for operators.
-pub(crate) fn say(side: &str, said: &[Said]) {
+fn say(side: &str, said: &[Said]) {
     for s in said {
         match s {
             Said::InForce { generation } => tracing::info!(side, generation, "keys and trust in force"),
--- a/crates/nickelgw-node/src/core/ledger.rs
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -215,7 +215,7 @@
             return;
         };
         let (since, tries, gone) = (*since, *tries, *gone);
-        let gap = (FIRST_GAP_S * f64::from(1u32 << tries.min(16))).min(LONGEST_GAP_S);
+        let gap = super::doubling(FIRST_GAP_S, tries, LONGEST_GAP_S);
         let late = now + gap > since + self.within_s;
         match (done, gone) {
             (true, _) => self.account.let_go += 1,
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -154,12 +154,16 @@
     pub tenant_most_open: Vec<Option<usize>>,
 }
 
-/// Weights of the tenants, and first-token targets of the routes: a constant part, and one for each prompt token.
+/// Weights of the tenants.
 #[derive(Clone, Debug)]
 pub struct FairShares {
     pub figures: fair::Figures,
     pub weights: Vec<f64>,
-    pub targets: Vec<(f64, f64)>,
+}
+
+/// Gap before the next try of a call that has failed so often: doubled each time, up to the longest.
+fn doubling(first_s: f64, tries: u32, longest_s: f64) -> f64 {
+    (first_s * f64::from(1u32 << tries.min(16))).min(longest_s)
 }
 
 /// Part of its target past which a first token counts as late for the limit: one that waits for misses has had them.
@@ -228,6 +232,8 @@
     router: Router,
     figures: Figures,
     tick: f64,
+    /// First-token target of each route: a constant part, and one for each prompt token.
+    targets: Vec<(f64, f64)>,
     places: HashMap<String, (Rc<Place>, Role)>,
     /// By the Router's handle.
     taken: Vec<Option<Taken>>,
@@ -265,6 +271,11 @@
         let ledger = Ledger::new(deployment.hold_limit_s, figures.let_go_within_s);
         Core {
             tick: deployment.tick_s,
+            targets: deployment
+                .routes
+                .iter()
+                .map(|r| (r.first_token_target_s, r.target_per_token_s))
+                .collect(),
             router: Router::new(deployment),
             places: HashMap::new(),
             taken: Vec::new(),
@@ -406,25 +417,11 @@
 
     /// Takes a request, or says why not.
     pub fn take(&mut self, now: f64, ask: &Ask) -> Result<Ticket, Refusal> {
-        if self.leaving {
+        if let Err(why) = self.may_enter(ask) {
             self.tally.refused += 1;
-            return Err(Refusal::Leaving);
+            return Err(why);
         }
-        if self.open >= self.figures.most_open {
-            self.tally.refused += 1;
-            return Err(Refusal::Full);
-        }
-        let limit = ask.tenant.and_then(|t| *self.figures.tenant_most_open.get(t)?);
-        if ask.tenant.zip(limit).is_some_and(|(t, most)| self.open_by_tenant[t] >= most) {
-            self.tally.refused += 1;
-            return Err(Refusal::TenantFull);
-        }
-        let weight = self.weight(ask.tenant);
-        if let (Some(f), Some((t, w))) = (&self.figures.fair, weight) {
-            if !self.fair.admits(self.limit.get(), f.figures.reserve, t, w) {
-                self.tally.refused += 1;
-                return Err(Refusal::OverPart);
-            }
+        if let Some((t, w)) = self.weight(ask.tenant) {
             self.fair.opened(t, w);
         }
         let arrival = Arrival {
@@ -447,9 +444,7 @@
         if slot >= self.taken.len() {
             self.taken.resize_with(slot + 1, || None);
         }
-        let target = self.figures.fair.as_ref().and_then(|f| f.targets.get(ask.route));
-        let target = target.map_or(f64::INFINITY, |t| t.0 + t.1 * ask.prompt_tokens);
-        let good_until = now + IN_GOOD_TIME * target;
+        let good_until = now + IN_GOOD_TIME * self.target_s(ask);
         let whole_at = ask.whole_within_s.map_or(f64::INFINITY, |s| now + s);
         self.taken[slot] = Some(Taken {
             serial: self.serial,
@@ -464,6 +459,31 @@
         Ok(Ticket { inf, serial: self.serial })
     }
 
+    /// Whether one more is taken, before the module hears of it.
+    fn may_enter(&self, ask: &Ask) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if self.open >= self.figures.most_open {
+            return Err(Refusal::Full);
+        }
+        let limit = ask.tenant.and_then(|t| *self.figures.tenant_most_open.get(t)?);
+        if ask.tenant.zip(limit).is_some_and(|(t, most)| self.open_by_tenant[t] >= most) {
+            return Err(Refusal::TenantFull);
+        }
+        if let (Some(f), Some((t, w))) = (&self.figures.fair, self.weight(ask.tenant)) {
+            if !self.fair.admits(self.limit.get(), f.figures.reserve, t, w) {
+                return Err(Refusal::OverPart);
+            }
+        }
+        Ok(())
+    }
+
+    /// Seconds within which its first token is wanted.
+    pub fn target_s(&self, ask: &Ask) -> f64 {
+        self.targets.get(ask.route).map_or(f64::INFINITY, |t| t.0 + t.1 * ask.prompt_tokens)
+    }
+
     fn weight(&self, tenant: Option<usize>) -> Option<(usize, f64)> {
         let t = tenant?;
         Some((t, *self.figures.fair.as_ref()?.weights.get(t)?))
@@ -752,8 +772,7 @@
             Work::Write { state, grant, idle_s }
         };
         let from_state = matches!(what, Work::Write { state: Some(_), .. });
-        let engine = eng.id.as_str().into();
-        self.note(now, ticket, Step::Sent { send, engine, read, there, expected_s, from_state });
+        self.note(now, ticket, Step::Sent { send, eng: eng.clone(), read, there, expected_s, from_state });
         Some(Order { ticket, send, name, eng, patience_s, what })
     }
 
--- a/crates/nickelgw-node/src/core/sweep.rs
+++ b/crates/nickelgw-node/src/core/sweep.rs
@@ -53,7 +53,7 @@
     pub fn told(&mut self, now: f64, address: &str, done: bool) {
         let Some((_, stage)) = self.readers.get_mut(address) else { return };
         let Stage::Called { tries, .. } = *stage else { return };
-        let gap = (FIRST_GAP_S * f64::from(1u32 << tries.min(16))).min(LONGEST_GAP_S);
+        let gap = super::doubling(FIRST_GAP_S, tries, LONGEST_GAP_S);
         *stage = match done {
             true => Stage::Done,
             // Past this time the reader's own limit has freed them.
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -562,7 +562,6 @@
     let shares = FairShares {
         figures: fair::Figures { least: 4.0, window: 10, ..fair::Figures::default() },
         weights: vec![1.0, 1.0],
-        targets: vec![(0.5, 0.0); 3],
     };
     c.figures.fair = Some(shares);
     c.limit = fair::Limit::new(fair::Figures { least: 4.0, window: 10, ..fair::Figures::default() }, 100.0);
--- a/crates/nickelgw-node/src/core/trace.rs
+++ b/crates/nickelgw-node/src/core/trace.rs
@@ -1,7 +1,7 @@
 //! What happened to a request, step by step, with the figures that each choice was made on. Every open one is written
 //! down; of those that are over, failures and slow ones are kept, and of the rest a sample. Bounded.
 
-use super::{Answer, Cause};
+use super::{Answer, Cause, Place};
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 pub enum Step {
     Sent {
         send: u32,
-        engine: Rc<str>,
+        eng: Rc<Place>,
         read: bool,
         /// Prompts there before it, as far as was known, and seconds expected until its end or beginning.
         there: f64,
@@ -89,7 +89,7 @@
                 sent.iter().find(|s| s.0 == send).map_or(0.0, |s| 1e3 * (at - s.1))
             };
             let word = match step {
-                Step::Sent { send, engine, read, there, expected_s, from_state } => {
+                Step::Sent { send, eng, read, there, expected_s, from_state } => {
                     sent_at.push((*send, *at));
                     let what = match (read, from_state) {
                         (true, _) => "its prompt was sent to be read at",
@@ -97,7 +97,8 @@
                         (false, false) => "it was sent to be read and written at",
                     };
                     format!(
-                        "{what} {engine} (send {send}; {there:.1} there before it, {:.0} ms expected)",
+                        "{what} {} (send {send}; {there:.1} there before it, {:.0} ms expected)",
+                        eng.id,
                         1e3 * expected_s
                     )
                 }
@@ -182,13 +183,17 @@
     use super::*;
     use crate::core::Why;
 
+    fn eng(id: &str) -> Rc<Place> {
+        Rc::new(Place { id: id.into(), address: "a".into(), tls_name: None })
+    }
+
     fn story(n: usize, last: Step, first_at: f64) -> Story {
         let mut s = Story::new(format!("q{n}").into(), "chat".into(), 10.0, 0.5, 100.0);
         s.add(
             10.0,
             Step::Sent {
                 send: 0,
-                engine: "r0".into(),
+                eng: eng("r0"),
                 read: true,
                 there: 2.0,
                 expected_s: 0.1,
@@ -200,7 +205,7 @@
             10.1,
             Step::Sent {
                 send: 1,
-                engine: "w0".into(),
+                eng: eng("w0"),
                 read: false,
                 there: 0.0,
                 expected_s: 0.05,
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -128,8 +128,6 @@
     /// Sends out; dropped, a send is called off.
     pub sends: HashMap<(Ticket, u32), Out>,
     pub meter: Option<Arc<Mutex<Meter>>>,
-    /// First-token target of each route: a constant part, and one for each prompt token.
-    pub targets: Vec<(f64, f64)>,
     pub life: Life,
     pub boot: String,
     pub keeper: Rc<Keeper>,
@@ -297,8 +295,7 @@
                     Ok(ticket) => {
                         let _ = taken.try_send(ticket);
                         let model = job.chat.model.as_str().into();
-                        let target_s =
-                            self.targets.get(ask.route).map_or(0.0, |t| t.0 + t.1 * ask.prompt_tokens);
+                        let target_s = self.core.target_s(&ask);
                         let story = Story::new(job.id.clone(), model, now, target_s, ask.prompt_tokens);
                         self.core.trace(ticket, story);
                         self.jobs.insert(ticket, job);
@@ -328,17 +325,12 @@
                 if let Some((sink, job)) = begun {
                     let whole = end.cause == Cause::Completed;
                     self.finish(sink, &job, whole);
-                    let left = end.cause == Cause::CalledOff;
-                    self.note(
-                        &job,
-                        if whole {
-                            "completed"
-                        } else if left {
-                            "left"
-                        } else {
-                            "errored"
-                        },
-                    );
+                    let answer = match end.cause {
+                        Cause::Completed => "completed",
+                        Cause::CalledOff => "left",
+                        _ => "errored",
+                    };
+                    self.note(&job, answer);
                 }
                 self.core.ended(now, ticket, send, end);
             }
@@ -366,13 +358,18 @@
         refusal.error(self.engines.limits.come_back_s)
     }
 
-    /// Writes a begun stream's last event; it may have to wait for the client, so not here.
+    /// A stream's last event; it may have to wait for the client, so not here.
+    fn last(&self, to: Sender<Bytes>, event: Bytes) {
+        let stall = self.engines.limits.client_stall_s;
+        self.ex.spawn(async move { drop(crate::within(stall, to.send(event)).await) }).detach();
+    }
+
+    /// Ends a begun answer.
     fn finish(&self, sink: Sink, job: &Job, whole: bool) {
         match sink {
             Sink::Stream { to, .. } => {
                 let last = if whole { sse::done() } else { sse::frame(&failed(Why::StreamBroken).body()) };
-                let stall = self.engines.limits.client_stall_s;
-                self.ex.spawn(async move { drop(crate::within(stall, to.send(last)).await) }).detach();
+                self.last(to, last);
             }
             Sink::Whole(w) => {
                 let reply = match whole {
@@ -454,9 +451,7 @@
         let Some(job) = self.jobs.remove(&ticket) else { return };
         if let (Some(to), Answer::Errored(why)) = (job.stream.clone(), answer) {
             // Its send is called off with this, so that nothing comes after.
-            let last = sse::frame(&failed(why).body());
-            let stall = self.engines.limits.client_stall_s;
-            self.ex.spawn(async move { drop(crate::within(stall, to.send(last)).await) }).detach();
+            self.last(to, sse::frame(&failed(why).body()));
             return self.note(&job, "errored");
         }
         let (error, word) = match answer {
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -199,53 +199,47 @@
         Ok(s)
     }
 
+    /// A short call without a body, answered within a probe's time or not at all.
+    async fn short(
+        &self,
+        method: Method,
+        place: &Place,
+        path: &str,
+    ) -> Result<(u16, HeaderMap, Bytes), Cause> {
+        let built = self.request(method, &place.address, path).body(Full::default());
+        let request = built.map_err(|_| Cause::NoConnection)?;
+        let answer = within(self.limits.probe_s, self.pool.fetch(self.peer(place), &request)).await;
+        answer.unwrap_or(Err(Cause::NoAnswer))
+    }
+
     pub async fn probe(self: Rc<Self>, place: Rc<Place>, words: Sender<Word>) {
-        let built = self.request(Method::GET, &place.address, "/health").body(Full::default());
-        let (cause, load) = match built {
-            Err(_) => (Cause::NoConnection, None),
-            Ok(r) => match within(self.limits.probe_s, self.pool.fetch(self.peer(&place), &r)).await {
-                None => (Cause::NoAnswer, None),
-                Some(Err(cause)) => (cause, None),
-                Some(Ok((200, headers, _))) => (Cause::Completed, report(&headers)),
-                Some(Ok((status, headers, body))) => (Cause::of_status(status, &body), report(&headers)),
-            },
+        let (cause, load) = match self.short(Method::GET, &place, "/health").await {
+            Err(cause) => (cause, None),
+            Ok((200, headers, _)) => (Cause::Completed, report(&headers)),
+            Ok((status, headers, body)) => (Cause::of_status(status, &body), report(&headers)),
         };
         let _ = words.send(Word::new(crate::driver::Said::Probed { place, cause, load })).await;
     }
 
     /// Whether an engine answers its probe at all, however it does.
     pub async fn answers(&self, place: &Place) -> bool {
-        let built = self.request(Method::GET, &place.address, "/health").body(Full::default());
-        let Ok(r) = built else { return false };
-        let answer = within(self.limits.probe_s, self.pool.fetch(self.peer(place), &r)).await;
-        matches!(answer, Some(Ok(_)))
+        self.short(Method::GET, place, "/health").await.is_ok()
     }
 
     /// Whatever this node's earlier processes left at the reader is let go of; `boot`: what is this one's stays.
     pub async fn sweep(self: Rc<Self>, place: Rc<Place>, boot: String, words: Sender<Word>) {
         let path = format!("/v1/states?except={boot}");
-        let done = match self.request(Method::DELETE, &place.address, &path).body(Full::default()) {
-            Err(_) => false,
-            Ok(r) => {
-                let answer = within(self.limits.probe_s, self.pool.fetch(self.peer(&place), &r)).await;
-                // A reader that does not know the call will not learn it: its own limit frees them.
-                matches!(answer, Some(Ok((200 | 204 | 404 | 405 | 501, _, _))))
-            }
-        };
+        let answer = self.short(Method::DELETE, &place, &path).await;
+        // A reader that does not know the call will not learn it: its own limit frees them.
+        let done = matches!(answer, Ok((200 | 204 | 404 | 405 | 501, _, _)));
         let _ = words.send(Word::new(crate::driver::Said::Swept { place, done })).await;
     }
 
     pub async fn let_go(self: Rc<Self>, call: Held, state: HeldState, words: Sender<Word>) {
         let path = format!("/v1/states/{}", state.name);
-        let address = &state.reader.address;
-        let done = match self.request(Method::DELETE, address, &path).body(Full::default()) {
-            Err(_) => false,
-            Ok(r) => {
-                let answer = within(self.limits.probe_s, self.pool.fetch(self.peer(&state.reader), &r)).await;
-                // Not found is let go too: fetched, or never there.
-                matches!(answer, Some(Ok((200 | 204 | 404, _, _))))
-            }
-        };
+        let answer = self.short(Method::DELETE, &state.reader, &path).await;
+        // Not found is let go too: fetched, or never there.
+        let done = matches!(answer, Ok((200 | 204 | 404, _, _)));
         let _ = words.send(Word::new(crate::driver::Said::LetGo { call, done })).await;
     }
 }
--- a/crates/nickelgw-node/src/fleet.rs
+++ b/crates/nickelgw-node/src/fleet.rs
@@ -44,35 +44,29 @@
 
     /// Tells what has changed, and probes what is doubted.
     pub async fn settle(self: &Rc<Self>) {
-        let (news, probes) = {
+        let probes = {
             let mut v = self.view.borrow_mut();
             v.tick(self.clock.now());
-            (v.news(), v.to_probe())
+            v.to_probe()
         };
-        for (id, address) in probes {
+        for l in probes {
             let me = self.clone();
             let probe = async move {
-                let tls_name = {
-                    let lines = me.view.borrow().lines();
-                    lines.into_iter().find(|l| l.id == id).and_then(|l| l.tls_name)
-                };
-                let place = Place { id: id.clone(), address, tls_name };
+                let place = Place { id: l.id, address: l.address, tls_name: l.tls_name };
                 // Twice, as one lost word must not take an engine away.
                 let answers = me.engines.answers(&place).await || me.engines.answers(&place).await;
-                me.view.borrow_mut().probed(me.clock.now(), &id, answers);
-                let news = me.view.borrow_mut().news();
-                if let Some(lines) = news {
-                    me.tell(lines).await;
-                }
+                me.view.borrow_mut().probed(me.clock.now(), &place.id, answers);
+                me.tell().await;
             };
             self.ex.spawn(probe).detach();
         }
-        if let Some(lines) = news {
-            self.tell(lines).await;
-        }
+        self.tell().await;
     }
 
-    async fn tell(&self, engines: Vec<Line>) {
+    /// Passes on what is believed now, if that has changed.
+    async fn tell(&self) {
+        let news = self.view.borrow_mut().news();
+        let Some(engines) = news else { return };
         self.told.set(self.told.get() + 1);
         let list = List { revision: self.told.get(), engines };
         let bytes = serde_json::to_vec(&list).unwrap_or_default();
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -171,8 +171,6 @@
     let seed = start.deployment.seed ^ u64::from(start.deployment.node);
     let boot = start.figures.boot.clone();
     let (keeper, found) = keep::Keeper::open(start.store, clock);
-    let targets = start.deployment.routes.iter();
-    let targets = targets.map(|r| (r.first_token_target_s, r.target_per_token_s)).collect();
     let mut core = Core::new(start.deployment, start.figures);
     let relays = repeat::Relays::new(start.repeats);
     for f in found {
@@ -258,7 +256,6 @@
         jobs: Default::default(),
         sends: Default::default(),
         meter: start.meter,
-        targets,
         life,
         boot,
         keeper: keeper.clone(),
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -1,11 +1,11 @@
 //! The chat API's sockets: requests are read within limits and handed to the core, answers written as they come.
 
-use crate::client::say;
+use crate::client::looked;
 use crate::core::{Ask, Door, Refusal, Ticket};
 use crate::driver::{Doors, Job, Reply, Said, Word};
 use crate::keep::Keeper;
 use crate::repeat::Relays;
-use crate::{seconds, unix_now, within, Clock, Limits};
+use crate::{seconds, within, Clock, Limits};
 use async_channel::{bounded, Receiver, Sender};
 use bytes::Bytes;
 use futures_rustls::rustls::ServerConfig;
@@ -275,9 +275,7 @@
 /// Looks at the chat port's files; connections that stand keep what they began with.
 pub async fn look(server: Rc<Server>) {
     let Some(tls) = server.tls.clone() else { return };
-    let now = unix_now();
-    let said = smol::unblock(move || tls.lock().unwrap_or_else(|e| e.into_inner()).look(now)).await;
-    say("chat", &said);
+    looked("chat", tls, nickelgw_tls::Server::look).await;
 }
 
 /// A request that has passed the door.
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -20,6 +20,15 @@
 pub const KEY: &str = "sk-test-key";
 pub const MEMORY_S: f64 = 4.0;
 
+/// A chat request as its bytes, with further headers.
+pub fn post(body: &str, more: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n{more}\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 pub fn listener() -> (TcpListener, String) {
     let l = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = l.local_addr().unwrap().to_string();
--- a/crates/nickelgw-node/tests/leaving.rs
+++ b/crates/nickelgw-node/tests/leaving.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{figures, World, KEY};
+use common::{figures, post, World};
 use nickelgw_node::{Exit, Order};
 use nickelgw_standin::client::{self, status, Ask};
 use nickelgw_standin::model;
@@ -41,11 +41,7 @@
     }
     // While its notice lasts it takes what comes, each the last of its connection.
     let body = r#"{"model":"chat","max_tokens":2,"messages":[{"role":"user","content":"hi"}]}"#;
-    let text = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    idle.write_all(text.as_bytes()).unwrap();
+    idle.write_all(post(body, "").as_bytes()).unwrap();
     let mut answer = String::new();
     idle.read_to_string(&mut answer).unwrap();
     assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
--- a/crates/nickelgw-node/tests/path.rs
+++ b/crates/nickelgw-node/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{figures, start, World, KEY};
+use common::{figures, post, start, World};
 use nickelgw_chat::core::grant::{grant, GrantKey, Granted};
 use nickelgw_node::core::Grants;
 use nickelgw_standin::client::{self, status, Ask, Leave};
@@ -21,14 +21,6 @@
     World::with(ids.iter().map(|id| figures(id)).collect(), tweak)
 }
 
-fn post(body: &str, more: &str) -> String {
-    format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n{more}\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 fn holder(w: &World, req: &str) -> (String, String) {
     w.wait_for("read", req);
     let lines = w.record.lines();
--- a/crates/nickelgw-node/tests/repeats.rs
+++ b/crates/nickelgw-node/tests/repeats.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{figures, World, KEY};
+use common::{figures, post, World};
 use nickelgw_standin::client::{raw, status};
 use nickelgw_standin::model::Figures;
 use std::thread;
@@ -21,11 +21,7 @@
 
 /// Asks with a key; what came back, or what came until `patience` had passed without a byte.
 fn ask(w: &World, req: &str, key: &str, body: &str, patience: f64) -> String {
-    let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n\
-         x-request-id: {req}\r\n{key}content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
+    let head = post(body, &format!("connection: close\r\nx-request-id: {req}\r\n{key}"));
     let out = smol::block_on(raw(&w.node, &[head.as_bytes()], 0.0, patience));
     String::from_utf8_lossy(&out).into_owned()
 }
--- a/crates/nickelgw-node/tests/stalled.rs
+++ b/crates/nickelgw-node/tests/stalled.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{figures, World, KEY};
+use common::{figures, post, World};
 use nickelgw_standin::client::{self, Ask};
 use nickelgw_standin::model;
 use serde_json::json;
@@ -11,14 +11,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-fn post(body: &str, more: &str) -> String {
-    format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n{more}\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 fn until(what: &str, seen: impl Fn() -> bool) {
     let from = Instant::now();
     while !seen() {
--- a/crates/nickelgw-registry/src/core/view.rs
+++ b/crates/nickelgw-registry/src/core/view.rs
@@ -298,10 +298,9 @@
     }
 
     /// Engines to probe, once each.
-    pub fn to_probe(&mut self) -> Vec<(String, String)> {
+    pub fn to_probe(&mut self) -> Vec<Line> {
         let ids = std::mem::take(&mut self.probes);
-        let place = |id: String| self.known.get(&id).map(|k| (id.clone(), k.line.address.clone()));
-        ids.into_iter().filter_map(place).collect()
+        ids.iter().filter_map(|id| Some(self.known.get(id)?.line.clone())).collect()
     }
 
     /// Lets time act; gives when to look again.
--- a/crates/nickelgw-settings/src/lib.rs
+++ b/crates/nickelgw-settings/src/lib.rs
@@ -26,21 +26,26 @@
     Field { file: String, line: usize, field: String, what: String, wanted: String },
 }
 
+const NODE: &str = "nickelgw.settings.Node";
+const DAY: &str = "nickelgw.settings.Day";
+
 fn pool() -> Result<DescriptorPool, prost_reflect::DescriptorError> {
     DescriptorPool::decode(&include_bytes!(concat!(env!("OUT_DIR"), "/settings.bin"))[..])
 }
 
 /// A day as text that [`day`] reads.
 pub fn text_of_day(day: &Day) -> String {
-    let found = pool().ok().and_then(|p| p.get_message_by_name("nickelgw.settings.Day"));
-    let m = found.and_then(|d| DynamicMessage::decode(d, &day.encode_to_vec()[..]).ok());
-    m.map(|m| m.to_text_format()).unwrap_or_default()
+    written(day, DAY)
 }
 
 /// A node's settings as text that [`node`] reads.
 pub fn text_of(node: &Node) -> String {
-    let found = pool().ok().and_then(|p| p.get_message_by_name("nickelgw.settings.Node"));
-    let m = found.and_then(|d| DynamicMessage::decode(d, &node.encode_to_vec()[..]).ok());
+    written(node, NODE)
+}
+
+fn written(message: &impl Message, name: &str) -> String {
+    let found = pool().ok().and_then(|p| p.get_message_by_name(name));
+    let m = found.and_then(|d| DynamicMessage::decode(d, &message.encode_to_vec()[..]).ok());
     m.map(|m| m.to_text_format()).unwrap_or_default()
 }
 
@@ -78,14 +83,13 @@
 
 /// Reads a node's settings; all that is wrong with them is told at once.
 pub fn node(path: &Path) -> Result<Node, Vec<Problem>> {
-    let (file, text, node) = load::<Node>(path, "nickelgw.settings.Node").map_err(|p| vec![p])?;
+    let (file, text, node) = load::<Node>(path, NODE).map_err(|p| vec![p])?;
     check::Checks::new(&file, &text).node(&node)?;
     Ok(node)
 }
 
 pub fn day(path: &Path) -> Result<Day, Vec<Problem>> {
-    const NAME: &str = "nickelgw.settings.Day";
-    let (mut file, mut text, mut day) = load::<Day>(path, NAME).map_err(|p| vec![p])?;
+    let (mut file, mut text, mut day) = load::<Day>(path, DAY).map_err(|p| vec![p])?;
     if let Some(base) = day.base.clone() {
         let base = path.with_file_name(base);
         let first = std::fs::read_to_string(&base)
@@ -93,7 +97,7 @@
         // Lines count from the base's first one on.
         file = format!("{} and then {file}", base.display());
         text = format!("{first}\n{text}");
-        day = parse(&file, &text, NAME).map_err(|p| vec![p])?;
+        day = parse(&file, &text, DAY).map_err(|p| vec![p])?;
     }
     check::Checks::new(&file, &text).day(&day)?;
     Ok(day)
@@ -101,13 +105,13 @@
 
 /// As [`node`] and [`day`], from text at hand.
 pub fn node_text(file: &str, text: &str) -> Result<Node, Vec<Problem>> {
-    let node = parse(file, text, "nickelgw.settings.Node").map_err(|p| vec![p])?;
+    let node = parse(file, text, NODE).map_err(|p| vec![p])?;
     check::Checks::new(file, text).node(&node)?;
     Ok(node)
 }
 
 pub fn day_text(file: &str, text: &str) -> Result<Day, Vec<Problem>> {
-    let day = parse(file, text, "nickelgw.settings.Day").map_err(|p| vec![p])?;
+    let day = parse(file, text, DAY).map_err(|p| vec![p])?;
     check::Checks::new(file, text).day(&day)?;
     Ok(day)
 }
