--- a/crates/nickelgw-cli/src/bench.rs
+++ b/crates/nickelgw-cli/src/bench.rs
@@ -52,7 +52,7 @@
 }
 
 fn peer(e: &Engine) -> Peer<'_> {
-    Peer { address: &e.0, name: e.1.as_deref() }
+    Peer { address: &e.0, name: e.1.as_deref(), out: None }
 }
 
 /// Engines whose own times are small and which are never full: what is left is the node's.
--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -90,6 +90,14 @@
         #[arg(long)]
         name: Vec<String>,
     },
+    /// Tells what happened to a request, and why: asks a node's operators' port.
+    Why {
+        /// As the client got it in x-request-id.
+        request_id: String,
+        /// host:port that the node's settings give as admin.
+        #[arg(long, default_value = "127.0.0.1:8081")]
+        admin: String,
+    },
     /// Measures what the node adds, beside the same stand-ins called directly.
     Bench(bench::Bench),
     /// Measures what TLS costs, and the rush after a rotation with and without a budget.
@@ -139,6 +147,20 @@
             Ok(ExitCode::SUCCESS)
         }
         What::Audit { dir } => rehearse::audit(&dir),
+        What::Why { request_id, admin } => {
+            let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+            if !request_id.bytes().all(plain) {
+                return Err(Unusable("a request id has letters, digits, '-', '_' and '.'".into()));
+            }
+            let call = format!("GET /why/{request_id} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+            let answer = smol::block_on(nickelgw_standin::client::raw(&admin, &[call.as_bytes()], 0.0, 5.0));
+            let answer = String::from_utf8_lossy(&answer).to_string();
+            let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+                return Err(Unusable(format!("{admin}: no node answers there")));
+            };
+            print!("{body}");
+            Ok(if head.starts_with("HTTP/1.1 200") { ExitCode::SUCCESS } else { ExitCode::from(1) })
+        }
         What::Check { file } => {
             let kind = nickelgw_settings::any(&file).map_err(|p| start::problems(&p))?;
             println!("{}: sound settings of a {kind}", file.display());
--- a/crates/nickelgw-cli/src/serve.rs
+++ b/crates/nickelgw-cli/src/serve.rs
@@ -57,6 +57,13 @@
             .local_addr()
             .map_err(|e| Unusable(format!("the socket taken over listens nowhere: {e}")))?;
         say(&format!("listening {address}"));
+        if self.inherited {
+            start.admin_later = node.admin.clone();
+        } else if let Some(a) = &node.admin {
+            let l = TcpListener::bind(a).map_err(|e| Unusable(format!("{a}: cannot listen: {e}")))?;
+            say(&format!("admin {}", l.local_addr()?));
+            start.admin = Some(l);
+        }
         let spare = listener.try_clone()?;
         let (tell, orders) = async_channel::bounded(16);
         start.orders = orders;
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -148,6 +148,8 @@
         list: n.list.clone(),
         last_list: n.last_list.as_ref().map(Into::into),
         store: n.store.as_ref().map(Into::into),
+        admin: None,
+        admin_later: None,
         life: nickelgw_node::core::life::Figures {
             notice_s: leaving.notice_ms() / 1e3,
             grace_s: leaving.grace_ms() / 1e3,
--- a/crates/nickelgw-node/src/client.rs
+++ b/crates/nickelgw-node/src/client.rs
@@ -34,11 +34,13 @@
     pub address: &'a str,
     /// None: plain.
     pub name: Option<&'a str>,
+    /// Set once something of the call may go out: until then it is known not to have run.
+    pub out: Option<&'a Cell<bool>>,
 }
 
 impl<'a> Peer<'a> {
     pub fn plain(address: &'a str) -> Self {
-        Peer { address, name: None }
+        Peer { address, name: None, out: None }
     }
 
     fn lane(&self) -> String {
@@ -306,6 +308,9 @@
                 }
                 return Err(Cause::NoConnection);
             }
+            if let Some(out) = peer.out {
+                out.set(true);
+            }
             let e = match inner.sender.send_request(request.clone()).await {
                 Ok(response) => return Ok((response, conn)),
                 Err(e) => e,
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod ledger;
 pub mod life;
 pub mod sweep;
+pub mod trace;
 
 pub use cause::Cause;
 pub use door::{Ask, Door, Refusal};
@@ -21,6 +22,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use sweep::Sweep;
+use trace::{Ring, Step, Story};
 
 /// Names a request taken. A late word for one that is over finds nothing and is passed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -198,6 +200,7 @@
 
 struct Taken {
     serial: u64,
+    story: Option<Story>,
     tenant: Option<usize>,
     stage: Stage,
     due_at: f64,
@@ -217,6 +220,7 @@
     serial: u64,
     pub ledger: Ledger,
     sweep: Sweep,
+    pub ring: Ring,
     /// What an earlier process had learnt, and how far it is believed; used with the first list.
     recall: Option<(Learnt, f64)>,
     revision: Option<u64>,
@@ -251,6 +255,7 @@
             ledger,
             sweep: Sweep::new(figures.sweep_s.0, figures.sweep_s.1),
             recall: None,
+            ring: Ring::default(),
             open_by_tenant: vec![0; figures.tenant_most_open.len()],
             revision: None,
             ready: Vec::new(),
@@ -394,6 +399,7 @@
         let whole_at = ask.whole_within_s.map_or(f64::INFINITY, |s| now + s);
         self.taken[slot] = Some(Taken {
             serial: self.serial,
+            story: None,
             tenant: ask.tenant,
             stage: Stage::Waiting,
             due_at: arrival.due_at,
@@ -412,6 +418,25 @@
         Some(Ticket { inf: inf.0, serial })
     }
 
+    /// What happens to it is written down from now on.
+    pub fn trace(&mut self, t: Ticket, story: Story) {
+        if let Some(taken) = self.get(t) {
+            taken.story = Some(story);
+        }
+    }
+
+    /// The story of a request, open or over.
+    pub fn story(&self, id: &str) -> Option<&Story> {
+        let open = self.taken.iter().flatten().filter_map(|x| x.story.as_ref()).find(|s| *s.id == *id);
+        open.or_else(|| self.ring.find(id))
+    }
+
+    fn note(&mut self, now: f64, t: Ticket, step: Step) {
+        if let Some(story) = self.get(t).and_then(|x| x.story.as_mut()) {
+            story.add(now, step);
+        }
+    }
+
     /// A write's first token is there. True: the stream is this send's from now on; false: it came too late.
     pub fn began(&mut self, now: f64, t: Ticket, send: u32) -> bool {
         let Some(taken) = self.get(t) else { return false };
@@ -425,6 +450,7 @@
             let at = taken.whole_at - self.tick;
             self.unseen.insert((at.max(0.0).to_bits(), t));
         }
+        self.note(now, t, Step::Began { send });
         self.ledger.fetched(now, t.serial, send);
         self.router.first_token(now, Inf(t.inf), send);
         self.ledger.let_go(now, t.serial);
@@ -451,16 +477,17 @@
             (true, _) => self.ledger.unread(now, state, never),
             (false, _) => self.ledger.given_back(now, t.serial, send),
         }
+        self.note(now, t, Step::Ended { send, cause });
         if began && cause == Cause::CalledOff {
             // Nobody takes the stream any more: the client has gone, whichever socket told it first.
-            self.leave(t);
+            self.leave(now, t);
         } else if began {
             let answer = if cause == Cause::Completed {
                 Answer::Completed
             } else {
                 Answer::Errored(Why::StreamBroken)
             };
-            self.answer(t, answer);
+            self.answer(now, t, answer);
         }
         let over = self.get(t).is_none_or(|x| x.stage == Stage::Over);
         if over {
@@ -488,7 +515,7 @@
             let harmless = !begun && taken.sends.iter().all(|s| !s.may_have_run);
             let come_back_s = Some(self.figures.come_back_s);
             let answer = if harmless { Answer::Shed { come_back_s } } else { Answer::Errored(Why::Stopping) };
-            self.answer(t, answer);
+            self.answer(now, t, answer);
             self.router.left(Inf(inf));
             self.ledger.let_go(now, t.serial);
         }
@@ -496,7 +523,7 @@
 
     /// The client has gone. What is out for it is called off; nothing more is owed.
     pub fn left(&mut self, now: f64, t: Ticket) {
-        if self.leave(t) {
+        if self.leave(now, t) {
             self.call_off(t);
             self.router.left(Inf(t.inf));
             self.ledger.let_go(now, t.serial);
@@ -504,22 +531,27 @@
     }
 
     /// The request is over, if it was not before.
-    fn close(&mut self, t: Ticket) -> bool {
+    fn close(&mut self, now: f64, t: Ticket, how: Step) -> bool {
         let tick = self.tick;
         let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { return false };
         taken.stage = Stage::Over;
         let tenant = taken.tenant;
+        let story = taken.story.take();
         let at = (taken.whole_at - tick).max(0.0).to_bits();
         self.unseen.remove(&(at, t));
         self.open -= 1;
         if let Some(n) = tenant.and_then(|t| self.open_by_tenant.get_mut(t)) {
             *n -= 1;
         }
+        if let Some(mut story) = story {
+            story.add(now, how);
+            self.ring.over(story);
+        }
         true
     }
 
-    fn leave(&mut self, t: Ticket) -> bool {
-        if !self.close(t) {
+    fn leave(&mut self, now: f64, t: Ticket) -> bool {
+        if !self.close(now, t, Step::Left) {
             return false;
         }
         self.tally.left += 1;
@@ -535,8 +567,8 @@
         self.ledger.told(now, call, done);
     }
 
-    fn answer(&mut self, t: Ticket, answer: Answer) {
-        if !self.close(t) {
+    fn answer(&mut self, now: f64, t: Ticket, answer: Answer) {
+        if !self.close(now, t, Step::Answered(answer)) {
             return;
         }
         match answer {
@@ -560,7 +592,7 @@
     pub fn act(&mut self, now: f64) -> Actions {
         while let Some(&(at, t)) = self.unseen.first().filter(|u| f64::from_bits(u.0) <= now) {
             self.unseen.remove(&(at, t));
-            self.answer(t, Answer::Errored(Why::TimeUp));
+            self.answer(now, t, Answer::Errored(Why::TimeUp));
         }
         let d = self.router.decide(now);
         let mut todo = std::mem::take(&mut self.ready);
@@ -574,14 +606,14 @@
         }
         for &(inf, come_back_s) in &d.shed {
             if let Some(t) = self.ticket(inf) {
-                self.answer(t, Answer::Shed { come_back_s });
+                self.answer(now, t, Answer::Shed { come_back_s });
             }
         }
         for &inf in &d.errored {
             if let Some(t) = self.ticket(inf) {
                 let due = self.get(t).map_or(f64::INFINITY, |x| x.due_at);
                 let why = if now + 2.0 * self.tick >= due { Why::TimeUp } else { Why::SendsFailed };
-                self.answer(t, Answer::Errored(why));
+                self.answer(now, t, Answer::Errored(why));
             }
         }
         for &inf in &d.released {
@@ -607,7 +639,7 @@
             if let Some(t) = self.ticket(inf) {
                 self.ledger.let_go(now, t.serial);
                 // A request must not vanish unanswered, whatever the Router thinks of it.
-                self.answer(t, Answer::Errored(Why::SendsFailed));
+                self.answer(now, t, Answer::Errored(Why::SendsFailed));
             }
         }
         todo.append(&mut self.ready);
@@ -637,6 +669,7 @@
         let read = role == Role::Read;
         taken.sends.push(Sent { read, live: true, may_have_run: !read });
         let name = format!("{}-{}-{send}", self.figures.boot, ticket.serial);
+        let (there, expected_s) = self.router.grounds(inf, send);
         let what = if read {
             let state = HeldState { name: name.clone(), reader: eng.clone() };
             self.ledger.coming(Held { owner: ticket.serial, read: send }, state);
@@ -646,6 +679,9 @@
             let grant = state.as_ref().and_then(|s| self.grant(now, s, &eng));
             Work::Write { state, grant, idle_s }
         };
+        let from_state = matches!(what, Work::Write { state: Some(_), .. });
+        let engine = eng.id.as_str().into();
+        self.note(now, ticket, Step::Sent { send, engine, read, there, expected_s, from_state });
         Some(Order { ticket, send, name, eng, patience_s, what })
     }
 
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -1,7 +1,9 @@
 //! The one task that owns the core: tells it what happened, does what it says, waits on no peer.
 
+use crate::admin::Counted;
 use crate::core::ledger::Held;
 use crate::core::life::{self, Exit, Left, Life};
+use crate::core::trace::Story;
 use crate::core::{Answer, Ask, Cause, Core, Do, End, Place, Refusal, Ticket, Why};
 use crate::engines::Engines;
 use crate::keep::Keeper;
@@ -58,6 +60,8 @@
     LetGo { call: Held, done: bool },
     Swept { place: Rc<Place>, done: bool },
     Learnt { to: Sender<Vec<u8>> },
+    Count { to: Sender<Counted> },
+    Why { id: String, to: Sender<Option<String>> },
     List(List),
     ListFailed,
 }
@@ -120,8 +124,10 @@
     pub waiting: Rc<Cell<usize>>,
     pub jobs: HashMap<Ticket, Job>,
     /// Sends out; dropped, a send is called off.
-    pub sends: HashMap<(Ticket, u32), Task<()>>,
+    pub sends: HashMap<(Ticket, u32), (Task<()>, Rc<Cell<bool>>)>,
     pub meter: Option<Arc<Mutex<Meter>>>,
+    /// First-token target of each route: a constant part, and one for each prompt token.
+    pub targets: Vec<(f64, f64)>,
     pub life: Life,
     pub boot: String,
     pub keeper: Rc<Keeper>,
@@ -243,6 +249,19 @@
         (None, wake)
     }
 
+    fn counted(&self) -> Counted {
+        let (c, ledger) = (&self.core, &self.core.ledger);
+        Counted {
+            tally: c.tally,
+            account: ledger.account,
+            open: c.open(),
+            states: ledger.len(),
+            held_p99_s: ledger.waited(0.99),
+            held_longest_s: ledger.waited(1.0),
+            stories: c.ring.len(),
+        }
+    }
+
     fn serving(&mut self) {
         self.life.heard();
         if self.life.stage() == life::Stage::Serving {
@@ -272,6 +291,11 @@
                 match self.core.take(now, &ask) {
                     Ok(ticket) => {
                         let _ = taken.try_send(ticket);
+                        let model = job.chat.model.as_str().into();
+                        let target_s =
+                            self.targets.get(ask.route).map_or(0.0, |t| t.0 + t.1 * ask.prompt_tokens);
+                        let story = Story::new(job.id.clone(), model, now, target_s, ask.prompt_tokens);
+                        self.core.trace(ticket, story);
                         self.jobs.insert(ticket, job);
                     }
                     Err(refusal) => drop(job.reply.try_send(Reply::Error(self.refused(refusal)))),
@@ -316,6 +340,8 @@
             Said::Probed { place, cause, load } => self.core.probed(now, &place.id, cause, load),
             Said::LetGo { call, done } => self.core.let_go(now, call, done),
             Said::Swept { place, done } => self.core.swept(now, &place.address, done),
+            Said::Count { to } => drop(to.try_send(self.counted())),
+            Said::Why { id, to } => drop(to.try_send(self.core.story(&id).map(Story::tell))),
             Said::Learnt { to } => drop(to.try_send(self.core.learnt(now))),
             Said::List(list) => {
                 self.core.list(now, &list);
@@ -377,12 +403,18 @@
                         tracing::debug!(request = %job.id, send = order.send, engine = %order.eng.id,
                             read = order.what == crate::core::Work::Read, "send");
                         let (id, chat) = (job.id.clone(), job.chat.clone());
-                        let task = self.engines.clone().send(order, id, chat, self.to_core.clone());
-                        self.sends.insert(key, self.ex.spawn(task));
+                        let out = Rc::new(Cell::new(false));
+                        let words = self.to_core.clone();
+                        let task = self.engines.clone().send(order, id, chat, words, out.clone());
+                        self.sends.insert(key, (self.ex.spawn(task), out));
                     }
                     Do::CallOff { ticket, send } => {
-                        self.sends.remove(&(ticket, send));
-                        let end = End { cause: Cause::CalledOff, ..End::default() };
+                        let sent = self.sends.remove(&(ticket, send));
+                        // Given up while its connection was still being made: it is known not to have run, and may
+                        // go elsewhere. Seen as a handshake that stalled until the probe beside it was given up.
+                        let out = sent.is_none_or(|s| s.1.get()) || !self.jobs.contains_key(&ticket);
+                        let cause = if out { Cause::CalledOff } else { Cause::NoConnection };
+                        let end = End { cause, ..End::default() };
                         self.core.ended(now, ticket, send, end);
                         again = true;
                     }
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -17,6 +17,7 @@
 use nickelgw_protocol::sse::{Event, Events};
 use nickelgw_protocol::{LOAD, LOAD_FORMAT, NODE, REQUEST_ID, SEND_ID, ZONE};
 use smol::Timer;
+use std::cell::Cell;
 use std::rc::Rc;
 
 pub struct Engines {
@@ -31,6 +32,14 @@
     LoadReport::parse(headers.get(LOAD)?.to_str().ok()?).ok()
 }
 
+/// Its time is over: before anything went out that is an engine which could not be reached.
+fn late(out: &Cell<bool>) -> Cause {
+    match out.get() {
+        true => Cause::NoAnswer,
+        false => Cause::NoConnection,
+    }
+}
+
 /// Where the writer finds the state, and what lets it fetch it.
 fn transfer(s: &HeldState, grant: &Option<String>) -> KvTransfer {
     KvTransfer {
@@ -55,7 +64,11 @@
     fn peer<'a>(&self, place: &'a Place) -> Peer<'a> {
         let host = || place.address.rsplit_once(':').map_or(&*place.address, |a| a.0);
         let name = self.pool.tls.is_some().then(|| place.tls_name.as_deref().unwrap_or_else(host));
-        Peer { address: &place.address, name }
+        Peer { address: &place.address, name, out: None }
+    }
+
+    fn peer_out<'a>(&self, place: &'a Place, out: &'a Cell<bool>) -> Peer<'a> {
+        Peer { out: Some(out), ..self.peer(place) }
     }
 
     pub fn request(&self, method: Method, address: &str, path: &str) -> hyper::http::request::Builder {
@@ -70,25 +83,34 @@
     }
 
     /// Makes one send and tells the core how it ends. Dropped, it closes its connection.
-    pub async fn send(self: Rc<Self>, order: Order, id: Rc<str>, chat: Rc<ChatRequest>, words: Sender<Word>) {
+    /// `out` is set once something of it may have gone out.
+    pub async fn send(
+        self: Rc<Self>,
+        order: Order,
+        id: Rc<str>,
+        chat: Rc<ChatRequest>,
+        words: Sender<Word>,
+        out: Rc<Cell<bool>>,
+    ) {
         let (ticket, send) = (order.ticket, order.send);
         let (end, sink) = match &order.what {
-            Work::Read => (self.read(&order, &id, &chat).await, None),
+            Work::Read => (self.read(&order, &id, &chat, &out).await, None),
             Work::Write { state, grant, idle_s } => {
                 let kv = state.as_ref().map(|s| transfer(s, grant));
-                self.write(&order, &id, &chat, kv, *idle_s, &words).await
+                self.write(&order, &id, &chat, kv, *idle_s, &words, &out).await
             }
         };
         // A full queue holds the task up; the event is never dropped.
         let _ = words.send(Word::new(crate::driver::Said::Ended { ticket, send, end, sink })).await;
     }
 
-    async fn read(&self, order: &Order, id: &str, chat: &ChatRequest) -> End {
+    async fn read(&self, order: &Order, id: &str, chat: &ChatRequest, out: &Cell<bool>) -> End {
         let request = read_body(chat).ok().and_then(|body| self.completion(order, id, body));
         let Some(request) = request else { return End::default() };
-        let answer = within(order.patience_s, self.pool.fetch(self.peer(&order.eng), &request)).await;
+        let answer =
+            within(order.patience_s, self.pool.fetch(self.peer_out(&order.eng, out), &request)).await;
         let (status, headers, body) = match answer {
-            None => return End { cause: Cause::NoAnswer, ..End::default() },
+            None => return End { cause: late(out), ..End::default() },
             Some(Err(cause)) => return End { cause, ..End::default() },
             Some(Ok(a)) => a,
         };
@@ -113,17 +135,19 @@
         kv: Option<KvTransfer>,
         idle_s: f64,
         words: &Sender<Word>,
+        out: &Cell<bool>,
     ) -> (End, Option<Sink>) {
         let ended = |cause, load| (End { cause, load, kept: 0.0 }, None);
         let request = write_body(chat, kv.as_ref()).ok().and_then(|body| self.completion(order, id, body));
         let Some(request) = request else { return ended(Cause::NotSent, None) };
         let mut patience = Timer::after(seconds(order.patience_s));
-        let begun = futures_lite::future::or(async { Some(self.begin(&order.eng, &request).await) }, async {
-            (&mut patience).await;
-            None
-        });
+        let begun =
+            futures_lite::future::or(async { Some(self.begin(&order.eng, &request, out).await) }, async {
+                (&mut patience).await;
+                None
+            });
         let mut stream = match begun.await {
-            None => return ended(Cause::NoAnswer, None),
+            None => return ended(late(out), None),
             Some(Err((cause, load))) => return ended(cause, load),
             Some(Ok(s)) => s,
         };
@@ -145,8 +169,14 @@
     }
 
     /// Up to the first event of the stream.
-    async fn begin(&self, place: &Place, request: &Request<Full<Bytes>>) -> Result<Stream, Ended> {
-        let (response, conn) = self.pool.call(self.peer(place), request).await.map_err(|c| (c, None))?;
+    async fn begin(
+        &self,
+        place: &Place,
+        request: &Request<Full<Bytes>>,
+        out: &Cell<bool>,
+    ) -> Result<Stream, Ended> {
+        let (response, conn) =
+            self.pool.call(self.peer_out(place, out), request).await.map_err(|c| (c, None))?;
         let (head, body) = response.into_parts();
         let load = report(&head.headers);
         let status = head.status.as_u16();
--- a/crates/nickelgw-node/src/keep.rs
+++ b/crates/nickelgw-node/src/keep.rs
@@ -96,6 +96,10 @@
         done.recv().await.unwrap_or(false)
     }
 
+    pub fn account(&self) -> nickelgw_store::core::shelf::Account {
+        self.shelf.borrow().account
+    }
+
     pub fn expire(&self) {
         self.shelf.borrow_mut().expire(self.clock.now(), unix_now());
         let _ = self.bell.0.try_send(());
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -1,6 +1,7 @@
 //! A node: the I/O-free [`core`] around the decision module, and the sockets, timers and files that act for it.
 //! All of a node runs on one thread; `docs/design-node.md` says why.
 
+mod admin;
 mod background;
 pub mod client;
 pub mod core;
@@ -68,6 +69,10 @@
     pub last_list: Option<PathBuf>,
     /// File that keeps what the next process is to know.
     pub store: Option<PathBuf>,
+    /// The operators' port.
+    pub admin: Option<TcpListener>,
+    /// Or its address, to be had once the process before has gone.
+    pub admin_later: Option<String>,
     pub meter: Option<Arc<Mutex<Meter>>>,
     pub tls: TlsStart,
     pub repeats: repeats::Figures,
@@ -153,6 +158,8 @@
     let seed = start.deployment.seed ^ u64::from(start.deployment.node);
     let boot = start.figures.boot.clone();
     let (keeper, found) = keep::Keeper::open(start.store, clock);
+    let targets = start.deployment.routes.iter();
+    let targets = targets.map(|r| (r.first_token_target_s, r.target_per_token_s)).collect();
     let mut core = Core::new(start.deployment, start.figures);
     let relays = repeat::Relays::new(start.repeats);
     for f in found {
@@ -205,6 +212,7 @@
         jobs: Default::default(),
         sends: Default::default(),
         meter: start.meter,
+        targets,
         life,
         boot,
         keeper: keeper.clone(),
@@ -233,6 +241,13 @@
     let keeping = ex.spawn(keeper.clone().run());
     let behind = background::Background::new(ex.clone(), clock, seed);
     chores(&behind, &server, looked, reload_s);
+    let admin = Rc::new(admin::Admin {
+        to_core: server.to_core.clone(),
+        doors: server.doors.clone(),
+        behind: behind.clone(),
+        keeper: keeper.clone(),
+    });
+    let operators = ex.spawn(admin::run(start.admin, start.admin_later, admin, ex.clone()));
     let chores = ex.spawn(behind.run());
     let (orders, told) = (start.orders, server.to_core.clone());
     let ordering = ex.spawn(async move {
@@ -248,7 +263,7 @@
         server::accept(listener, server, of).await;
     });
     let exit = ex.run(driving).await;
-    drop((watching, tending, chores, ordering, accepting, keeping));
+    drop((operators, watching, tending, chores, ordering, accepting, keeping));
     ex.run(keeper.flush()).await;
     Ok(exit)
 }
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -133,6 +133,8 @@
         list: list.into(),
         last_list: None,
         store: None,
+        admin: None,
+        admin_later: None,
         meter: None,
         tls: TlsStart { reload_s: 0.05, at_once: 16, at_once_engine: 2, ..TlsStart::default() },
         repeats: Default::default(),
--- a/crates/nickelgw-node/tests/leaving.rs
+++ b/crates/nickelgw-node/tests/leaving.rs
@@ -98,3 +98,34 @@
     assert!(from.elapsed() < Duration::from_secs(5));
     w.assert_empty(&["r0a", "w0a"]);
 }
+
+#[test]
+fn operators_hear_what_became_of_a_request_and_of_all() {
+    let (l, admin) = common::listener();
+    let w = World::with(vec![figures("r0a"), figures("w0a")], |s| s.admin = Some(l));
+    w.control("w0a", json!({"fault": "lose", "for_s": 60.0, "share": 1.0}));
+    assert_eq!(w.play(w.ask("lost-one", "booking")).how, "errored");
+    let get = |path: &str| {
+        let call = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        let answer = smol::block_on(client::raw(&admin, &[call.as_bytes()], 0.0, 2.0));
+        String::from_utf8(answer).unwrap()
+    };
+    let told = get("/why/lost-one");
+    for wanted in
+        ["model booking", "to be read at r0a", "written at w0a", "it may have run", "errored: SendsFailed"]
+    {
+        assert!(told.contains(wanted), "{wanted}: {told}");
+    }
+    assert_eq!(status(get("/why/unknown").as_bytes()), 404);
+    let metrics = get("/metrics");
+    for wanted in [
+        "nickelgw_inferences_total{how=\"errored\"} 1",
+        "nickelgw_states_total{how=\"let_go\"}",
+        "nickelgw_open 0",
+        "nickelgw_held_wait_longest_seconds",
+        "# EOF",
+    ] {
+        assert!(metrics.contains(wanted), "{wanted}: {metrics}");
+    }
+    assert_eq!(status(get("/healthz").as_bytes()), 200);
+}
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -89,6 +89,9 @@
         }
         self.address(&[("listen", 0)], n.listen());
         self.address(&[("list", 0)], &n.list);
+        if let Some(a) = &n.admin {
+            self.address(&[("admin", 0)], a);
+        }
         self.routes(&n.model_route);
         self.tenants(&n.tenant);
         self.rules(&n.rules.unwrap_or_default(), &n.model_route);
@@ -376,12 +379,28 @@
         if of_tls.contains(&f.kind()) && !d.tls() {
             self.wrong(&[at, ("kind", 0)], "is a fault of TLS", "tls: true in the day");
         }
+        self.share(&[at, ("part", 0)], f.part());
+        let many = |d: &Day| {
+            let t = f.target();
+            let role = matches!(t, "" | "engines" | "readers" | "writers");
+            role || d.engines.iter().any(|e| e.name == t || e.zone == t)
+                || engine_names(d).iter().any(|e| e == t)
+        };
         let wanted = match f.kind() {
-            Kind::StallList | Kind::CaRotate => return,
-            Kind::CutZone if !d.zones.iter().any(|z| z == f.target()) => "one of zones",
+            Kind::StallList | Kind::CaRotate | Kind::DiscoveryStale => return,
+            Kind::Burst | Kind::HotKey | Kind::RetryAbuse => return,
+            Kind::BalancerCrash | Kind::BalancerRoll | Kind::MassRestart => return,
+            Kind::CutZone | Kind::ZoneCut | Kind::ZoneLoss if !d.zones.iter().any(|z| z == f.target()) => {
+                "one of zones"
+            }
             Kind::KillNode if !(0..d.nodes()).any(|n| format!("node{n}") == f.target()) => "node0 and so on",
-            Kind::CutZone | Kind::KillNode => return,
-            _ if !engine_names(d).iter().any(|e| e == f.target()) => "an engine: its group's name and number",
+            Kind::CutZone | Kind::ZoneCut | Kind::ZoneLoss | Kind::KillNode => return,
+            Kind::Die | Kind::Drain | Kind::CertRotate | Kind::CertExpire | Kind::CertWrongName
+                if !engine_names(d).iter().any(|e| e == f.target()) =>
+            {
+                "an engine: its group's name and number"
+            }
+            _ if !many(d) => "an engine, a group, a zone, readers, writers, or none for all",
             _ => return,
         };
         self.wrong(target, format!("is '{}'", f.target()), wanted);
--- a/crates/nickelgw-settings/src/lib.rs
+++ b/crates/nickelgw-settings/src/lib.rs
@@ -30,6 +30,13 @@
     DescriptorPool::decode(&include_bytes!(concat!(env!("OUT_DIR"), "/settings.bin"))[..])
 }
 
+/// A day as text that [`day`] reads.
+pub fn text_of_day(day: &Day) -> String {
+    let found = pool().ok().and_then(|p| p.get_message_by_name("nickelgw.settings.Day"));
+    let m = found.and_then(|d| DynamicMessage::decode(d, &day.encode_to_vec()[..]).ok());
+    m.map(|m| m.to_text_format()).unwrap_or_default()
+}
+
 /// A node's settings as text that [`node`] reads.
 pub fn text_of(node: &Node) -> String {
     let found = pool().ok().and_then(|p| p.get_message_by_name("nickelgw.settings.Node"));
@@ -77,7 +84,17 @@
 }
 
 pub fn day(path: &Path) -> Result<Day, Vec<Problem>> {
-    let (file, text, day) = load::<Day>(path, "nickelgw.settings.Day").map_err(|p| vec![p])?;
+    const NAME: &str = "nickelgw.settings.Day";
+    let (mut file, mut text, mut day) = load::<Day>(path, NAME).map_err(|p| vec![p])?;
+    if let Some(base) = day.base.clone() {
+        let base = path.with_file_name(base);
+        let first = std::fs::read_to_string(&base)
+            .map_err(|e| vec![Problem::File { file: base.display().to_string(), why: e.to_string() }])?;
+        // Lines count from the base's first one on.
+        file = format!("{} and then {file}", base.display());
+        text = format!("{first}\n{text}");
+        day = parse(&file, &text, NAME).map_err(|p| vec![p])?;
+    }
     check::Checks::new(&file, &text).day(&day)?;
     Ok(day)
 }
@@ -98,7 +115,8 @@
 /// Whether a file is a node's settings or a day's, by its fields.
 pub fn any(path: &Path) -> Result<&'static str, Vec<Problem>> {
     let text = std::fs::read_to_string(path).unwrap_or_default();
-    if place::line_of(&text, &[("length_s", 0)]) > 1 || text.trim_start().starts_with("length_s") {
+    let has = |f: &'static str| place::line_of(&text, &[(f, 0)]) > 1 || text.trim_start().starts_with(f);
+    if has("length_s") || has("base") {
         return day(path).map(|_| "day");
     }
     node(path).map(|_| "node")
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -140,6 +140,12 @@
         self.ask_at = now + self.target * (0.5 + self.dice());
     }
 
+    /// What a send was made on: prompts there before it as far as was known, and the time expected.
+    pub fn grounds(&self, inf: Inf, send: u32) -> (f64, f64) {
+        let s = self.infs[inf.0 as usize].sends[send as usize];
+        (s.there, s.expected)
+    }
+
     /// What is worth keeping for this node's next process.
     pub fn learnt(&self, now: f64) -> Learnt {
         let mut figures =
