--- a/crates/nickelgw-cli/src/main.rs
+++ b/crates/nickelgw-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod bench_fleet;
 mod bench_path;
 mod bench_tls;
+mod platform;
 mod rehearse;
 mod serve;
 mod signals;
@@ -43,6 +44,8 @@
     Up(up::Up),
     /// Serves as a node.
     Serve(serve::Serve),
+    /// Serves as a node on the operators' platform, as RELAY_CONFIG tells.
+    Platform,
     /// Checks a settings file of a node or a day.
     Check { file: PathBuf },
     /// Runs a stand-in reader or writer.
@@ -182,6 +185,7 @@
             Ok(ExitCode::SUCCESS)
         }
         What::Serve(s) => s.run(),
+        What::Platform => platform::run(),
         What::Engine { id, role, zone, cell, cold, figures, port, seed, record: to } => {
             let wrong = |e: serde_json::Error| Unusable(format!("--figures: {e}"));
             let mut f: nickelgw_standin::model::Figures = serde_json::from_str(&figures).map_err(wrong)?;
--- a/crates/nickelgw-drill/src/main.rs
+++ b/crates/nickelgw-drill/src/main.rs
@@ -1,13 +1,12 @@
 //! Speaks the bench's wire on standard input and output: events become calls, lists become actions.
 
 mod node;
-mod wire;
 
+use nickelgw_options::fields::{index, num, text, Bad};
 use node::Node;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead, Write};
-use wire::{index, num, text, Bad};
 
 fn run(input: impl BufRead, mut output: impl Write) -> Result<(), Bad> {
     let mut nodes: BTreeMap<u64, Node> = BTreeMap::new();
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -24,6 +24,8 @@
 /// A request as the module takes it.
 #[derive(Clone, Debug)]
 pub struct Ask {
+    /// By which engines know the request in all its sends; none: each send has a name of its own.
+    pub name: Option<String>,
     pub route: usize,
     pub tenant: Option<usize>,
     pub timeout_s: f64,
@@ -128,6 +130,7 @@
         let m = &self.models[route];
         let timeout = m.timeout_s + m.timeout_per_token_s * chat.prompt_tokens;
         Ok(Ask {
+            name: None,
             route,
             tenant,
             timeout_s: client_timeout_s.map_or(timeout, |t| t.clamp(0.0, timeout)),
--- a/crates/nickelgw-node/src/core/ledger.rs
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -102,6 +102,8 @@
 
     fn when(e: &Entry, hold_s: f64) -> Option<f64> {
         match e.stage {
+            // Shared: a call would take from a later send what it has read; the module's own limit holds.
+            Stage::Waiting(_) if e.state.shared => None,
             Stage::Waiting(since) => Some(since + hold_s),
             Stage::Leaving { at, .. } => at,
             Stage::Coming | Stage::Taken { .. } => None,
@@ -149,11 +151,11 @@
 
     /// The read failed. `never`: it is known not to have begun; else it may have left a state that nobody asks for.
     pub fn unread(&mut self, now: f64, h: Held, never: bool) {
-        if !self.states.get(&h).is_some_and(|e| e.stage == Stage::Coming) {
-            return;
-        }
+        let Some(e) = self.states.get(&h).filter(|e| e.stage == Stage::Coming) else { return };
         match never {
             true => self.remove(now, h),
+            // What it may have left goes with all else of the request, once none of its sends is out.
+            false if e.state.shared => self.set(now, h, Stage::Waiting(now)),
             false => {
                 self.account.read += 1;
                 self.leave(now, h);
@@ -172,7 +174,14 @@
     pub fn fetched(&mut self, now: f64, owner: u64, by: u32) {
         for h in self.of(owner, |s| s == Stage::Taken { by }) {
             self.account.fetched += 1;
+            // With its first token engines let go by themselves of all else that bears the request's name.
+            let shared = self.states.get(&h).is_some_and(|e| e.state.shared);
             self.remove(now, h);
+            if shared {
+                self.of(owner, |s| matches!(s, Stage::Waiting(_)))
+                    .into_iter()
+                    .for_each(|h| self.remove(now, h));
+            }
         }
     }
 
@@ -190,9 +199,13 @@
 
     /// Nothing will take what waits for the inference.
     pub fn let_go(&mut self, now: f64, owner: u64) {
-        for h in self.of(owner, |s| matches!(s, Stage::Waiting(_))) {
-            self.leave(now, h);
+        let mut all = self.of(owner, |s| matches!(s, Stage::Waiting(_)));
+        let last = all.last().and_then(|h| self.states.get(h)).filter(|e| e.state.shared);
+        if last.is_some() {
+            // One call is enough.
+            all.drain(..all.len() - 1).for_each(|h| self.remove(now, h));
         }
+        all.into_iter().for_each(|h| self.leave(now, h));
     }
 
     fn leave(&mut self, now: f64, h: Held) {
--- a/crates/nickelgw-node/src/core/ledger_tests.rs
+++ b/crates/nickelgw-node/src/core/ledger_tests.rs
@@ -12,7 +12,7 @@
 
 fn state(n: u64) -> HeldState {
     let reader = Rc::new(Place { id: format!("r{}", n % 3), address: "a".into(), tls_name: None });
-    HeldState { name: format!("s{n}"), reader }
+    HeldState { name: format!("s{n}"), reader, shared: false }
 }
 
 fn held(owner: u64) -> Held {
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -46,6 +46,8 @@
 pub struct HeldState {
     pub name: String,
     pub reader: Rc<Place>,
+    /// It bears its request's name: one call, to any engine, lets go of all that is held for the request.
+    pub shared: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -218,6 +220,7 @@
 
 struct Taken {
     serial: u64,
+    name: Option<String>,
     story: Option<Story>,
     tenant: Option<usize>,
     /// A first token later than this says that there is too much.
@@ -448,6 +451,7 @@
         let whole_at = ask.whole_within_s.map_or(f64::INFINITY, |s| now + s);
         self.taken[slot] = Some(Taken {
             serial: self.serial,
+            name: ask.name.clone(),
             story: None,
             tenant: ask.tenant,
             good_until,
@@ -590,11 +594,23 @@
 
     /// The grace is over: whatever is open gets its one answer now, and nothing more is sent for it.
     pub fn end_all(&mut self, now: f64) {
+        self.end_open(now, true);
+    }
+
+    /// So does what has not begun; streams go on.
+    pub fn end_waiting(&mut self, now: f64) {
+        self.end_open(now, false);
+    }
+
+    fn end_open(&mut self, now: f64, streams: bool) {
         self.leaving = true;
         for inf in 0..self.taken.len() as u32 {
             let Some(t) = self.ticket(Inf(inf)) else { continue };
             let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { continue };
             let begun = taken.stage != Stage::Waiting;
+            if begun && !streams {
+                continue;
+            }
             let harmless = !begun && taken.sends.iter().all(|s| !s.may_have_run);
             let come_back_s = Some(self.figures.come_back_s);
             let answer = if harmless { Answer::Shed { come_back_s } } else { Answer::Errored(Why::Stopping) };
@@ -760,10 +776,12 @@
         let send = taken.sends.len() as u32;
         let read = role == Role::Read;
         taken.sends.push(Sent { read, live: true, may_have_run: !read });
-        let name = format!("{}-{}-{send}", self.figures.boot, ticket.serial);
+        let shared = taken.name.is_some();
+        let name = taken.name.clone();
+        let name = name.unwrap_or_else(|| format!("{}-{}-{send}", self.figures.boot, ticket.serial));
         let (there, expected_s) = self.router.grounds(inf, send);
         let what = if read {
-            let state = HeldState { name: name.clone(), reader: eng.clone() };
+            let state = HeldState { name: name.clone(), reader: eng.clone(), shared };
             self.ledger.coming(Held { owner: ticket.serial, read: send }, state);
             Work::Read
         } else {
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -74,6 +74,7 @@
 
 fn ask(route: usize) -> Ask {
     Ask {
+        name: None,
         route,
         tenant: Some(0),
         timeout_s: 2.0,
--- a/crates/nickelgw-drill/src/wire.rs
+++ b/crates/nickelgw-options/src/fields.rs
@@ -1,4 +1,4 @@
-//! Fields of the wire's lines.
+//! Fields of JSON objects, and what is wrong with them in one sentence.
 
 use serde_json::Value;
 
--- /dev/null
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -0,0 +1,380 @@
+//! Clients' connections: requests read within limits, one at a time, and answered as the core says.
+
+use crate::core::chunks::{self, Piece};
+use crate::core::engine::Passed;
+use crate::core::request::{self, Head, Names, CHAT, READY};
+use crate::core::{Framing, Spoilt, MOST_BODY};
+use crate::node::{Node, Reply};
+use crate::wire::{read, seconds, within};
+use async_channel::{Receiver, Sender};
+use bytes::{Buf, Bytes, BytesMut};
+use futures_lite::AsyncWriteExt;
+use smol::{Async, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+
+/// A connection that has not brought a whole request for so long is closed; so is one that stands unused, sooner
+/// where others need its place.
+const WHOLE_S: f64 = 2.4;
+const IDLE_S: f64 = 30.0;
+const IDLE_LEAST_S: f64 = 2.0;
+/// A client that takes nothing for so long has left.
+const STALL_S: f64 = 5.0;
+/// Bytes taken from a client that does not wait for its answer.
+const AHEAD: usize = 32 * 1024;
+
+/// A connection as the table has it.
+struct Standing {
+    /// Unused since then; none: a request is open on it.
+    unused: Cell<Option<f64>>,
+    close: Sender<()>,
+}
+
+pub struct Clients {
+    pub node: Rc<Node>,
+    pub names: Names,
+    /// Connections at once.
+    pub most: usize,
+    standing: RefCell<BTreeMap<u64, Rc<Standing>>>,
+    next: Cell<u64>,
+    /// Each answer is the last of its connection.
+    parting: Cell<bool>,
+}
+
+struct Entry {
+    of: Rc<Clients>,
+    number: u64,
+    me: Rc<Standing>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.of.standing.borrow_mut().remove(&self.number);
+    }
+}
+
+/// Why no request came.
+enum No {
+    /// The connection ended, or is to.
+    Ended,
+    Refused(u16, &'static str),
+}
+
+impl From<Spoilt> for No {
+    fn from(s: Spoilt) -> No {
+        match s {
+            Spoilt::Long => No::Refused(413, "longer than allowed"),
+            Spoilt::Length => No::Refused(400, "a length that cannot be used"),
+            _ => No::Refused(400, "a request that cannot be read"),
+        }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
+
+/// A whole answer.
+fn plain(status: u16, word: &str, come_back_s: Option<f64>, close: bool) -> Vec<u8> {
+    let body = format!("{{\"message\":\"{word}\"}}");
+    let back = come_back_s.map_or(String::new(), |s| format!("retry-after: {s:.3}\r\n"));
+    let close = if close { "connection: close\r\n" } else { "" };
+    let reason = reason(status);
+    let length = body.len();
+    format!("HTTP/1.1 {status} {reason}\r\ncontent-type: application/json\r\n{back}{close}content-length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+impl Clients {
+    pub fn new(node: Rc<Node>, names: Names, most: usize) -> Rc<Clients> {
+        Rc::new(Clients {
+            node,
+            names,
+            most,
+            standing: RefCell::default(),
+            next: Cell::new(0),
+            parting: Cell::new(false),
+        })
+    }
+
+    /// Accepts until dropped.
+    pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let _ = stream.get_ref().set_nodelay(true);
+                    if self.make_room() {
+                        let serving = self.clone().connection(stream);
+                        self.node.ex.spawn(serving).detach();
+                    }
+                }
+                // Out of descriptors, or the peer went while it waited: the next may do.
+                Err(_) => drop(Timer::after(seconds(0.01)).await),
+            }
+        }
+    }
+
+    /// Whether one more connection may stand; the one that has stood unused the longest makes room for it.
+    fn make_room(&self) -> bool {
+        let standing = self.standing.borrow();
+        if standing.len() < self.most {
+            return true;
+        }
+        let unused = standing.values().filter_map(|s| Some((s.unused.get()?, s)));
+        match unused.min_by(|x, y| x.0.total_cmp(&y.0)) {
+            Some((since, s)) if since + IDLE_LEAST_S <= self.node.now() => {
+                s.unused.set(None);
+                s.close.close();
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// From now on each answer is the last of its connection.
+    pub fn part(&self) {
+        self.parting.set(true);
+    }
+
+    /// Connections without an open request are closed.
+    pub fn close_unused(&self) {
+        for s in self.standing.borrow().values().filter(|s| s.unused.get().is_some()) {
+            s.close.close();
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.standing.borrow().len()
+    }
+
+    async fn connection(self: Rc<Self>, mut stream: Async<TcpStream>) {
+        let (close, closing) = async_channel::bounded(1);
+        let me = Rc::new(Standing { unused: Cell::new(Some(self.node.now())), close });
+        let number = self.next.replace(self.next.get() + 1);
+        self.standing.borrow_mut().insert(number, me.clone());
+        let entry = Entry { of: self.clone(), number, me };
+        let mut buf = BytesMut::new();
+        let mut idle_s = WHOLE_S;
+        loop {
+            entry.me.unused.set(Some(self.node.now()));
+            let waited = self.request(&mut stream, &mut buf, idle_s, &closing).await;
+            entry.me.unused.set(None);
+            let again = match waited {
+                Err(No::Ended) => return,
+                Err(No::Refused(status, word)) => {
+                    let _ = within(STALL_S, stream.write_all(&plain(status, word, None, true))).await;
+                    return;
+                }
+                Ok((head, body)) => {
+                    let close = head.close || self.parting.get();
+                    self.serve(&mut stream, &mut buf, head, body, close).await && !close
+                }
+            };
+            if !again {
+                return;
+            }
+            if buf.is_empty() {
+                // Hundreds stand unused for long: none keeps a buffer.
+                buf = BytesMut::new();
+            }
+            idle_s = IDLE_S;
+        }
+    }
+
+    /// The next request, whole.
+    async fn request(
+        &self,
+        stream: &mut Async<TcpStream>,
+        buf: &mut BytesMut,
+        idle_s: f64,
+        closing: &Receiver<()>,
+    ) -> Result<(Head, Bytes), No> {
+        if buf.is_empty() {
+            let first = async { within(idle_s, read(stream, buf)).await };
+            let closed = async {
+                let _ = closing.recv().await;
+                None
+            };
+            match futures_lite::future::or(first, closed).await {
+                Some(Ok(n)) if n > 0 => {}
+                _ => return Err(No::Ended),
+            }
+        }
+        let whole = within(WHOLE_S, whole(stream, buf)).await;
+        whole.unwrap_or(Err(No::Refused(408, "a request that does not end")))
+    }
+
+    /// Answers a request. False: the connection cannot be used any more.
+    async fn serve(
+        self: &Rc<Self>,
+        stream: &mut Async<TcpStream>,
+        buf: &mut BytesMut,
+        head: Head,
+        body: Bytes,
+        close: bool,
+    ) -> bool {
+        let refuse = |status, word| plain(status, word, None, true);
+        let answer = match (head.method.as_str(), head.path()) {
+            ("GET", READY) if self.parting.get() => plain(503, "leaving", None, true),
+            ("GET", READY) => plain(200, "ready", None, close),
+            ("POST", CHAT) => match head.ask(&self.names, &body) {
+                Err(word) => refuse(400, word),
+                Ok(ask) => {
+                    let id = ask.name.as_deref().unwrap_or_default();
+                    if self.node.is_open(id) {
+                        refuse(409, "a request with this id is open")
+                    } else {
+                        let passed = Passed::new(&head, id, body);
+                        match self.node.take(&ask, passed) {
+                            Err(_) => plain(503, "no room", None, close),
+                            Ok((taken, reply)) => return self.reply(stream, buf, taken, reply, close).await,
+                        }
+                    }
+                }
+            },
+            (_, CHAT | READY) => refuse(405, "no such call"),
+            _ => refuse(404, "no such call"),
+        };
+        let last = answer.windows(19).any(|w| w == b"connection: close\r\n");
+        matches!(within(STALL_S, stream.write_all(&answer)).await, Some(Ok(()))) && !last
+    }
+
+    /// Waits for the answer and writes it as it comes, while it is seen whether the client stays.
+    async fn reply(
+        &self,
+        stream: &mut Async<TcpStream>,
+        buf: &mut BytesMut,
+        mut taken: crate::node::Taken,
+        reply: Receiver<Reply>,
+        close: bool,
+    ) -> bool {
+        let Some(first) = stays(stream, buf, reply.recv()).await else { return false };
+        let answer = match first {
+            Ok(Reply::Stream(from)) => {
+                let whole = self.stream(stream, buf, from, close).await;
+                taken.over = whole;
+                return whole;
+            }
+            Ok(Reply::Shed(back)) => plain(503, "no engine has room in time", back, close),
+            Ok(Reply::Errored) | Err(_) => plain(504, "no answer began in time", None, close),
+        };
+        taken.over = true;
+        // Its id is free with its answer.
+        drop(taken);
+        matches!(within(STALL_S, stream.write_all(&answer)).await, Some(Ok(())))
+    }
+
+    /// Passes a stream on. False: it broke, and the connection ends without its last chunk.
+    async fn stream(
+        &self,
+        stream: &mut Async<TcpStream>,
+        buf: &mut BytesMut,
+        from: Receiver<Piece>,
+        close: bool,
+    ) -> bool {
+        let close = if close { "connection: close\r\n" } else { "" };
+        let mut out = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-cache\r\n{close}transfer-encoding: chunked\r\n\r\n"
+        )
+        .into_bytes();
+        loop {
+            let Some(Ok(first)) = stays(stream, buf, from.recv()).await else { return false };
+            let mut next = Some(first);
+            let mut last = false;
+            while let Some(piece) = next {
+                match piece {
+                    Piece::Data(d) => {
+                        out.extend_from_slice(format!("{:x}\r\n", d.len()).as_bytes());
+                        out.extend_from_slice(&d);
+                        out.extend_from_slice(b"\r\n");
+                    }
+                    Piece::Last => {
+                        out.extend_from_slice(b"0\r\n\r\n");
+                        last = true;
+                    }
+                }
+                next = from.try_recv().ok().filter(|_| !last);
+            }
+            match within(STALL_S, stream.write_all(&out)).await {
+                Some(Ok(())) if last => return true,
+                Some(Ok(())) => out.clear(),
+                _ => return false,
+            }
+        }
+    }
+}
+
+/// The future's result; none when the client goes first.
+async fn stays<T>(
+    stream: &mut Async<TcpStream>,
+    buf: &mut BytesMut,
+    f: impl std::future::Future<Output = T>,
+) -> Option<T> {
+    let gone = async {
+        loop {
+            if buf.len() > AHEAD {
+                // More is not taken before the answer; whether it stays shows when that is written.
+                std::future::pending::<()>().await;
+            }
+            if !matches!(read(stream, buf).await, Ok(n) if n > 0) {
+                return None;
+            }
+        }
+    };
+    futures_lite::future::or(async { Some(f.await) }, gone).await
+}
+
+/// A whole request off the stream.
+async fn whole(stream: &mut Async<TcpStream>, buf: &mut BytesMut) -> Result<(Head, Bytes), No> {
+    let (head, n) = loop {
+        if let Some(found) = request::head(buf)? {
+            break found;
+        }
+        more(stream, buf).await?;
+    };
+    buf.advance(n);
+    let body = match head.framing {
+        Framing::Unsaid => Bytes::new(),
+        Framing::Length(n) if n > MOST_BODY => return Err(Spoilt::Long.into()),
+        Framing::Length(n) => {
+            while buf.len() < n {
+                more(stream, buf).await?;
+            }
+            buf.split_to(n).freeze()
+        }
+        Framing::Chunked => {
+            let mut body = BytesMut::new();
+            loop {
+                match chunks::next(buf)? {
+                    Some(Piece::Last) => break body.freeze(),
+                    Some(Piece::Data(d)) if body.len() + d.len() > MOST_BODY => {
+                        return Err(Spoilt::Long.into())
+                    }
+                    Some(Piece::Data(d)) => body.extend_from_slice(&d),
+                    None => more(stream, buf).await?,
+                }
+            }
+        }
+    };
+    Ok((head, body))
+}
+
+async fn more(stream: &mut Async<TcpStream>, buf: &mut BytesMut) -> Result<(), No> {
+    match read(stream, buf).await {
+        Ok(n) if n > 0 => Ok(()),
+        _ => Err(No::Ended),
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-platform/src/core/list.rs
@@ -0,0 +1,100 @@
+//! The list of engines as discovery tells it: whole, or what has changed of it.
+
+use nickelgw::interface::Role;
+use nickelgw_protocol::list::{self, Line, List, State, MOST_LINES};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: Option<u32>,
+    lifecycle: String,
+    #[serde(default)]
+    started_at_ms: Option<f64>,
+}
+
+/// One answer of discovery.
+#[derive(Clone, Debug, Deserialize)]
+pub struct News {
+    pub generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Instance>,
+}
+
+impl News {
+    pub fn parse(bytes: &[u8]) -> Result<News, String> {
+        serde_json::from_slice(bytes).map_err(|e| e.to_string())
+    }
+}
+
+/// The engines as last told.
+pub struct Roll {
+    kinds: Vec<(String, Role, f64)>,
+    by_id: BTreeMap<String, Line>,
+    told: u64,
+}
+
+impl Roll {
+    pub fn new(kinds: Vec<(String, Role, f64)>) -> Roll {
+        Roll { kinds, by_id: BTreeMap::new(), told: 0 }
+    }
+
+    /// An entry of a kind that the settings do not name cannot be used: it is as one that is not there.
+    fn line(&self, i: Instance) -> Option<Line> {
+        let (_, role, memory_tokens) = self.kinds.iter().find(|k| k.0 == i.machine_type)?;
+        Some(Line {
+            role: match role {
+                Role::Read => list::Role::Read,
+                Role::Write => list::Role::Write,
+                Role::Both => list::Role::Both,
+            },
+            memory_tokens: memory_tokens.max(1.0),
+            state: if i.lifecycle == "up" { State::In } else { State::Draining },
+            started_at: i.started_at_ms.filter(|ms| *ms > 0.0).map(|ms| ms / 1e3),
+            id: i.instance_id,
+            address: i.host_port,
+            tls_name: None,
+            zone: i.zone,
+            cell: i.cell.unwrap_or(0),
+        })
+    }
+
+    pub fn hear(&mut self, news: News) {
+        if news.reset {
+            self.by_id.clear();
+        }
+        for i in news.instances {
+            let id = i.instance_id.clone();
+            let line = if i.lifecycle == "removed" { None } else { self.line(i) };
+            match line {
+                Some(line) if self.by_id.len() < MOST_LINES || self.by_id.contains_key(&id) => {
+                    self.by_id.insert(id, line);
+                }
+                _ => drop(self.by_id.remove(&id)),
+            }
+        }
+        self.told += 1;
+    }
+
+    /// The whole list as it is now. Its revision counts what was heard: another agent may count otherwise.
+    pub fn list(&self) -> List {
+        List { revision: self.told, engines: self.by_id.values().cloned().collect() }
+    }
+
+    /// Addresses that a call which any engine may take is tried at: the first one named, then others.
+    pub fn others<'a>(&'a self, first: &'a str) -> impl Iterator<Item = &'a str> {
+        let other = move |l: &&Line| l.address != first && l.state == State::In;
+        std::iter::once(first).chain(self.by_id.values().filter(other).map(|l| l.address.as_str()))
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-platform/src/core/request.rs
@@ -0,0 +1,144 @@
+//! A client's request: what its head asks for, and what is refused at the door.
+
+use super::{closes, framing, names, Framing, Spoilt, MOST_HEAD, MOST_HEADERS};
+use nickelgw_node::core::Ask;
+use std::fmt::Write;
+
+pub const CHAT: &str = "/v1/chat/completions";
+pub const READY: &str = "/healthz";
+/// Characters of a prompt token: no prompt has more tokens than its body has characters.
+const LONGEST_ID: usize = 64;
+
+/// A request's head, as far as it is read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    pub method: String,
+    /// Path and query, unchanged.
+    pub target: String,
+    pub framing: Framing,
+    pub close: bool,
+    /// Header lines that engines are passed as they came.
+    pub passed: String,
+    id: Option<String>,
+    class: Option<String>,
+    tenant: Option<String>,
+    session: Option<String>,
+    budget: Option<String>,
+    info: Option<String>,
+}
+
+/// Takes a head off the front of the bytes, with its length; none until it is whole.
+pub fn head(bytes: &[u8]) -> Result<Option<(Head, usize)>, Spoilt> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut r = httparse::Request::new(&mut headers);
+    let n = match r.parse(bytes) {
+        Err(_) => return Err(Spoilt::Head),
+        Ok(httparse::Status::Partial) if bytes.len() > MOST_HEAD => return Err(Spoilt::Long),
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Ok(httparse::Status::Complete(n)) => n,
+    };
+    let (Some(method), Some(target), Some(version)) = (r.method, r.path, r.version) else {
+        return Err(Spoilt::Head);
+    };
+    let mut h = Head {
+        method: method.to_string(),
+        target: target.to_string(),
+        framing: framing(r.headers)?,
+        close: version == 0 || closes(r.headers),
+        passed: String::new(),
+        id: None,
+        class: None,
+        tenant: None,
+        session: None,
+        budget: None,
+        info: None,
+    };
+    for header in r.headers.iter() {
+        let name = header.name.to_ascii_lowercase();
+        let slot = match name.as_str() {
+            names::ID => &mut h.id,
+            names::CLASS => &mut h.class,
+            names::TENANT => &mut h.tenant,
+            names::SESSION => &mut h.session,
+            names::BUDGET => &mut h.budget,
+            names::INFO => &mut h.info,
+            _ => continue,
+        };
+        let value = std::str::from_utf8(header.value).map_err(|_| Spoilt::Head)?.trim();
+        // Twice told is not told.
+        if slot.replace(value.to_string()).is_some() {
+            return Err(Spoilt::Head);
+        }
+        if name != names::BUDGET {
+            let _ = write!(h.passed, "{}: {value}\r\n", header.name);
+        }
+    }
+    Ok(Some((h, n)))
+}
+
+/// Names that requests go by.
+pub struct Names {
+    pub routes: Vec<String>,
+    pub tenants: Vec<String>,
+}
+
+/// What of a request cannot be used, for its answer.
+pub type Unusable = &'static str;
+
+impl Head {
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// What is asked for, by a body of this length.
+    pub fn ask(&self, names: &Names, body: &[u8]) -> Result<Ask, Unusable> {
+        let id = self.id.as_deref().ok_or("a request without an id")?;
+        let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+        if id.is_empty() || id.len() > LONGEST_ID || !id.bytes().all(plain) {
+            return Err("an id that is none");
+        }
+        let class = self.class.as_deref().ok_or("a request without a class")?;
+        let route = names.routes.iter().position(|r| r == class).ok_or("a class that is not known")?;
+        let tenant = match &self.tenant {
+            Some(t) if !names.tenants.is_empty() => {
+                Some(names.tenants.iter().position(|n| n == t).ok_or("a caller that is not known")?)
+            }
+            _ => None,
+        };
+        let budget = self.budget.as_deref().ok_or("a request without a budget")?;
+        let whole = budget.len() <= 9 && !budget.is_empty() && budget.bytes().all(|b| b.is_ascii_digit());
+        let budget: f64 = budget.parse().ok().filter(|_| whole).ok_or("a budget that is no number")?;
+        let mut ask = Ask {
+            name: Some(id.to_string()),
+            route,
+            tenant,
+            timeout_s: budget / 1e3,
+            whole_within_s: None,
+            prompt_tokens: 0.0,
+            prefix_tokens: 0.0,
+            session: self.session.clone().unwrap_or_default(),
+            prefix: None,
+        };
+        let most = body.len() as f64;
+        let tokens = |v: &str| {
+            let digits = !v.is_empty() && v.len() <= 9 && v.bytes().all(|b| b.is_ascii_digit());
+            // No text has more tokens than characters; a length beyond that would spoil what is learnt.
+            v.parse::<f64>().ok().filter(|t| digits && *t <= most).ok_or("a length that cannot be")
+        };
+        for field in self.info.as_deref().unwrap_or_default().split(',') {
+            match field.trim().split_once('=') {
+                Some(("prefix", v)) if !v.is_empty() => ask.prefix = Some(v.to_string()),
+                Some(("prompt_len", v)) => ask.prompt_tokens = tokens(v)?,
+                Some(("prefix_len", v)) => ask.prefix_tokens = tokens(v)?,
+                _ => {}
+            }
+        }
+        if ask.prefix_tokens > ask.prompt_tokens {
+            return Err("a beginning longer than its prompt");
+        }
+        if serde_json::from_slice::<serde::de::IgnoredAny>(body).is_err() {
+            return Err("a body that is not JSON");
+        }
+        Ok(ask)
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -0,0 +1,125 @@
+//! A node on the operators' platform: their protocol in and out, their list, their starts and stops, around the core
+//! that all fronts share. Everything runs on one thread and writes no files.
+
+mod clients;
+pub mod core;
+mod discovery;
+mod node;
+pub mod start;
+mod wire;
+
+use crate::core::list::Roll;
+use crate::core::request::Names;
+use async_channel::Receiver;
+use clients::Clients;
+use nickelgw_node::core::{Core, Figures};
+use node::Node;
+use smol::{Async, LocalExecutor, Timer};
+use start::Start;
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use wire::{seconds, Pool};
+
+/// What the process is told to do, in service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// To go, without losing what is open.
+    Leave,
+    /// The configuration has changed.
+    Renew,
+}
+
+/// A stream silent for so long is lost: a client may not be left waiting 5 s after an engine's last event.
+const STREAM_IDLE_S: f64 = 4.0;
+/// A call that lets go is repeated for so long.
+const LET_GO_S: f64 = 3.0;
+/// After the word to go new requests still come for a while; those open are then given so long to begin.
+const STILL_COMING_S: f64 = 0.5;
+const LAST_BEGIN_S: f64 = 2.8;
+/// Parts of the descriptors for clients' connections and for engines'.
+const FOR_CLIENTS: f64 = 0.55;
+const FOR_ENGINES: f64 = 0.4;
+
+/// Serves until it is told to go and has gone, or the future is dropped.
+pub async fn run(
+    listener: TcpListener,
+    start: Start,
+    config: Option<PathBuf>,
+    orders: Receiver<Order>,
+) -> std::io::Result<()> {
+    let began = Instant::now();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+    let listener = Async::new(listener)?;
+    let ex = Rc::new(LocalExecutor::new());
+    let names = Names { routes: start.told.routes, tenants: start.told.tenants };
+    let figures = Figures {
+        boot: String::new(),
+        epoch_unix_s: unix,
+        zones: start.told.zones,
+        most_open: start.most_open,
+        stream_idle_s: STREAM_IDLE_S,
+        let_go_within_s: LET_GO_S,
+        // What an earlier process left is freed by the platform.
+        sweep_s: (-1.0, -1.0),
+        come_back_s: 1.0,
+        grants: None,
+        fair: None,
+        tenant_most_open: Vec::new(),
+    };
+    let core = Core::new(start.told.deployment, figures);
+    let part = |share: f64| (share * start.sockets as f64) as usize;
+    // A connection about to be closed at the far side would break what is sent on it.
+    let pool = Pool::new(start.connect_s, 0.6 * start.idle_s, part(FOR_ENGINES));
+    let probe = if start.reports { "/load" } else { "/healthz" };
+    let roll = Roll::new(start.told.kinds);
+    let node = Node::new(core, roll, ex.clone(), pool.clone(), began, start.connect_s, probe);
+    if let Some(known) = start.known {
+        node.hear(known);
+    }
+    let address = Rc::new(RefCell::new(start.discovery));
+    let (moved, moves) = async_channel::bounded(1);
+    let clients = Clients::new(node.clone(), names, part(FOR_CLIENTS));
+    let following = ex.spawn(discovery::follow(node.clone(), address.clone(), moves));
+    let tending = ex.spawn(pool.tend());
+    let driving = ex.spawn(node.clone().drive());
+    let mut accepting = Some(ex.spawn(clients.clone().accept(listener)));
+    let living = async {
+        while let Ok(order) = orders.recv().await {
+            if order == Order::Leave {
+                break;
+            }
+            match config.as_deref().map(start::discovery) {
+                Some(Ok(now)) => {
+                    *address.borrow_mut() = now;
+                    let _ = moved.try_send(());
+                }
+                // The old one goes on counting: half a configuration is none.
+                Some(Err(why)) => tracing::warn!(why, "the configuration was not taken"),
+                None => {}
+            }
+        }
+        clients.part();
+        Timer::after(seconds(STILL_COMING_S)).await;
+        accepting.take();
+        node.core.borrow_mut().refuse_work();
+        let until = node.now() + LAST_BEGIN_S;
+        let mut ended = false;
+        loop {
+            clients.close_unused();
+            if node.is_quiet() && clients.len() == 0 {
+                return;
+            }
+            if !ended && node.now() >= until {
+                ended = true;
+                node.end_waiting();
+            }
+            Timer::after(seconds(0.02)).await;
+        }
+    };
+    ex.run(living).await;
+    drop((following, tending, driving));
+    Ok(())
+}
--- /dev/null
+++ b/crates/nickelgw-platform/src/node.rs
@@ -0,0 +1,391 @@
+//! The node's core on the platform's sockets: what it says is done, what happens is told to it. All on one thread.
+
+use crate::core::chunks::Piece;
+use crate::core::engine::{self, Passed};
+use crate::core::list::{News, Roll};
+use crate::core::{names, Framing};
+use crate::wire::{by, seconds, within, Pool};
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use nickelgw_node::core::{Answer, Ask, Cause, Core, Do, End, Order, Place, Refusal, Ticket, Work};
+use nickelgw_protocol::load::LoadReport;
+use smol::{LocalExecutor, Task, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Events that may wait for a slow client before its writer is slowed.
+const AHEAD: usize = 32;
+/// Engines that a call to let go is tried at, within its time.
+const TRIED: usize = 3;
+
+/// The client's side of a request.
+pub struct Job {
+    pub passed: Rc<Passed>,
+    pub reply: Sender<Reply>,
+}
+
+pub enum Reply {
+    /// The stream's pieces; it is whole only where [`Piece::Last`] ends it.
+    Stream(Receiver<Piece>),
+    /// Refused: trying again is harmless, where said after so long.
+    Shed(Option<f64>),
+    Errored,
+}
+
+/// A send's task, and whether all of it has gone out.
+type Out = (Task<()>, Rc<Cell<bool>>);
+
+pub struct Node {
+    pub core: RefCell<Core>,
+    pub roll: RefCell<Roll>,
+    pub ex: Rc<LocalExecutor<'static>>,
+    pub pool: Rc<Pool>,
+    pub began: Instant,
+    /// For a probe, or a call that lets go, to be answered.
+    pub short_s: f64,
+    pub probe: &'static str,
+    jobs: RefCell<HashMap<Ticket, Job>>,
+    /// Sends out; dropped, a send is called off.
+    sends: RefCell<HashMap<(Ticket, u32), Out>>,
+    /// Ids of the requests open.
+    ids: RefCell<HashSet<String>>,
+    poke: Sender<()>,
+    poked: Receiver<()>,
+}
+
+/// A request taken; dropped, its client has gone.
+pub struct Taken {
+    node: Rc<Node>,
+    id: String,
+    ticket: Ticket,
+    pub over: bool,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.node.ids.borrow_mut().remove(&self.id);
+        if !self.over {
+            self.node.jobs.borrow_mut().remove(&self.ticket);
+            self.node.core.borrow_mut().left(self.node.now(), self.ticket);
+            self.node.look();
+        }
+    }
+}
+
+impl Node {
+    pub fn new(
+        core: Core,
+        roll: Roll,
+        ex: Rc<LocalExecutor<'static>>,
+        pool: Rc<Pool>,
+        began: Instant,
+        short_s: f64,
+        probe: &'static str,
+    ) -> Rc<Node> {
+        let (poke, poked) = async_channel::bounded(1);
+        Rc::new(Node {
+            core: RefCell::new(core),
+            roll: RefCell::new(roll),
+            ex,
+            pool,
+            began,
+            short_s,
+            probe,
+            jobs: RefCell::default(),
+            sends: RefCell::default(),
+            ids: RefCell::default(),
+            poke,
+            poked,
+        })
+    }
+
+    pub fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
+    /// Something has happened: the core is asked what to do once those that are ready have told theirs.
+    pub fn look(&self) {
+        let _ = self.poke.try_send(());
+    }
+
+    pub fn hear(&self, news: News) {
+        self.roll.borrow_mut().hear(news);
+        let list = self.roll.borrow().list();
+        self.core.borrow_mut().list(self.now(), &list);
+        self.look();
+    }
+
+    /// Whether the id is that of a request open: engines could not tell the two apart.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.ids.borrow().contains(id)
+    }
+
+    pub fn take(self: &Rc<Self>, ask: &Ask, passed: Passed) -> Result<(Taken, Receiver<Reply>), Refusal> {
+        let ticket = self.core.borrow_mut().take(self.now(), ask)?;
+        let (reply, replied) = async_channel::bounded(1);
+        let id = passed.id.clone();
+        self.ids.borrow_mut().insert(id.clone());
+        self.jobs.borrow_mut().insert(ticket, Job { passed: Rc::new(passed), reply });
+        self.look();
+        Ok((Taken { node: self.clone(), id, ticket, over: false }, replied))
+    }
+
+    /// Does what the core says, whenever something has happened or its time has come; until dropped.
+    pub async fn drive(self: Rc<Self>) {
+        let mut wake_at = None;
+        loop {
+            let at = match wake_at {
+                Some(at) => Timer::after(seconds(at - self.now())),
+                None => Timer::never(),
+            };
+            let poked = async {
+                let _ = self.poked.recv().await;
+            };
+            let due = async {
+                at.await;
+            };
+            futures_lite::future::or(poked, due).await;
+            wake_at = self.act();
+        }
+    }
+
+    fn act(self: &Rc<Self>) -> Option<f64> {
+        let now = self.now();
+        loop {
+            let actions = self.core.borrow_mut().act(now);
+            let mut again = false;
+            for d in actions.todo {
+                match d {
+                    Do::Send(order) => again |= !self.send(now, order),
+                    Do::CallOff { ticket, send } => {
+                        let Some((task, out)) = self.sends.borrow_mut().remove(&(ticket, send)) else {
+                            continue;
+                        };
+                        drop(task);
+                        let cause = if out.get() { Cause::CalledOff } else { Cause::NoConnection };
+                        self.core.borrow_mut().ended(now, ticket, send, End { cause, ..End::default() });
+                        again = true;
+                    }
+                    Do::Answer { ticket, answer } => self.answer(ticket, answer),
+                    Do::LetGo { call, state } => {
+                        let node = self.clone();
+                        let task = async move {
+                            let done = node.let_go(&state.name, &state.reader).await;
+                            node.core.borrow_mut().let_go(node.now(), call, done);
+                            node.look();
+                        };
+                        self.ex.spawn(task).detach();
+                    }
+                    Do::Probe(place) => self.ex.spawn(self.clone().probe(place)).detach(),
+                    // What earlier processes left here is freed by the platform, and the list comes unasked.
+                    Do::Sweep(_) | Do::AskList => {}
+                }
+            }
+            if !again {
+                return actions.wake_at;
+            }
+        }
+    }
+
+    fn answer(&self, ticket: Ticket, answer: Answer) {
+        // Begun streams were ended where their end was heard.
+        let Some(job) = self.jobs.borrow_mut().remove(&ticket) else { return };
+        let reply = match answer {
+            Answer::Shed { come_back_s } => Reply::Shed(come_back_s),
+            Answer::Errored(_) | Answer::Completed => Reply::Errored,
+        };
+        let _ = job.reply.try_send(reply);
+    }
+
+    /// Begins a send. False: there is no client for it any more.
+    fn send(self: &Rc<Self>, now: f64, order: Order) -> bool {
+        let passed = self.jobs.borrow().get(&order.ticket).map(|j| j.passed.clone());
+        let (ticket, send) = (order.ticket, order.send);
+        let Some(passed) = passed else {
+            self.core.borrow_mut().ended(now, ticket, send, End::default());
+            return false;
+        };
+        let out = Rc::new(Cell::new(false));
+        let (node, gone) = (self.clone(), out.clone());
+        let task = self.ex.spawn(async move {
+            let end = node.exchange(&order, &passed, &gone).await;
+            // Not called off any more: it ends by itself.
+            if let Some((task, _)) = node.sends.borrow_mut().remove(&(ticket, send)) {
+                task.detach();
+            }
+            node.core.borrow_mut().ended(node.now(), ticket, send, end);
+            node.look();
+        });
+        self.sends.borrow_mut().insert((ticket, send), (task, out));
+        true
+    }
+
+    async fn exchange(&self, order: &Order, passed: &Passed, out: &Cell<bool>) -> End {
+        // From the order on, not from each step.
+        let until = Instant::now() + seconds(order.patience_s);
+        match order.what {
+            Work::Read => by(until, self.read(order, passed, out)).await.unwrap_or_else(|| overdue(out)),
+            Work::Write { idle_s, .. } => match by(until, self.begin(order, passed, out)).await {
+                None => overdue(out),
+                Some(Err(end)) => end,
+                Some(Ok(stream)) => self.pass_on(order, stream, idle_s).await,
+            },
+        }
+    }
+
+    async fn read(&self, order: &Order, passed: &Passed, out: &Cell<bool>) -> End {
+        match self.ask(order, passed, out).await {
+            Err(end) => end,
+            Ok((_, answer)) if answer.events => End { cause: Cause::Garbled, ..End::default() },
+            Ok((c, answer)) => self.rest(c, answer, true).await,
+        }
+    }
+
+    /// The request is written and the head of its answer is there.
+    async fn ask(
+        &self,
+        order: &Order,
+        passed: &Passed,
+        out: &Cell<bool>,
+    ) -> Result<(crate::wire::Connection, engine::Answer), End> {
+        let ask = async {
+            let mut c = self.pool.connection(&order.eng.address).await?;
+            c.write(&passed.bytes(&order.eng.address, order.patience_s), out).await?;
+            let answer = c.answer().await?;
+            Ok((c, answer))
+        };
+        ask.await.map_err(|cause| End { cause, ..End::default() })
+    }
+
+    /// An answer that is no stream, to its end.
+    async fn rest(&self, mut c: crate::wire::Connection, answer: engine::Answer, read: bool) -> End {
+        let cause = engine::cause(&answer, read);
+        // Its status has settled it: a body that breaks off changes nothing but the connection.
+        let kept = match c.body(&answer).await {
+            Ok((body, again)) => {
+                if again {
+                    self.pool.give_back(c);
+                }
+                engine::kept(&body)
+            }
+            Err(_) => 0.0,
+        };
+        End { cause, load: answer.report, kept }
+    }
+
+    /// Up to the first piece of the stream, which is whole before anything of it is passed on.
+    async fn begin(&self, order: &Order, passed: &Passed, out: &Cell<bool>) -> Result<Stream, End> {
+        let (mut c, answer) = self.ask(order, passed, out).await?;
+        if answer.status != 200 {
+            return Err(self.rest(c, answer, false).await);
+        }
+        let garbled = || End { cause: Cause::Garbled, ..End::default() };
+        if !answer.events || answer.framing != Framing::Chunked {
+            return Err(garbled());
+        }
+        match c.piece().await {
+            Ok(Piece::Data(first)) if first.starts_with(b"data:") || first.starts_with(b":") => {
+                Ok(Stream { c, first, again: !answer.close, report: answer.report })
+            }
+            Ok(_) => Err(garbled()),
+            Err(cause) => Err(End { cause, ..End::default() }),
+        }
+    }
+
+    /// Passes a begun stream on as it comes, and says how it ended.
+    async fn pass_on(&self, order: &Order, mut s: Stream, idle_s: f64) -> End {
+        let ended = |cause, load| End { cause, load, kept: 0.0 };
+        if !self.core.borrow_mut().began(self.now(), order.ticket, order.send) {
+            return ended(Cause::CalledOff, None);
+        }
+        self.look();
+        // The answer is this stream from now on.
+        let Some(job) = self.jobs.borrow_mut().remove(&order.ticket) else {
+            return ended(Cause::CalledOff, None);
+        };
+        let (to, from) = async_channel::bounded(AHEAD);
+        let _ = job.reply.try_send(Reply::Stream(from));
+        let mut load: Option<LoadReport> = s.report.take();
+        let mut next = Ok(Piece::Data(std::mem::take(&mut s.first)));
+        loop {
+            match next {
+                Ok(piece) => {
+                    if let Piece::Data(d) = &piece {
+                        load = engine::comment(d).or(load);
+                    }
+                    let last = piece == Piece::Last;
+                    if to.send(piece).await.is_err() {
+                        return ended(Cause::CalledOff, None);
+                    }
+                    if last {
+                        if s.again {
+                            self.pool.give_back(s.c);
+                        }
+                        return ended(Cause::Completed, load);
+                    }
+                }
+                Err(cause) => return ended(cause, None),
+            }
+            next = within(idle_s, s.c.piece()).await.unwrap_or(Err(Cause::NoAnswer));
+        }
+    }
+
+    async fn probe(self: Rc<Self>, place: Rc<Place>) {
+        let (cause, load) = match self.pool.short(self.short_s, "GET", self.probe, &place.address).await {
+            Err(cause) => (cause, None),
+            Ok((answer, body)) => {
+                let told = std::str::from_utf8(&body).ok().and_then(|b| engine::report(b.trim()));
+                let cause = match answer.status {
+                    200 => Cause::Completed,
+                    // It answers, and has no room now.
+                    503 => Cause::TurnedAway,
+                    status => Cause::Failed(status),
+                };
+                (cause, answer.report.or(told))
+            }
+        };
+        self.core.borrow_mut().probed(self.now(), &place.id, cause, load);
+        self.look();
+    }
+
+    /// Lets go of all that is held for the request: at the reader that has it, or, since any engine takes the call,
+    /// at another when that one cannot be reached.
+    async fn let_go(&self, id: &str, reader: &Place) -> bool {
+        let target = format!("{}{id}", names::HELD);
+        let tried: Vec<String> =
+            self.roll.borrow().others(&reader.address).take(TRIED).map(str::to_string).collect();
+        for address in tried {
+            let answer = self.pool.short(self.short_s, "DELETE", &target, &address).await;
+            if answer.is_ok_and(|(a, _)| a.status < 300) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// What has not begun is given up; streams go on.
+    pub fn end_waiting(&self) {
+        self.core.borrow_mut().end_waiting(self.now());
+        self.look();
+    }
+
+    /// Whether no send is out and no state is still to be let go of.
+    pub fn is_quiet(&self) -> bool {
+        self.core.borrow().is_quiet()
+    }
+}
+
+fn overdue(out: &Cell<bool>) -> End {
+    let cause = if out.get() { Cause::NoAnswer } else { Cause::NoConnection };
+    End { cause, ..End::default() }
+}
+
+/// A stream that has begun.
+struct Stream {
+    c: crate::wire::Connection,
+    first: Bytes,
+    again: bool,
+    report: Option<LoadReport>,
+}
--- /dev/null
+++ b/crates/nickelgw-platform/src/start.rs
@@ -0,0 +1,73 @@
+//! What a node is told at its start: the environment and the configuration, which must agree.
+
+use crate::core::list::News;
+use nickelgw_options::fields::{num_or, text, Bad};
+use nickelgw_options::{inner, Told};
+use serde_json::Value;
+use std::path::Path;
+
+/// The node's configuration, read whole or not at all.
+pub struct Start {
+    pub listen: String,
+    pub discovery: String,
+    pub told: Told,
+    pub known: Option<News>,
+    pub sockets: usize,
+    pub most_open: usize,
+    pub connect_s: f64,
+    /// Engines close what has stood unused for so long.
+    pub idle_s: f64,
+    /// Whether a probe is answered with a load report.
+    pub reports: bool,
+}
+
+/// Where it is read from, in the environment.
+pub const CONFIG: &str = "RELAY_CONFIG";
+const SAME: [(&str, &str); 3] =
+    [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")];
+
+fn file(path: &Path) -> Result<Value, String> {
+    let bytes = std::fs::read(path).map_err(|e| format!("{}: cannot be read: {e}", path.display()))?;
+    serde_json::from_slice(&bytes).map_err(|e| format!("{}: is not JSON: {e}", path.display()))
+}
+
+/// Only where discovery is now: a new configuration while the node serves.
+pub fn discovery(path: &Path) -> Result<String, String> {
+    let v = file(path)?;
+    text(&v, "discovery").map(str::to_string).map_err(|Bad(why)| format!("{}: {why}", path.display()))
+}
+
+impl Start {
+    pub fn read(path: &Path, env: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+        let v = file(path)?;
+        Start::parse(&v, env).map_err(|Bad(why)| format!("{}: {why}", path.display()))
+    }
+
+    pub fn parse(v: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Start, Bad> {
+        for (variable, field) in SAME {
+            if env(variable).is_some_and(|told| v.get(field).and_then(Value::as_str) != Some(&told)) {
+                return Err(Bad(format!("field {field} is not what {variable} says")));
+            }
+        }
+        let seed = u64::from_str_radix(text(v, "seed")?, 16);
+        let seed = seed.map_err(|_| Bad("field seed is not a number in hexadecimal".into()))?;
+        let settings = inner(v, "settings")?;
+        let allowed = inner(settings, "limits")?;
+        let own = inner(v, "limits")?;
+        let known = match v.get("known") {
+            None | Some(Value::Null) => None,
+            Some(k) => Some(serde_json::from_value(k.clone()).map_err(|e| Bad(format!("field known: {e}")))?),
+        };
+        Ok(Start {
+            listen: text(v, "listen")?.to_string(),
+            discovery: text(v, "discovery")?.to_string(),
+            told: Told::read(settings, seed)?,
+            known,
+            sockets: num_or(own, "sockets", 1024.0)?.max(64.0) as usize,
+            most_open: num_or(allowed, "max_open", 20_000.0)?.max(1.0) as usize,
+            connect_s: num_or(allowed, "connect_timeout_s", 0.25)?.clamp(0.01, 10.0),
+            idle_s: num_or(allowed, "idle_close_s", 15.0)?.clamp(0.1, 3600.0),
+            reports: settings.pointer("/reporting/how").and_then(Value::as_str) != Some("silent"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -0,0 +1,237 @@
+//! Connections towards engines and discovery, on plain sockets: hyper cannot tell when a request's last byte has gone,
+//! which is what settles whether it may have run.
+
+use crate::core::chunks::{self, Piece};
+use crate::core::engine::{self, Answer};
+use crate::core::{Framing, Spoilt, MOST_BODY};
+use bytes::{Buf, BytesMut};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use nickelgw_node::core::Cause;
+use smol::{Async, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Bytes read at once.
+const READ: usize = 8 * 1024;
+/// Interim answers before the one that counts.
+const MOST_INTERIM: usize = 16;
+
+pub fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s.clamp(0.0, 86_400.0))
+}
+
+/// The future's result, or none when so many seconds have passed.
+pub async fn within<T>(s: f64, f: impl std::future::Future<Output = T>) -> Option<T> {
+    by(Instant::now() + seconds(s), f).await
+}
+
+/// The future's result, or none when the time has come.
+pub async fn by<T>(until: Instant, f: impl std::future::Future<Output = T>) -> Option<T> {
+    futures_lite::future::or(async { Some(f.await) }, async {
+        Timer::at(until).await;
+        None
+    })
+    .await
+}
+
+/// Reads what is there onto the buffer; 0 at the end. Dropped while it waits it has taken nothing.
+pub async fn read(stream: &mut Async<TcpStream>, buf: &mut BytesMut) -> io::Result<usize> {
+    let mut some = [0; READ];
+    let n = stream.read(&mut some).await?;
+    buf.extend_from_slice(&some[..n]);
+    Ok(n)
+}
+
+/// A connection of ours; dropped it closes, by which the far side knows that nobody waits.
+pub struct Connection {
+    address: String,
+    stream: Async<TcpStream>,
+    buf: BytesMut,
+    since: Instant,
+    count: Rc<Cell<usize>>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
+
+impl Connection {
+    /// Nothing came or ended while it stood unused.
+    fn is_sound(&self) -> bool {
+        let quiet = self.stream.get_ref().peek(&mut [0]);
+        self.buf.is_empty() && matches!(quiet, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    async fn more(&mut self) -> Result<(), Cause> {
+        match read(&mut self.stream, &mut self.buf).await {
+            Ok(0) | Err(_) => Err(Cause::Lost),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Writes a request. Until its last byte is handed over it is known not to have run.
+    pub async fn write(&mut self, bytes: &[u8], out: &Cell<bool>) -> Result<(), Cause> {
+        let Some((last, before)) = bytes.split_last() else { return Ok(()) };
+        let mut at = 0;
+        while at < before.len() {
+            // The last byte goes with the rest, as soon as the rest fits in one piece.
+            let n = self.stream.write(&bytes[at..]).await.map_err(|_| Cause::NoConnection)?;
+            at += n;
+            if at == bytes.len() {
+                out.set(true);
+                return Ok(());
+            }
+        }
+        let sent = self.stream.write_all(std::slice::from_ref(last)).await;
+        sent.map_err(|_| Cause::NoConnection)?;
+        out.set(true);
+        Ok(())
+    }
+
+    /// The head of the answer that counts: interim ones before it are passed over.
+    pub async fn answer(&mut self) -> Result<Answer, Cause> {
+        for _ in 0..MOST_INTERIM {
+            let (answer, n) = loop {
+                if let Some(found) = engine::answer(&self.buf).map_err(garbled)? {
+                    break found;
+                }
+                self.more().await?;
+            };
+            self.buf.advance(n);
+            if answer.status >= 200 {
+                return Ok(answer);
+            }
+        }
+        Err(Cause::Garbled)
+    }
+
+    /// The next piece of a chunked body.
+    pub async fn piece(&mut self) -> Result<Piece, Cause> {
+        loop {
+            if let Some(piece) = chunks::next(&mut self.buf).map_err(garbled)? {
+                return Ok(piece);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// A whole body, and whether the connection can carry a further request.
+    pub async fn body(&mut self, answer: &Answer) -> Result<(BytesMut, bool), Cause> {
+        let mut body = BytesMut::new();
+        match answer.framing {
+            _ if answer.status == 204 || answer.status == 304 => {}
+            Framing::Unsaid => return Ok((body, false)),
+            Framing::Length(n) if n > MOST_BODY => return Err(Cause::Garbled),
+            Framing::Length(n) => {
+                while self.buf.len() < n {
+                    self.more().await?;
+                }
+                body = self.buf.split_to(n);
+            }
+            Framing::Chunked => loop {
+                match self.piece().await? {
+                    Piece::Last => break,
+                    Piece::Data(d) if body.len() + d.len() > MOST_BODY => return Err(Cause::Garbled),
+                    Piece::Data(d) => body.extend_from_slice(&d),
+                }
+            },
+        }
+        Ok((body, !answer.close))
+    }
+}
+
+fn garbled(_: Spoilt) -> Cause {
+    Cause::Garbled
+}
+
+/// Connections that stand unused, most lately used last.
+pub struct Pool {
+    idle: RefCell<BTreeMap<String, Vec<Connection>>>,
+    open: Rc<Cell<usize>>,
+    connect_s: f64,
+    /// Longest that one is kept unused: engines close theirs at a time of their own.
+    idle_s: f64,
+    most: usize,
+}
+
+impl Pool {
+    pub fn new(connect_s: f64, idle_s: f64, most: usize) -> Rc<Pool> {
+        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), connect_s, idle_s, most })
+    }
+
+    /// A connection that stands, or a new one.
+    pub async fn connection(&self, address: &str) -> Result<Connection, Cause> {
+        while let Some(c) = self.idle.borrow_mut().get_mut(address).and_then(Vec::pop) {
+            if c.since.elapsed().as_secs_f64() < self.idle_s && c.is_sound() {
+                return Ok(c);
+            }
+        }
+        if self.open.get() >= self.most {
+            self.close_idle(|_| true);
+        }
+        let to: SocketAddr = address.parse().map_err(|_| Cause::NoConnection)?;
+        if self.open.get() >= self.most {
+            return Err(Cause::NoConnection);
+        }
+        let made = within(self.connect_s, Async::<TcpStream>::connect(to)).await;
+        let stream = made.and_then(Result::ok).ok_or(Cause::NoConnection)?;
+        let _ = stream.get_ref().set_nodelay(true);
+        self.open.set(self.open.get() + 1);
+        let count = self.open.clone();
+        let address = address.to_string();
+        Ok(Connection { address, stream, buf: BytesMut::new(), since: Instant::now(), count })
+    }
+
+    /// A connection whose last answer was read to its end waits for the next call.
+    pub fn give_back(&self, mut c: Connection) {
+        // What stands after an answer would be taken for the next one.
+        if !c.buf.is_empty() {
+            return;
+        }
+        c.buf = BytesMut::new();
+        c.since = Instant::now();
+        self.idle.borrow_mut().entry(c.address.clone()).or_default().push(c);
+    }
+
+    fn close_idle(&self, such: impl Fn(&Connection) -> bool) {
+        self.idle.borrow_mut().retain(|_, all| {
+            all.retain(|c| !such(c));
+            !all.is_empty()
+        });
+    }
+
+    /// Closes what has stood too long, until dropped.
+    pub async fn tend(self: Rc<Self>) {
+        loop {
+            Timer::after(seconds(1.0)).await;
+            self.close_idle(|c| c.since.elapsed().as_secs_f64() >= self.idle_s);
+        }
+    }
+
+    /// A call without a body, its answer whole, or nothing within the time.
+    pub async fn short(
+        &self,
+        s: f64,
+        method: &str,
+        target: &str,
+        address: &str,
+    ) -> Result<(Answer, BytesMut), Cause> {
+        let call = async {
+            let mut c = self.connection(address).await?;
+            c.write(&engine::short(method, target, address), &Cell::new(false)).await?;
+            let answer = c.answer().await?;
+            let (body, again) = c.body(&answer).await?;
+            if again {
+                self.give_back(c);
+            }
+            Ok((answer, body))
+        };
+        within(s, call).await.unwrap_or(Err(Cause::NoAnswer))
+    }
+}
