A reader is taken to keep what it was found to keep of late, a fresh one nothing

Looked into and excluded: writers (p99 of the write stage 0.14 s), the queue at the node (p99 0.05 s), the node's CPU (0.06 of a core at most), the list. A probe of what the module believed at each send: the chosen reader had started 15 s before, was taken to keep 60% of the prompt and to need 0.8 s; it kept 0 and needed 2. At fault: Router::unkept, which takes the hashed reader to keep half of the session's text however young it is; with kept text worth four times its reading, all texts that the hash names went to the reader that kept none of them.

Change: each reader has a share of what the hash says that it is believed to keep: 1 where it has run for long, 0 where it has just started, learnt from each read's report of kept tokens (weight 0.04). Guards also against readers that forget.

--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -210,6 +210,8 @@
             self.core.borrow_mut().ended(now, ticket, send, End::default());
             return false;
         };
+        let read = matches!(order.what, Work::Read);
+        tracing::debug!(at = now, request = %passed.id, send, engine = %order.eng.id, read, "sent");
         let out = Rc::new(Cell::new(false));
         let (node, gone) = (self.clone(), out.clone());
         let task = self.ex.spawn(async move {
@@ -218,7 +220,9 @@
             if let Some((task, _)) = node.sends.borrow_mut().remove(&(ticket, send)) {
                 task.detach();
             }
-            if !matches!(end.cause, Cause::Read | Cause::Completed) {
+            if end.cause == Cause::Read {
+                tracing::debug!(at = node.now(), request = %passed.id, engine = %order.eng.id, kept = end.kept, "read");
+            } else if end.cause != Cause::Completed {
                 tracing::debug!(at = node.now(), request = %passed.id, send, engine = %order.eng.id, cause = ?end.cause, "send ended");
             }
             node.core.borrow_mut().ended(node.now(), ticket, send, end);
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -149,7 +149,12 @@
 }
 
 /// A node that knows these engines; `path`: where a new configuration is read.
-pub fn node(discovery: &Peer, readers: &[&Peer], writers: &[&Peer], path: Option<std::path::PathBuf>) -> World {
+pub fn node(
+    discovery: &Peer,
+    readers: &[&Peer],
+    writers: &[&Peer],
+    path: Option<std::path::PathBuf>,
+) -> World {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let node = listener.local_addr().unwrap();
     let told = config(&node.to_string(), &discovery.address.to_string(), list(readers, writers));
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -165,7 +165,8 @@
     let world = node(&first, &[], &[], Some(path.clone()));
     first.wait("GET /v1/servers");
     assert!(world.say(ask("aa12").as_bytes()).starts_with("HTTP/1.1 503"), "no engine is known yet");
-    std::fs::write(&path, config("x", &other.address.to_string(), serde_json::Value::Null).to_string()).unwrap();
+    std::fs::write(&path, config("x", &other.address.to_string(), serde_json::Value::Null).to_string())
+        .unwrap();
     world.orders.send_blocking(Order::Renew).unwrap();
     other.wait("GET /v1/servers?since=3&timeout_ms=");
     let got = world.say(ask("aa13").as_bytes());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,6 +38,8 @@
 const SCOUTED: usize = 3;
 /// Share of a session's own text that the hashed reader is taken to keep.
 const HOME_KEEPS: f64 = 0.5;
+/// Weight of the latest read in what a reader keeps.
+const KEEPS_LEARNT: f64 = 0.04;
 /// Arrivals by which a node judges how popular a text is.
 const RECENT: usize = 64;
 /// Part of the readers' memory that shared beginnings may fill.
@@ -128,6 +130,8 @@
                 // A new process under an old id: what was known of the old one is void.
                 (e.strikes, e.faults, e.load, e.matures) = (0.0, 0.0, Load::default(), now);
                 e.load_at = f64::NEG_INFINITY;
+                // One that has just started keeps no text yet, whatever its hash says.
+                e.keeps = if l.started_at.is_none() { 1.0 } else { 0.0 };
             }
             (e.zone, e.cell, e.role, e.memory) = (l.zone, l.cell, l.role, l.memory_tokens.max(1.0));
             (e.standing, e.started) = (l.standing, started);
@@ -537,14 +541,18 @@
     /// Prompt tokens that this reader would have to read: the hashed one is taken to keep the beginning and
     /// half of the rest, the next one named the beginning; others nothing, so that texts stay together.
     fn unkept(&self, e: usize, i: usize) -> f64 {
+        (self.infs[i].prompt - self.engines[e].keeps.min(1.0) * self.named(e, i)).max(1.0)
+    }
+
+    /// Prompt tokens that it is to keep by the hash.
+    fn named(&self, e: usize, i: usize) -> f64 {
         let inf = &self.infs[i];
         let mut homes = inf.homes.iter().copied().filter(|&h| self.able(h, true));
-        let kept = match homes.position(|h| h == e) {
+        match homes.position(|h| h == e) {
             Some(0) => HOME_KEEPS * (inf.prompt + inf.prefix_tokens),
             Some(1) if inf.homes.len() > 2 => inf.prefix_tokens,
             _ => 0.0,
-        };
-        (inf.prompt - kept).max(1.0)
+        }
     }
 
     /// Asks for load where news is old: the first two hashed readers, and at arrival one reader and some
@@ -610,7 +618,13 @@
         if s.there < 1.0 {
             self.read_cost.add((self.infs[i].prompt - end.note).max(1.0), end.after_s);
         }
-        self.engines[s.eng].faults /= 2.0;
+        // A fresh reader, or one that forgot its texts, drew them all for what it did not keep, and queued them.
+        let named = self.named(s.eng, i);
+        let e = &mut self.engines[s.eng];
+        if named > 0.0 {
+            e.keeps += KEEPS_LEARNT * ((end.note / named).min(2.0) - e.keeps);
+        }
+        e.faults /= 2.0;
     }
 
     /// Step time E_d of a writer: grows with its load; at the pace aim it is full (relax = 0).
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -271,6 +271,23 @@
     assert_eq!(r.reader(NOW, home, &[0, 1]), Some(1));
 }
 
+/// The churn day on sockets found a reader 15 s old, with five waiting at it, drawing the texts that its hash named.
+#[test_case(None, 0.0, 1000.0; "long there: as its hash says")]
+#[test_case(Some(NOW - 5.0), 0.0, 2000.0; "fresh: nothing")]
+#[test_case(Some(NOW - 5.0), 800.0, 1968.0; "fresh, and found to keep it once")]
+fn a_reader_is_taken_to_keep_what_it_was_found_to(started_at: Option<f64>, found: f64, unkept: f64) {
+    let mut r = router(Repeat::Retriable);
+    r.list(NOW, &[EngineLine { started_at, ..line("fresh", Role::Read, 0, 0) }], false);
+    let e = r.by_id["fresh"];
+    let s = sent(&mut r, e, false);
+    let i = hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Reading) });
+    r.infs[i].homes = vec![e, 0];
+    if found > 0.0 {
+        r.settled(NOW, Inf(i as u32), 0, Ending { note: found, ..ending(Outcome::Read) }, None);
+    }
+    assert!((r.unkept(e, i) - unkept).abs() < 1.0, "{}", r.unkept(e, i));
+}
+
 const ZONE: Repeat = Repeat::Deduped { group: Group::Zone, memory_s: 5.0 };
 const ALL: Repeat = Repeat::Deduped { group: Group::All, memory_s: 5.0 };
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,6 +86,8 @@
     pub strikes: f64,
     pub faults: f64,
     pub fault_at: f64,
+    /// How much of what a hashed reader is taken to keep was found here of late: 0 nothing, 1 as taken.
+    pub keeps: f64,
     /// Own sends without an ending, and own prompt tokens there, now and at the last report.
     pub out: u32,
     pub tokens: f64,
