A full table keeps new connections waiting, and silent ones make room for them

Looked into: the node's log has no send and no refusal for them, descriptors stood at 526 of 768, CPU at 0.08 of a core; so it was the node's own table. At fault: Clients::make_room, which dropped a connection just accepted when none had been unused for 2 s, while hundreds that had never said a word stood.

Change: while the table is full nothing is accepted; the connection unused the longest (2 s at least) is closed, else the oldest of half a second that has brought no request, also amid half a request.

--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -20,6 +20,10 @@
 const WHOLE_S: f64 = 2.4;
 const IDLE_S: f64 = 30.0;
 const IDLE_LEAST_S: f64 = 2.0;
+/// A usual client's request follows at once on its connection.
+const SILENT_S: f64 = 0.5;
+/// How often it is looked for room.
+const ROOM_S: f64 = 0.005;
 /// A client that takes nothing for so long has left.
 const STALL_S: f64 = 5.0;
 /// Bytes taken from a client that does not wait for its answer.
@@ -29,6 +33,8 @@
 struct Standing {
     /// Unused since then; none: a request is open on it.
     unused: Cell<Option<f64>>,
+    /// It has brought a whole request.
+    asked: Cell<bool>,
     close: Sender<()>,
 }
 
@@ -110,38 +116,45 @@
         })
     }
 
-    /// Accepts until dropped.
+    /// Accepts until dropped. While the table is full a new connection waits unaccepted: closed unserved, its first
+    /// request would have failed.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
+            while !self.make_room() {
+                Timer::after(seconds(ROOM_S)).await;
+            }
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let _ = stream.get_ref().set_nodelay(true);
-                    if self.make_room() {
-                        let serving = self.clone().connection(stream);
-                        self.node.ex.spawn(serving).detach();
-                    }
+                    let serving = self.clone().connection(stream);
+                    self.node.ex.spawn(serving).detach();
                 }
                 // Out of descriptors, or the peer went while it waited: the next may do.
-                Err(_) => drop(Timer::after(seconds(0.01)).await),
+                Err(_) => drop(Timer::after(seconds(ROOM_S)).await),
             }
         }
     }
 
-    /// Whether one more connection may stand; the one that has stood unused the longest makes room for it.
+    /// Whether one more connection may stand. The one that has stood unused the longest makes room for it; if none
+    /// has for long enough, the oldest that has brought no request at all.
     fn make_room(&self) -> bool {
         let standing = self.standing.borrow();
         if standing.len() < self.most {
             return true;
         }
-        let unused = standing.values().filter_map(|s| Some((s.unused.get()?, s)));
-        match unused.min_by(|x, y| x.0.total_cmp(&y.0)) {
-            Some((since, s)) if since + IDLE_LEAST_S <= self.node.now() => {
-                s.unused.set(None);
-                s.close.close();
-                true
-            }
-            _ => false,
-        }
+        let now = self.node.now();
+        let oldest = |asked: bool, least_s: f64| {
+            let such = standing.values().filter(|s| s.asked.get() == asked);
+            let such = such.filter_map(|s| Some((s.unused.get()?, s)));
+            such.min_by(|x, y| x.0.total_cmp(&y.0)).filter(|(since, _)| since + least_s <= now)
+        };
+        let Some((_, s)) = oldest(true, IDLE_LEAST_S).or_else(|| oldest(false, SILENT_S)) else {
+            return false;
+        };
+        s.unused.set(None);
+        s.close.close();
+        // Its place is free once its task has ended.
+        false
     }
 
     /// From now on each answer is the last of its connection.
@@ -162,7 +175,8 @@
 
     async fn connection(self: Rc<Self>, mut stream: Async<TcpStream>) {
         let (close, closing) = async_channel::bounded(1);
-        let me = Rc::new(Standing { unused: Cell::new(Some(self.node.now())), close });
+        let me =
+            Rc::new(Standing { unused: Cell::new(Some(self.node.now())), asked: Cell::new(false), close });
         let number = self.next.replace(self.next.get() + 1);
         self.standing.borrow_mut().insert(number, me.clone());
         let entry = Entry { of: self.clone(), number, me };
@@ -180,6 +194,7 @@
                     return;
                 }
                 Ok((head, body)) => {
+                    entry.me.asked.set(true);
                     let close = head.close || self.parting.get();
                     self.serve(&mut stream, &mut buf, head, body, close).await && !close
                 }
@@ -214,7 +229,11 @@
                 _ => return Err(No::Ended),
             }
         }
-        let whole = within(WHOLE_S, whole(stream, buf)).await;
+        let closed = async {
+            let _ = closing.recv().await;
+            Some(Err(No::Ended))
+        };
+        let whole = futures_lite::future::or(within(WHOLE_S, whole(stream, buf)), closed).await;
         whole.unwrap_or(Err(No::Refused(408, "a request that does not end")))
     }
 
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -201,3 +201,15 @@
         std::thread::sleep(std::time::Duration::from_millis(5));
     }
 }
+
+/// On the day of bad clients new connections were closed unserved while silent ones filled the table.
+#[test]
+fn silent_connections_make_room_for_one_that_asks() {
+    let (r, w) = (reader(), peer(|_, _| Then::Answer(stream())));
+    let world = node(&silent(), &[&r], &[&w], None);
+    // More than the part of 256 descriptors that is for clients.
+    let crowd: Vec<_> = (0..200).map(|_| world.client()).collect();
+    let got = world.say(ask("aa15").as_bytes());
+    assert!(got.ends_with("0\r\n\r\n"), "{got}");
+    drop(crowd);
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -618,7 +618,7 @@
         if s.there < 1.0 {
             self.read_cost.add((self.infs[i].prompt - end.note).max(1.0), end.after_s);
         }
-        // A fresh reader, or one that forgot its texts, drew them all for what it did not keep, and queued them.
+        // A fresh reader, or one that forgot its texts, drew them all and queued them.
         let named = self.named(s.eng, i);
         let e = &mut self.engines[s.eng];
         if named > 0.0 {
