A connection that asked for readiness is closed with its answer

Looked into: a probe of the table of connections showed 350 to 510 places held by idle connections that had asked once, less than 2 s before; 14 to 74 had a request open, 0 to 150 were silent. Excluded: the module (no send, no shed), CPU (0.09 of a core), engines. At fault: Clients::serve, which kept the connection after GET /healthz, and make_room, which freed one place a round.

Change: the answer to GET /healthz is the last of its connection; a full table closes an eighth of itself at a time.

--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -11,6 +11,7 @@
 use futures_lite::AsyncWriteExt;
 use smol::{Async, Timer};
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering::Equal;
 use std::collections::BTreeMap;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -23,7 +24,7 @@
 /// A usual client's request follows at once on its connection.
 const SILENT_S: f64 = 0.5;
 /// How often it is looked for room.
-const ROOM_S: f64 = 0.005;
+const ROOM_S: f64 = 0.002;
 /// A client that takes nothing for so long has left.
 const STALL_S: f64 = 5.0;
 /// Bytes taken from a client that does not wait for its answer.
@@ -121,6 +122,7 @@
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
             while !self.make_room() {
+                tracing::debug!(at = self.node.now(), "the table is full");
                 Timer::after(seconds(ROOM_S)).await;
             }
             match listener.accept().await {
@@ -135,25 +137,28 @@
         }
     }
 
-    /// Whether one more connection may stand. The one that has stood unused the longest makes room for it; if none
-    /// has for long enough, the oldest that has brought no request at all.
+    /// Whether one more connection may stand. Those that have stood unused the longest make room for it.
     fn make_room(&self) -> bool {
         let standing = self.standing.borrow();
         if standing.len() < self.most {
             return true;
         }
         let now = self.node.now();
-        let oldest = |asked: bool, least_s: f64| {
-            let such = standing.values().filter(|s| s.asked.get() == asked);
-            let such = such.filter_map(|s| Some((s.unused.get()?, s)));
-            such.min_by(|x, y| x.0.total_cmp(&y.0)).filter(|(since, _)| since + least_s <= now)
+        let eligible = |s: &&Rc<Standing>| {
+            let least_s = if s.asked.get() { IDLE_LEAST_S } else { SILENT_S };
+            s.unused.get().is_some_and(|since| since + least_s <= now)
         };
-        let Some((_, s)) = oldest(true, IDLE_LEAST_S).or_else(|| oldest(false, SILENT_S)) else {
-            return false;
-        };
-        s.unused.set(None);
-        s.close.close();
-        // Its place is free once its task has ended.
+        let mut unused: Vec<&Rc<Standing>> = standing.values().filter(eligible).collect();
+        // Those that have asked before those that never did: theirs may still be on its way.
+        unused.sort_by(|x, y| {
+            y.asked.cmp(&x.asked).then(x.unused.get().partial_cmp(&y.unused.get()).unwrap_or(Equal))
+        });
+        // Many at a time: one for one, a rush of silent connections kept usual clients out for seconds.
+        for s in unused.iter().take(self.most / 8 + 1) {
+            s.unused.set(None);
+            s.close.close();
+        }
+        // Their places are free once their tasks have ended.
         false
     }
 
@@ -249,7 +254,8 @@
         let refuse = |status, word| plain(status, word, None, true);
         let answer = match (head.method.as_str(), head.path()) {
             ("GET", READY) if self.parting.get() => plain(503, "leaving", None, true),
-            ("GET", READY) => plain(200, "ready", None, close),
+            // Its connection has no further use: hundreds that asked this and stayed filled the table within 2 s.
+            ("GET", READY) => plain(200, "ready", None, true),
             ("POST", CHAT) => match head.ask(&self.names, &body) {
                 Err(word) => refuse(400, word),
                 Ok(ask) => {
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -213,3 +213,21 @@
     assert!(got.ends_with("0\r\n\r\n"), "{got}");
     drop(crowd);
 }
+
+/// Incident rd36976: hundreds of connections that asked whether the node is ready, and stayed, kept usual clients out.
+#[test]
+fn a_connection_that_asked_for_readiness_takes_no_place() {
+    let (r, w) = (reader(), peer(|_, _| Then::Answer(stream())));
+    let world = node(&silent(), &[&r], &[&w], None);
+    let mut stay = Vec::new();
+    for _ in 0..200 {
+        let mut c = world.client();
+        c.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        assert!(answer(&mut c).starts_with("HTTP/1.1 200"));
+        stay.push(c);
+    }
+    let began = std::time::Instant::now();
+    let got = world.say(ask("aa16").as_bytes());
+    assert!(got.ends_with("0\r\n\r\n") && began.elapsed().as_secs_f64() < 1.5, "{got}");
+    assert_eq!(stay[0].read(&mut [0; 8]).unwrap(), 0, "closed with its answer");
+}
