--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -129,13 +129,13 @@
     }
 }
 
-pub(crate) fn seconds(s: f64) -> Duration {
+pub fn seconds(s: f64) -> Duration {
     // Unbounded patience is bounded by what a timer can hold.
     Duration::from_secs_f64(s.clamp(0.0, 86_400.0))
 }
 
 /// The future's result, or none when so many seconds have passed.
-pub(crate) async fn within<T>(s: f64, f: impl std::future::Future<Output = T>) -> Option<T> {
+pub async fn within<T>(s: f64, f: impl std::future::Future<Output = T>) -> Option<T> {
     futures_lite::future::or(async { Some(f.await) }, async {
         Timer::after(seconds(s)).await;
         None
--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -2,8 +2,8 @@
 
 use crate::core::list::News;
 use crate::node::Node;
-use crate::wire::{seconds, within};
 use async_channel::Receiver;
+use nickelgw_node::{seconds, within};
 use smol::Timer;
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -13,6 +13,7 @@
 use async_channel::Receiver;
 use clients::Clients;
 use nickelgw_node::core::{Core, Figures};
+use nickelgw_node::seconds;
 use node::Node;
 use smol::{Async, LocalExecutor, Timer};
 use start::Start;
@@ -21,7 +22,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
-use wire::{seconds, Pool};
+use wire::Pool;
 
 /// What the process is told to do, in service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -7,28 +7,20 @@
 use bytes::{Buf, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use nickelgw_node::core::Cause;
+use nickelgw_node::{seconds, within};
 use smol::{Async, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Bytes read at once.
 const READ: usize = 8 * 1024;
 /// Interim answers before the one that counts.
 const MOST_INTERIM: usize = 16;
 
-pub fn seconds(s: f64) -> Duration {
-    Duration::from_secs_f64(s.clamp(0.0, 86_400.0))
-}
-
-/// The future's result, or none when so many seconds have passed.
-pub async fn within<T>(s: f64, f: impl std::future::Future<Output = T>) -> Option<T> {
-    by(Instant::now() + seconds(s), f).await
-}
-
 /// The future's result, or none when the time has come.
 pub async fn by<T>(until: Instant, f: impl std::future::Future<Output = T>) -> Option<T> {
     futures_lite::future::or(async { Some(f.await) }, async {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -618,10 +618,10 @@
         if s.there < 1.0 {
             self.read_cost.add((self.infs[i].prompt - end.note).max(1.0), end.after_s);
         }
-        // A fresh reader, or one that forgot its texts, drew them all and queued them.
+        // A fresh reader drew all texts of its hash and queued them; one long there is believed.
         let named = self.named(s.eng, i);
         let e = &mut self.engines[s.eng];
-        if named > 0.0 {
+        if named > 0.0 && e.started.is_finite() {
             e.keeps += KEEPS_LEARNT * ((end.note / named).min(2.0) - e.keeps);
         }
         e.faults /= 2.0;
