A request is written in one call; the last byte needs no care of its own

write_all fails before it has handed over all: the loop that kept the last byte back proved nothing more. Tests of the module and the platform pass.

--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -69,19 +69,8 @@
 
     /// Writes a request. Until its last byte is handed over it is known not to have run.
     pub async fn write(&mut self, bytes: &[u8], out: &Cell<bool>) -> Result<(), Cause> {
-        let Some((last, before)) = bytes.split_last() else { return Ok(()) };
-        let mut at = 0;
-        while at < before.len() {
-            // The last byte goes with the rest, as soon as the rest fits in one piece.
-            let n = self.stream.write(&bytes[at..]).await.map_err(|_| Cause::NoConnection)?;
-            at += n;
-            if at == bytes.len() {
-                out.set(true);
-                return Ok(());
-            }
-        }
-        let sent = self.stream.write_all(std::slice::from_ref(last)).await;
-        sent.map_err(|_| Cause::NoConnection)?;
+        // An error tells that not all of it was taken over.
+        self.stream.write_all(bytes).await.map_err(|_| Cause::NoConnection)?;
         out.set(true);
         Ok(())
     }
