--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,8 +40,6 @@
 const HOME_KEEPS: f64 = 0.5;
 /// Weight of the latest read in what a reader keeps.
 const KEEPS_LEARNT: f64 = 0.04;
-/// Weight of the latest read in what each prompt found at a reader adds; the first reads weigh more.
-const EACH_LEARNT: f64 = 0.05;
 /// Arrivals by which a node judges how popular a text is.
 const RECENT: usize = 64;
 /// Part of the readers' memory that shared beginnings may fill.
@@ -191,8 +189,6 @@
         {
             return;
         }
-        // What is recalled stands for as many reads as weigh in the long run.
-        self.reads = self.reads.max(trust / EACH_LEARNT);
         let fit = &mut self.read_cost;
         let own = [&mut self.life, &mut self.prompt, &mut self.each, &mut self.start_gap].into_iter();
         let own = own.chain(&mut self.usual).chain(fit.sums.iter_mut().flatten()).chain(&mut fit.abc);
@@ -616,10 +612,7 @@
     }
 
     fn learn_read(&mut self, i: usize, s: Sent, end: Ending) {
-        // A node just started meets readers that others keep busy: its first reads tell most.
-        self.reads += 1.0;
-        self.each +=
-            (1.0 / (self.reads + 1.0)).max(EACH_LEARNT) * (end.after_s / (s.there + 1.0) - self.each);
+        self.each += 0.05 * (end.after_s / (s.there + 1.0) - self.each);
         // Only a read that met an idle reader tells what reading costs; queues fitted as cost would hold
         // readers back, whose queues then look longer still.
         if s.there < 1.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,8 +39,6 @@
     pub(crate) prompt: f64,
     /// Time that each prompt found at a reader adds to a read, as own reads have shown.
     pub(crate) each: f64,
-    /// Own reads that have ended.
-    pub(crate) reads: f64,
     /// Mean gap between inferences started, and when the last one was.
     pub(crate) start_gap: f64,
     pub(crate) last_start: f64,
