One piece of code takes heads and bodies off a connection, for clients and engines alike

Need: read again as a whole, the platform's change had the same logic twice. Bodies by length or in chunks, within the limit, were read in clients.rs and in wire.rs; the length of a parsed head was settled in two parsers; wire::by was nickelgw_node::within over again; whether an answer is the last of its connection was found by searching the bytes just written for a header.

Change: wire::next and wire::body serve both sides, head_length both parsers, `within` waits, and `say` knows by its argument whether the connection closes. A client's wait for its next request is one wait that a close ends, not two. A comment that had lost its constant is gone. Behaviour is unchanged.

--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -1,11 +1,11 @@
 //! Clients' connections: requests read within limits, one at a time, and answered as the core says.
 
-use crate::core::chunks::{self, Piece};
+use crate::core::chunks::Piece;
 use crate::core::engine::Passed;
 use crate::core::request::{self, Head, Names, CHAT, READY};
-use crate::core::{Framing, Spoilt, MOST_BODY};
+use crate::core::Spoilt;
 use crate::node::{Node, Reply};
-use crate::wire::read;
+use crate::wire::{body, next, read, Broken};
 use async_channel::{Receiver, Sender};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::AsyncWriteExt;
@@ -70,12 +70,13 @@
     Refused(u16, &'static str),
 }
 
-impl From<Spoilt> for No {
-    fn from(s: Spoilt) -> No {
-        match s {
-            Spoilt::Long => No::Refused(413, "longer than allowed"),
-            Spoilt::Length => No::Refused(400, "a length that cannot be used"),
-            _ => No::Refused(400, "a request that cannot be read"),
+impl From<Broken> for No {
+    fn from(b: Broken) -> No {
+        match b {
+            Broken::Ended => No::Ended,
+            Broken::Spoilt(Spoilt::Long) => No::Refused(413, "longer than allowed"),
+            Broken::Spoilt(Spoilt::Length) => No::Refused(400, "a length that cannot be used"),
+            Broken::Spoilt(_) => No::Refused(400, "a request that cannot be read"),
         }
     }
 }
@@ -196,13 +197,12 @@
                 Err(No::Ended) => return,
                 Err(No::Refused(status, word)) => {
                     tracing::debug!(at = self.node.now(), status, word, "refused");
-                    let _ = within(STALL_S, stream.write_all(&plain(status, word, None, true))).await;
-                    return;
+                    say(&mut stream, status, word, None, true).await
                 }
                 Ok((head, body)) => {
                     entry.me.asked.set(true);
                     let close = head.close || self.parting.get();
-                    self.serve(&mut stream, &mut buf, head, body, close).await && !close
+                    self.serve(&mut stream, &mut buf, head, body, close).await
                 }
             };
             if !again {
@@ -224,23 +224,18 @@
         idle_s: f64,
         closing: &Receiver<()>,
     ) -> Result<(Head, Bytes), No> {
-        if buf.is_empty() {
-            let first = async { within(idle_s, read(stream, buf)).await };
-            let closed = async {
-                let _ = closing.recv().await;
-                None
-            };
-            match futures_lite::future::or(first, closed).await {
-                Some(Ok(n)) if n > 0 => {}
-                _ => return Err(No::Ended),
+        let wanted = async {
+            if buf.is_empty() && !matches!(within(idle_s, read(stream, buf)).await, Some(Ok(n)) if n > 0) {
+                return Err(No::Ended);
             }
-        }
+            let whole = within(WHOLE_S, whole(stream, buf)).await;
+            whole.map_or(Err(No::Refused(408, "a request that does not end")), |w| w.map_err(No::from))
+        };
         let closed = async {
             let _ = closing.recv().await;
-            Some(Err(No::Ended))
+            Err(No::Ended)
         };
-        let whole = futures_lite::future::or(within(WHOLE_S, whole(stream, buf)), closed).await;
-        whole.unwrap_or(Err(No::Refused(408, "a request that does not end")))
+        futures_lite::future::or(wanted, closed).await
     }
 
     /// Answers a request. False: the connection cannot be used any more.
@@ -252,37 +247,34 @@
         body: Bytes,
         close: bool,
     ) -> bool {
-        let refuse = |status, word| plain(status, word, None, true);
-        let answer = match (head.method.as_str(), head.path()) {
-            ("GET", READY) if self.parting.get() => plain(503, "leaving", None, true),
+        let (status, word, close) = match (head.method.as_str(), head.path()) {
+            ("GET", READY) if self.parting.get() => (503, "leaving", true),
             // Its connection has no further use: hundreds that asked this and stayed filled the table within 2 s.
-            ("GET", READY) => plain(200, "ready", None, true),
+            ("GET", READY) => (200, "ready", true),
             ("POST", CHAT) => match head.ask(&self.names, &body) {
-                Err(word) => refuse(400, word),
+                Err(word) => (400, word, true),
                 Ok(ask) => {
                     let id = ask.name.as_deref().unwrap_or_default();
                     if self.node.is_open(id) {
-                        refuse(409, "a request with this id is open")
+                        (409, "a request with this id is open", true)
                     } else {
                         if head.is_rest() {
                             tracing::debug!(at = self.node.now(), request = id, "asks for the rest");
                         }
-                        let passed = Passed::new(&head, id, body);
-                        match self.node.take(&ask, passed) {
+                        match self.node.take(&ask, Passed::new(&head, id, body)) {
                             Err(why) => {
                                 tracing::debug!(at = self.node.now(), ?why, "not taken");
-                                plain(503, "no room", None, close)
+                                (503, "no room", close)
                             }
                             Ok((taken, reply)) => return self.reply(stream, buf, taken, reply, close).await,
                         }
                     }
                 }
             },
-            (_, CHAT | READY) => refuse(405, "no such call"),
-            _ => refuse(404, "no such call"),
+            (_, CHAT | READY) => (405, "no such call", true),
+            _ => (404, "no such call", true),
         };
-        let last = answer.windows(19).any(|w| w == b"connection: close\r\n");
-        matches!(within(STALL_S, stream.write_all(&answer)).await, Some(Ok(()))) && !last
+        say(stream, status, word, None, close).await
     }
 
     /// Waits for the answer and writes it as it comes, while it is seen whether the client stays.
@@ -295,19 +287,18 @@
         close: bool,
     ) -> bool {
         let Some(first) = stays(stream, buf, reply.recv()).await else { return false };
-        let answer = match first {
+        let (status, word, back) = match first {
             Ok(Reply::Stream(from)) => {
-                let whole = self.stream(stream, buf, from, close).await;
-                taken.over = whole;
-                return whole;
+                taken.over = self.stream(stream, buf, from, close).await;
+                return taken.over && !close;
             }
-            Ok(Reply::Shed(back)) => plain(503, "no engine has room in time", back, close),
-            Ok(Reply::Errored) | Err(_) => plain(504, "no answer began in time", None, close),
+            Ok(Reply::Shed(back)) => (503, "no engine has room in time", back),
+            Ok(Reply::Errored) | Err(_) => (504, "no answer began in time", None),
         };
         taken.over = true;
         // Its id is free with its answer.
         drop(taken);
-        matches!(within(STALL_S, stream.write_all(&answer)).await, Some(Ok(())))
+        say(stream, status, word, back, close).await
     }
 
     /// Passes a stream on. False: it broke, and the connection ends without its last chunk.
@@ -341,15 +332,32 @@
                 }
                 next = from.try_recv().ok().filter(|_| !last);
             }
-            match within(STALL_S, stream.write_all(&out)).await {
-                Some(Ok(())) if last => return true,
-                Some(Ok(())) => out.clear(),
-                _ => return false,
+            if !written(stream, &out).await {
+                return false;
             }
+            if last {
+                return true;
+            }
+            out.clear();
         }
     }
 }
 
+async fn written(stream: &mut Async<TcpStream>, bytes: &[u8]) -> bool {
+    matches!(within(STALL_S, stream.write_all(bytes)).await, Some(Ok(())))
+}
+
+/// Writes a whole answer. False: the connection cannot be used any more.
+async fn say(
+    stream: &mut Async<TcpStream>,
+    status: u16,
+    word: &str,
+    come_back_s: Option<f64>,
+    close: bool,
+) -> bool {
+    written(stream, &plain(status, word, come_back_s, close)).await && !close
+}
+
 /// The future's result; none when the client goes first.
 async fn stays<T>(
     stream: &mut Async<TcpStream>,
@@ -371,43 +379,14 @@
 }
 
 /// A whole request off the stream.
-async fn whole(stream: &mut Async<TcpStream>, buf: &mut BytesMut) -> Result<(Head, Bytes), No> {
-    let (head, n) = loop {
-        if let Some(found) = request::head(buf)? {
-            break found;
-        }
-        more(stream, buf).await?;
-    };
-    buf.advance(n);
-    let body = match head.framing {
-        Framing::Unsaid => Bytes::new(),
-        Framing::Length(n) if n > MOST_BODY => return Err(Spoilt::Long.into()),
-        Framing::Length(n) => {
-            while buf.len() < n {
-                more(stream, buf).await?;
-            }
-            buf.split_to(n).freeze()
-        }
-        Framing::Chunked => {
-            let mut body = BytesMut::new();
-            loop {
-                match chunks::next(buf)? {
-                    Some(Piece::Last) => break body.freeze(),
-                    Some(Piece::Data(d)) if body.len() + d.len() > MOST_BODY => {
-                        return Err(Spoilt::Long.into())
-                    }
-                    Some(Piece::Data(d)) => body.extend_from_slice(&d),
-                    None => more(stream, buf).await?,
-                }
-            }
-        }
+async fn whole(stream: &mut Async<TcpStream>, buf: &mut BytesMut) -> Result<(Head, Bytes), Broken> {
+    let head = |b: &mut BytesMut| {
+        Ok(request::head(b)?.map(|(head, n)| {
+            b.advance(n);
+            head
+        }))
     };
+    let head = next(stream, buf, head).await?;
+    let body = body(stream, buf, head.framing).await?;
     Ok((head, body))
 }
-
-async fn more(stream: &mut Async<TcpStream>, buf: &mut BytesMut) -> Result<(), No> {
-    match read(stream, buf).await {
-        Ok(n) if n > 0 => Ok(()),
-        _ => Err(No::Ended),
-    }
-}
--- a/crates/nickelgw-platform/src/core/engine.rs
+++ b/crates/nickelgw-platform/src/core/engine.rs
@@ -1,7 +1,7 @@
 //! Towards engines: the request as it is passed on, and what their answers mean.
 
 use super::request::Head;
-use super::{closes, framing, names, Framing, Spoilt, MOST_HEAD, MOST_HEADERS};
+use super::{closes, framing, head_length, names, Framing, Spoilt, MOST_HEADERS};
 use bytes::Bytes;
 use nickelgw_node::core::Cause;
 use nickelgw_options::load;
@@ -59,12 +59,7 @@
 pub fn answer(bytes: &[u8]) -> Result<Option<(Answer, usize)>, Spoilt> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut r = httparse::Response::new(&mut headers);
-    let n = match r.parse(bytes) {
-        Err(_) => return Err(Spoilt::Head),
-        Ok(httparse::Status::Partial) if bytes.len() > MOST_HEAD => return Err(Spoilt::Long),
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Ok(httparse::Status::Complete(n)) => n,
-    };
+    let Some(n) = head_length(r.parse(bytes), bytes.len())? else { return Ok(None) };
     let named = |name: &str| r.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
     let told = |name: &str| named(name).and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim);
     let answer = Answer {
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -75,6 +75,16 @@
     Ok(said)
 }
 
+/// Length of a head as it was parsed; none until it is whole.
+fn head_length(parsed: httparse::Result<usize>, there: usize) -> Result<Option<usize>, Spoilt> {
+    match parsed {
+        Err(_) => Err(Spoilt::Head),
+        Ok(httparse::Status::Complete(n)) => Ok(Some(n)),
+        Ok(httparse::Status::Partial) if there > MOST_HEAD => Err(Spoilt::Long),
+        Ok(httparse::Status::Partial) => Ok(None),
+    }
+}
+
 fn closes(headers: &[httparse::Header]) -> bool {
     let close = |h: &&httparse::Header| h.name.eq_ignore_ascii_case("connection");
     headers.iter().filter(close).any(|h| h.value.to_ascii_lowercase().windows(5).any(|w| w == b"close"))
--- a/crates/nickelgw-platform/src/core/request.rs
+++ b/crates/nickelgw-platform/src/core/request.rs
@@ -1,12 +1,11 @@
 //! A client's request: what its head asks for, and what is refused at the door.
 
-use super::{closes, framing, names, Framing, Spoilt, MOST_HEAD, MOST_HEADERS};
+use super::{closes, framing, head_length, names, Framing, Spoilt, MOST_HEADERS};
 use nickelgw_node::core::Ask;
 use std::fmt::Write;
 
 pub const CHAT: &str = "/v1/chat/completions";
 pub const READY: &str = "/healthz";
-/// Characters of a prompt token: no prompt has more tokens than its body has characters.
 const LONGEST_ID: usize = 64;
 
 /// A request's head, as far as it is read.
@@ -33,12 +32,7 @@
 pub fn head(bytes: &[u8]) -> Result<Option<(Head, usize)>, Spoilt> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut r = httparse::Request::new(&mut headers);
-    let n = match r.parse(bytes) {
-        Err(_) => return Err(Spoilt::Head),
-        Ok(httparse::Status::Partial) if bytes.len() > MOST_HEAD => return Err(Spoilt::Long),
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Ok(httparse::Status::Complete(n)) => n,
-    };
+    let Some(n) = head_length(r.parse(bytes), bytes.len())? else { return Ok(None) };
     let (Some(method), Some(target), Some(version)) = (r.method, r.path, r.version) else {
         return Err(Spoilt::Head);
     };
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -4,7 +4,7 @@
 use crate::core::engine::{self, Passed};
 use crate::core::list::{News, Roll};
 use crate::core::{names, Framing};
-use crate::wire::{by, Pool};
+use crate::wire::Pool;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use nickelgw_node::core::{Answer, Ask, Cause, Core, Do, End, Order, Place, Refusal, Ticket, Work};
@@ -235,10 +235,12 @@
 
     async fn exchange(&self, order: &Order, passed: &Passed, out: &Cell<bool>) -> End {
         // From the order on, not from each step.
-        let until = Instant::now() + seconds(order.patience_s);
+        let patience_s = order.patience_s;
         match order.what {
-            Work::Read => by(until, self.read(order, passed, out)).await.unwrap_or_else(|| overdue(out)),
-            Work::Write { idle_s, .. } => match by(until, self.begin(order, passed, out)).await {
+            Work::Read => {
+                within(patience_s, self.read(order, passed, out)).await.unwrap_or_else(|| overdue(out))
+            }
+            Work::Write { idle_s, .. } => match within(patience_s, self.begin(order, passed, out)).await {
                 None => overdue(out),
                 Some(Err(end)) => end,
                 Some(Ok(stream)) => self.pass_on(order, stream, idle_s).await,
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -4,7 +4,7 @@
 use crate::core::chunks::{self, Piece};
 use crate::core::engine::{self, Answer};
 use crate::core::{Framing, Spoilt, MOST_BODY};
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use nickelgw_node::core::Cause;
 use nickelgw_node::{seconds, within};
@@ -21,15 +21,6 @@
 /// Interim answers before the one that counts.
 const MOST_INTERIM: usize = 16;
 
-/// The future's result, or none when the time has come.
-pub async fn by<T>(until: Instant, f: impl std::future::Future<Output = T>) -> Option<T> {
-    futures_lite::future::or(async { Some(f.await) }, async {
-        Timer::at(until).await;
-        None
-    })
-    .await
-}
-
 /// Reads what is there onto the buffer; 0 at the end. Dropped while it waits it has taken nothing.
 pub async fn read(stream: &mut Async<TcpStream>, buf: &mut BytesMut) -> io::Result<usize> {
     let mut some = [0; READ];
@@ -38,6 +29,66 @@
     Ok(n)
 }
 
+/// Why what a stream was to bring did not come.
+pub enum Broken {
+    Ended,
+    Spoilt(Spoilt),
+}
+
+impl From<Spoilt> for Broken {
+    fn from(s: Spoilt) -> Broken {
+        Broken::Spoilt(s)
+    }
+}
+
+impl From<Broken> for Cause {
+    fn from(b: Broken) -> Cause {
+        match b {
+            Broken::Ended => Cause::Lost,
+            Broken::Spoilt(_) => Cause::Garbled,
+        }
+    }
+}
+
+/// Reads until what is looked for can be taken off the buffer.
+pub async fn next<T>(
+    stream: &mut Async<TcpStream>,
+    buf: &mut BytesMut,
+    take: impl Fn(&mut BytesMut) -> Result<Option<T>, Spoilt>,
+) -> Result<T, Broken> {
+    loop {
+        if let Some(found) = take(buf)? {
+            return Ok(found);
+        }
+        if !matches!(read(stream, buf).await, Ok(n) if n > 0) {
+            return Err(Broken::Ended);
+        }
+    }
+}
+
+/// A message's body, whole; none longer than allowed.
+pub async fn body(
+    stream: &mut Async<TcpStream>,
+    buf: &mut BytesMut,
+    framing: Framing,
+) -> Result<Bytes, Broken> {
+    match framing {
+        Framing::Unsaid => Ok(Bytes::new()),
+        Framing::Length(n) if n > MOST_BODY => Err(Spoilt::Long.into()),
+        Framing::Length(n) => next(stream, buf, |b| Ok((b.len() >= n).then(|| b.split_to(n).freeze()))).await,
+        Framing::Chunked => {
+            let mut body = BytesMut::new();
+            loop {
+                match next(stream, buf, chunks::next).await? {
+                    Piece::Last => return Ok(body.freeze()),
+                    Piece::Data(d) if body.len() + d.len() > MOST_BODY => return Err(Spoilt::Long.into()),
+                    Piece::Data(d) => body.extend_from_slice(&d),
+                }
+            }
+        }
+    }
+}
+
 /// A connection of ours; dropped it closes, by which the far side knows that nobody waits.
 pub struct Connection {
     address: String,
@@ -60,13 +111,6 @@
         self.buf.is_empty() && matches!(quiet, Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
-    async fn more(&mut self) -> Result<(), Cause> {
-        match read(&mut self.stream, &mut self.buf).await {
-            Ok(0) | Err(_) => Err(Cause::Lost),
-            Ok(_) => Ok(()),
-        }
-    }
-
     /// Writes a request. Until its last byte is handed over it is known not to have run.
     pub async fn write(&mut self, bytes: &[u8], out: &Cell<bool>) -> Result<(), Cause> {
         // An error tells that not all of it was taken over.
@@ -78,13 +122,13 @@
     /// The head of the answer that counts: interim ones before it are passed over.
     pub async fn answer(&mut self) -> Result<Answer, Cause> {
         for _ in 0..MOST_INTERIM {
-            let (answer, n) = loop {
-                if let Some(found) = engine::answer(&self.buf).map_err(garbled)? {
-                    break found;
-                }
-                self.more().await?;
+            let head = |b: &mut BytesMut| {
+                Ok(engine::answer(b)?.map(|(answer, n)| {
+                    b.advance(n);
+                    answer
+                }))
             };
-            self.buf.advance(n);
+            let answer = next(&mut self.stream, &mut self.buf, head).await?;
             if answer.status >= 200 {
                 return Ok(answer);
             }
@@ -94,43 +138,19 @@
 
     /// The next piece of a chunked body.
     pub async fn piece(&mut self) -> Result<Piece, Cause> {
-        loop {
-            if let Some(piece) = chunks::next(&mut self.buf).map_err(garbled)? {
-                return Ok(piece);
-            }
-            self.more().await?;
-        }
+        Ok(next(&mut self.stream, &mut self.buf, chunks::next).await?)
     }
 
     /// A whole body, and whether the connection can carry a further request.
-    pub async fn body(&mut self, answer: &Answer) -> Result<(BytesMut, bool), Cause> {
-        let mut body = BytesMut::new();
-        match answer.framing {
-            _ if answer.status == 204 || answer.status == 304 => {}
-            Framing::Unsaid => return Ok((body, false)),
-            Framing::Length(n) if n > MOST_BODY => return Err(Cause::Garbled),
-            Framing::Length(n) => {
-                while self.buf.len() < n {
-                    self.more().await?;
-                }
-                body = self.buf.split_to(n);
-            }
-            Framing::Chunked => loop {
-                match self.piece().await? {
-                    Piece::Last => break,
-                    Piece::Data(d) if body.len() + d.len() > MOST_BODY => return Err(Cause::Garbled),
-                    Piece::Data(d) => body.extend_from_slice(&d),
-                }
-            },
+    pub async fn body(&mut self, answer: &Answer) -> Result<(Bytes, bool), Cause> {
+        if answer.status == 204 || answer.status == 304 {
+            return Ok((Bytes::new(), !answer.close));
         }
-        Ok((body, !answer.close))
+        let body = body(&mut self.stream, &mut self.buf, answer.framing).await?;
+        Ok((body, !answer.close && answer.framing != Framing::Unsaid))
     }
 }
 
-fn garbled(_: Spoilt) -> Cause {
-    Cause::Garbled
-}
-
 /// Connections that stand unused, most lately used last.
 pub struct Pool {
     idle: RefCell<BTreeMap<String, Vec<Connection>>>,
@@ -202,7 +222,7 @@
         method: &str,
         target: &str,
         address: &str,
-    ) -> Result<(Answer, BytesMut), Cause> {
+    ) -> Result<(Answer, Bytes), Cause> {
         let call = async {
             let mut c = self.connection(address).await?;
             c.write(&engine::short(method, target, address), &Cell::new(false)).await?;
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -187,6 +187,14 @@
         c
     }
 
+    /// A client whose request has come to the writer.
+    pub fn open(&self, id: &str, writer: &Peer) -> TcpStream {
+        let mut c = self.client();
+        c.write_all(ask(id).as_bytes()).unwrap();
+        writer.wait("POST");
+        c
+    }
+
     /// What the node answers to these bytes, up to its end or the close.
     pub fn say(&self, bytes: &[u8]) -> String {
         let mut c = self.client();
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -72,9 +72,7 @@
 fn a_client_that_leaves_is_called_off_and_its_state_let_go() {
     let (r, w) = (reader(), peer(|_, _| Then::Hold));
     let world = node(&silent(), &[&r], &[&w], None);
-    let mut c = world.client();
-    c.write_all(ask("aa06").as_bytes()).unwrap();
-    w.wait("POST");
+    let c = world.open("aa06", &w);
     drop(c);
     w.wait("CLOSED");
     assert!(r.wait("DELETE").starts_with("DELETE /internal/reservations/aa06 HTTP/1.1\r\n"));
@@ -94,9 +92,7 @@
     });
     let w = peer(|_, _| Then::Hold);
     let world = node(&silent(), &[&r], &[&w], None);
-    let mut c = world.client();
-    c.write_all(ask("aa07").as_bytes()).unwrap();
-    w.wait("POST");
+    let c = world.open("aa07", &w);
     drop(c);
     assert!(w.wait("DELETE").contains("/aa07 "));
 }
@@ -146,9 +142,7 @@
 fn the_id_of_an_open_request_is_refused() {
     let (r, w) = (reader(), peer(|_, _| Then::Hold));
     let world = node(&silent(), &[&r], &[&w], None);
-    let mut c = world.client();
-    c.write_all(ask("aa11").as_bytes()).unwrap();
-    w.wait("POST");
+    let _open = world.open("aa11", &w);
     assert!(world.say(ask("aa11").as_bytes()).starts_with("HTTP/1.1 409"));
 }
 
@@ -185,9 +179,7 @@
         }),
     );
     let world = node(&silent(), &[&r], &[&w], None);
-    let mut c = world.client();
-    c.write_all(ask("aa14").as_bytes()).unwrap();
-    w.wait("POST");
+    let mut c = world.open("aa14", &w);
     world.orders.send_blocking(Order::Leave).unwrap();
     // New connections still come for a while.
     let ready = b"GET /healthz HTTP/1.1\r\n\r\n";
