--- a/crates/nickelgw-node/src/core/ledger_tests.rs
+++ b/crates/nickelgw-node/src/core/ledger_tests.rs
@@ -41,6 +41,38 @@
     assert_eq!((l.account.given_up, l.account.let_go), (1, 0));
 }
 
+/// Two reads of an inference whose states bear its own name: the first may have left one, the second has.
+fn two_shared(l: &mut Ledger) -> Held {
+    let second = Held { owner: 1, read: 1 };
+    for h in [held(1), second] {
+        l.coming(h, HeldState { shared: true, ..state(1) });
+    }
+    l.unread(1.0, held(1), false);
+    l.read(1.0, second);
+    second
+}
+
+#[test]
+fn shared_states_wait_for_the_inference_and_one_call_lets_go_of_all() {
+    let mut l = ledger();
+    let second = two_shared(&mut l);
+    assert_eq!(l.due(1.0 + 2.0 * HOLD_S), (vec![], None), "a call would take what a later send has read");
+    l.let_go(2.0, 1);
+    let (calls, _) = l.due(2.0);
+    assert_eq!(calls.len(), 1);
+    l.told(2.0, calls[0].0, true);
+    assert!(calls[0].0 == second && l.is_empty());
+}
+
+#[test]
+fn a_first_token_leaves_no_shared_state_to_let_go_of() {
+    let mut l = ledger();
+    two_shared(&mut l);
+    assert!(l.take(1.0, 1, 2).is_some());
+    l.fetched(1.0, 1, 2);
+    assert_eq!((l.due(9.0), l.is_empty()), ((vec![], None), true));
+}
+
 #[test]
 fn what_nobody_takes_is_let_go_of_within_the_limit() {
     let mut l = ledger();
