An arrival asks for news of writers at once, not in a later round

`load` then falls back on own tokens times the nodes: one stream of 7,798 tokens times 300 is 19 times a writer's memory, the mean wait at writers passes half a target, and nothing is admitted till that stream ends. At fault: `now <= self.infs[i].arrived` in `asking`. In the simulator the round has the arrival's own time; on sockets it is about a millisecond later, so that no arrival ever asked a writer or a reader by chance. Two busy nodes learn from the answers they get; of 300, each with a request in 3 s, none does. Ruled out: shares of tenants (over_share false), the budget (fits true), readers (all 34 there, none waiting).

Change: `take` asks.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -226,6 +226,7 @@
             ..Inference::default()
         };
         inf.homes = self.homes(&inf);
+        self.inquire(now, inf.homes.first().copied());
         self.recent.push_back(inf.prefix);
         self.recent.drain(..self.recent.len().saturating_sub(RECENT));
         self.keep(inf)
@@ -555,17 +556,21 @@
         }
     }
 
-    /// Asks for load where news is old: the first two hashed readers, and at arrival one reader and some
-    /// writers by chance, those beside the reader first. True while a hashed reader's answer may come.
-    fn asking(&mut self, now: f64, i: usize) -> bool {
-        let homes: Vec<usize> = self.infs[i].homes.iter().copied().take(2).collect();
-        homes.iter().for_each(|&e| self.ask(now, e, self.target / 2.0));
-        if now <= self.infs[i].arrived && self.probes {
+    /// At arrival, where news is old, one reader and some writers are asked by chance, those beside the hashed
+    /// reader first. Not left to the round of decisions, whose time is later on sockets.
+    fn inquire(&mut self, now: f64, home: Option<usize>) {
+        if self.probes {
             let readers = self.stage(true);
             let one = (self.dice() * readers.len() as f64) as usize;
             readers.get(one).into_iter().for_each(|&e| self.ask(now, e, self.target / 2.0));
-            homes.first().into_iter().for_each(|&e| self.scout(now, e));
+            home.into_iter().for_each(|e| self.scout(now, e));
         }
+    }
+
+    /// Asks the first two hashed readers for load where news is old. True while their answer may come.
+    fn asking(&mut self, now: f64, i: usize) -> bool {
+        let homes: Vec<usize> = self.infs[i].homes.iter().copied().take(2).collect();
+        homes.iter().for_each(|&e| self.ask(now, e, self.target / 2.0));
         let owed = homes.iter().any(|&e| self.engines[e].probing);
         owed && now < self.infs[i].arrived + self.target / 32.0
     }
