Fresh engines get a part of the traffic that each inference draws, by hashed reader first

A probe in the round of decisions: at 12 to 15 s 20.7 of 32.7 readers were fresh, and 30% of rounds found any of them open to the node. At fault: `ration`'s turns. A node's turn at an engine was `even` (0.012) of the 3 s window, 36 ms; of 300 nodes, each with an inference in 3 s, hardly one has something to send in its turn, and what it then has is mostly another reader's text.

Change: each inference draws, for each fresh engine, whether it is of the part that may go there; an engine's hashed texts are an even part of its zone already, and of the others half as many may spill to it. A node draws no more than it usually starts, or is promised, so that a rush of retries draws little. `turn` and its count are gone. Tests: 350 routers, even and uneven traffic and a rush, keep to the allowance and use a third of it at least; the only reader of a zone takes an even part. Both fail on the code before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! [`Router::decide`] lists. The types exchanged are in `src/interface.rs`. The ordinary path is the one
 //! function `decide`; it follows docs/design.md. Beside it stand six mechanisms:
 //! 1. engine health: failures and overdue sends, and silence (`strike`, `unreached`, `hear`, `watch`);
-//! 2. rationing of fresh engines, node by node in turn (`ration`);
+//! 2. rationing of fresh engines, by drawing a part of the traffic (`ration`, `draw`);
 //! 3. sending again, as far as the model route's kind allows (`again`);
 //! 4. fair shares: what a tenant sends beyond its quota waits behind the rest (`take`);
 //! 5. answering and letting go (`give_up`, `close`);
@@ -29,8 +29,8 @@
 const LONGEST_HOLD_OFF: f64 = 6.0;
 /// Rough life of a stream before any has been seen, in paces: a few sentences.
 const FIRST_LIFE: f64 = 80.0;
-/// Part of the cold allowance used; the rest is for news that comes late and for chance.
-const COLD_CAUTION: f64 = 0.4;
+/// Part of the cold allowance used; the rest is for chance: draws spread evenly what is sent.
+const COLD_CAUTION: f64 = 0.5;
 /// What a second of reading saved by kept text is worth, in seconds of waiting: reading anew also takes the
 /// reader from others and displaces what it keeps.
 const KEEPING: f64 = 4.0;
@@ -226,6 +226,7 @@
             ..Inference::default()
         };
         inf.homes = self.homes(&inf);
+        inf.draw = self.draw(now);
         self.inquire(now, inf.homes.first().copied());
         self.recent.push_back(inf.prefix);
         self.recent.drain(..self.recent.len().saturating_sub(RECENT));
@@ -363,23 +364,23 @@
             key(x).partial_cmp(&key(y)).unwrap().then(x.cmp(&y))
         });
         let (writer_wait, busy) = self.writers(now);
-        let mut readers = self.stage(true);
-        readers.retain(|&e| self.ration(now, e));
+        let readers = self.stage(true);
         // The budget: what the tightest target present leaves for reading, the c·t² left out.
         let tightest = queue.iter().map(|&i| self.infs[i].target - self.infs[i].arrived).fold(60.0, f64::min);
         let budget = ((tightest - self.read_cost.abc[0]) / self.read_cost.abc[1] * 1000.0).max(0.0);
-        let matured = |e: &usize| (self.engines[*e].matures - now).max(0.0);
-        let reader_wait = readers.iter().map(matured).min_by(f64::total_cmp).unwrap_or(0.0);
         // With a stage full the first-token target is the deadline: a late answer would make others late.
         let waits = readers.iter().map(|&e| self.maturity(now, e) - now);
         let mean_wait = waits.sum::<f64>() / readers.len().max(1) as f64;
         let pressed = busy >= ROOM || mean_wait > self.target / 4.0;
-        let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
         for &i in &queue {
             if self.asking(now, i) {
                 continue;
             }
             let inf = &self.infs[i];
+            let open: Vec<usize> = readers.iter().copied().filter(|&e| self.ration(now, i, e)).collect();
+            let matured = |e: &usize| (self.engines[*e].matures - now).max(0.0);
+            let reader_wait = open.iter().map(matured).min_by(f64::total_cmp).unwrap_or(0.0);
+            let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
             // Shed unread: too late to start before the deadline.
             let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
             if now + least > deadline || !self.again(now, i, None) {
@@ -387,16 +388,13 @@
                 continue;
             }
             // With no reader to send to, an engine that reads for itself takes the prompt.
-            if readers.is_empty() {
+            if open.is_empty() {
                 if let Some(w) = self.writer(now, i) {
                     self.write(now, i, w, 4.0 * self.read_cost.of(self.infs[i].prompt));
                 }
                 continue;
             }
-            if reader_wait > 0.0 {
-                break;
-            }
-            let Some(home) = self.reader(now, i, &readers) else { break };
+            let Some(home) = self.reader(now, i, &open).filter(|_| reader_wait <= 0.0) else { continue };
             let tokens = self.unkept(home, i);
             let e = &self.engines[home];
             let free = budget.min(e.memory * (1.0 - e.load.memory_share.unwrap_or(0.0)));
@@ -427,8 +425,8 @@
                 continue;
             }
             let idle = |e: &usize| self.engines[*e].batch_s == 0.0 && self.engines[*e].matures <= now;
-            let idle: Vec<usize> = readers.iter().copied().filter(idle).collect();
-            let Some(r) = self.reader(now, i, &idle) else { break };
+            let idle = readers.iter().copied().filter(|e| idle(e) && self.ration(now, i, *e));
+            let Some(r) = self.reader(now, i, &idle.collect::<Vec<_>>()) else { continue };
             self.read(now, i, r);
         }
         // A reader next matures when what it was given has been read.
@@ -477,6 +475,12 @@
     /// The usual wait of readers and load of writers, against which single engines are judged.
     fn survey(&mut self, now: f64) {
         self.now = now;
+        self.peers = [true, false].map(|reads| self.stage(reads).len().max(1) as f64);
+        let mut zones: Vec<u32> = self.stage(true).iter().map(|&e| self.engines[e].zone).collect();
+        let near = zones.iter().filter(|&&z| z == self.zone).count() as f64;
+        zones.sort_unstable();
+        zones.dedup();
+        self.homely = (if near > 0.0 { near * zones.len() as f64 } else { self.peers[0] }) / self.peers[0];
         for (k, reads) in [(0, true), (1, false)] {
             let (mut sum, mut weight) = (0.0, 0.0);
             for e in self.stage(reads) {
@@ -556,8 +560,8 @@
         }
     }
 
-    /// At arrival, where news is old, one reader and some writers are asked by chance, those beside the hashed
-    /// reader first. Not left to the round of decisions, whose time is later on sockets.
+    /// At arrival, where news is old, one reader and some writers by chance, those beside the hashed reader
+    /// first, are asked. Not left to the round of decisions, whose time is later on sockets.
     fn inquire(&mut self, now: f64, home: Option<usize>) {
         if self.probes {
             let readers = self.stage(true);
@@ -666,7 +670,7 @@
         let mut best = (f64::INFINITY, None);
         for w in self.stage(false) {
             let fit = self.infs[i].state.is_some() || self.writers_read || self.engines[w].role == Role::Both;
-            if !fit || !self.again(now, i, Some(w)) || !self.ration(now, w) {
+            if !fit || !self.again(now, i, Some(w)) || !self.ration(now, i, w) {
                 continue;
             }
             let jitter = 0.1 * self.pace * self.dice();
@@ -704,7 +708,6 @@
         let patience_s = patience.min(inf.due - now).max(self.tick);
         e.out += 1;
         e.tokens += if write { inf.prompt } else { 0.0 };
-        e.turn_sends += 1.0;
         self.todo.sends.push(SendOrder { inf: Inf(i as u32), eng: Eng(eng as u32), patience_s });
     }
 
@@ -769,27 +772,34 @@
         }
     }
 
-    /// Whether this node may send to the engine now. A fresh one is sent to in turns by node number, which
-    /// begin elsewhere for each engine: so many nodes at once that all they have stays within the
-    /// allowance, one at least; and in its turn a node sends no more than its part of that.
-    fn ration(&mut self, now: f64, e: usize) -> bool {
-        let age = now - self.engines[e].started;
+    /// Whether the inference may be sent to the engine now. A fresh one gets an even part of the traffic,
+    /// times what it may bear by its age: each inference draws whether it is of that, so that all nodes
+    /// keep to it, however uneven their traffic, and none is lost at nodes with nothing to send. Those whose
+    /// hashed reader it is are an even part already; of the others half as many may spill to it.
+    fn ration(&self, now: f64, i: usize, e: usize) -> bool {
+        let eng = &self.engines[e];
+        let age = now - eng.started;
         if age >= self.warm_within {
             return true;
         }
-        if self.unplaced {
-            return false;
-        }
-        let peers = self.stage(self.engines[e].role == Role::Read).len().max(1) as f64;
         let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
-        let even = self.cold_multiple * grown / peers;
-        let allowed = (even * self.tip_window / self.start_gap.max(self.tick)).max(1.0);
-        let e = &mut self.engines[e];
-        let place = hash(&e.id, 0) as f64 / u64::MAX as f64 + self.node / self.nodes + now / self.tip_window;
-        if e.turn != place.floor() {
-            (e.turn, e.turn_sends) = (place.floor(), 0.0);
-        }
-        place.fract() < even.max(1.0 / self.nodes) && e.turn_sends + 1.0 <= allowed
+        let home = self.infs[i].homes.first() == Some(&e);
+        let part = if home { self.homely } else { 0.5 / self.peers[(eng.role != Role::Read) as usize] };
+        let drawn = |d: u64| (hash(&eng.id, d) as f64) < self.cold_multiple * grown * part * u64::MAX as f64;
+        !self.unplaced && self.infs[i].draw.is_some_and(drawn)
+    }
+
+    /// What an inference draws its turns by; none beyond what this node usually starts, or its part of what
+    /// the tenants are promised: retries in a rush are not traffic.
+    fn draw(&mut self, now: f64) -> Option<u64> {
+        let quotas = self.shares.iter().map(|s| s.rate).sum::<f64>();
+        let rate = quotas.max(1.0 / self.start_gap.max(self.tick));
+        self.draws = (self.draws + rate * (now - self.drawn_at)).min(1.0 + rate * self.tip_window / 8.0);
+        self.drawn_at = now;
+        (self.draws >= 1.0).then(|| {
+            self.draws -= 1.0;
+            self.chance.generate()
+        })
     }
 
     /// Whether a further send is allowed: to this writer, or (none named) at all, a read and a write left.
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,13 @@
     pub(crate) start_gap: f64,
     pub(crate) last_start: f64,
     pub(crate) now: f64,
+    /// Readers and writers in service.
+    pub(crate) peers: [f64; 2],
+    /// The part of the traffic hashed to a reader of this zone that is an even part of all.
+    pub(crate) homely: f64,
+    /// Inferences that may still draw turns at fresh engines, and when that was last filled.
+    pub(crate) draws: f64,
+    pub(crate) drawn_at: f64,
     /// Texts of the latest arrivals.
     pub(crate) recent: VecDeque<u64>,
     /// Mean wait at a reader and load of a writer, fresh news counting more.
@@ -103,9 +110,6 @@
     /// When it last could not be reached, by probe or send.
     pub mute: f64,
     pub probing: bool,
-    /// Own sends in the present turn of a fresh engine.
-    pub turn: f64,
-    pub turn_sends: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -144,6 +148,8 @@
     pub session: u64,
     pub prefix: u64,
     pub over_share: bool,
+    /// By which it draws turns at fresh engines.
+    pub draw: Option<u64>,
     /// Readers named by the hash of its text, best first.
     pub homes: Vec<usize>,
     pub sends: Vec<Sent>,
