Lists of over a thousand engines are heard whole, longer than a request may be

Cause, read from the code and then shown by a test: `wire::body` held discovery's answers to the 256 KiB of a request, and `MOST_LINES` the table to 1,024. 1,600 engines with ids of 200 characters were never heard: the node kept to the engines of its start. `Router::list` compared each engine known with each line. Change: a list may be 8 MiB long, whole or in chunks, and have 16,384 lines; what is kept grows only with what is there. Lines are looked up in a set. Tests: a list of 1,600 engines with long ids, in one length and in one chunk, is followed (both fail on the code before); a module that has 2,000 live engines replaced 500 at a time leaves none out, and records of gone ones are used anew.

--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::core::chunks::Piece;
 use crate::core::engine::Passed;
 use crate::core::request::{self, Head, Names, CHAT, READY};
-use crate::core::Spoilt;
+use crate::core::{Spoilt, MOST_BODY};
 use crate::node::{Node, Reply};
 use crate::wire::{body, next, read, Broken};
 use async_channel::{Receiver, Sender};
@@ -387,6 +387,6 @@
         }))
     };
     let head = next(stream, buf, head).await?;
-    let body = body(stream, buf, head.framing).await?;
+    let body = body(stream, buf, head.framing, MOST_BODY).await?;
     Ok((head, body))
 }
--- a/crates/nickelgw-platform/src/core/chunks.rs
+++ b/crates/nickelgw-platform/src/core/chunks.rs
@@ -1,6 +1,6 @@
 //! Chunked bodies, a whole chunk at a time: what does not fit is found before any of it is passed on.
 
-use super::{Spoilt, MOST_BODY, MOST_HEADERS};
+use super::{Spoilt, MOST_HEADERS};
 use bytes::{Buf, Bytes, BytesMut};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,8 +14,8 @@
 const MOST_LINE: usize = 256;
 const MOST_TRAILERS: usize = 4096;
 
-/// Takes the next chunk off the buffer; none until it is whole.
-pub fn next(buf: &mut BytesMut) -> Result<Option<Piece>, Spoilt> {
+/// Takes the next chunk off the buffer; none until it is whole, none longer than allowed.
+pub fn next(buf: &mut BytesMut, most: usize) -> Result<Option<Piece>, Spoilt> {
     let (line, size) = match httparse::parse_chunk_size(buf) {
         Err(_) => return Err(Spoilt::Chunk),
         Ok(httparse::Status::Partial) if buf.len() > MOST_LINE => return Err(Spoilt::Chunk),
@@ -23,7 +23,7 @@
         Ok(httparse::Status::Complete((line, size))) => (line, size),
     };
     let size = usize::try_from(size).unwrap_or(usize::MAX);
-    if size > MOST_BODY || line > MOST_LINE {
+    if size > most || line > MOST_LINE {
         return Err(Spoilt::Long);
     }
     if size == 0 {
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -22,6 +22,8 @@
 
 /// Longest body, of a request and of a piece of an answer.
 pub const MOST_BODY: usize = 256 * 1024;
+/// Longest list of discovery, whole: as many engines as are kept, with long names.
+pub const MOST_LIST: usize = 8 * 1024 * 1024;
 /// Longest head.
 pub const MOST_HEAD: usize = 16 * 1024;
 pub const MOST_HEADERS: usize = 64;
--- a/crates/nickelgw-platform/src/core/tests.rs
+++ b/crates/nickelgw-platform/src/core/tests.rs
@@ -71,7 +71,7 @@
 fn pieces(bytes: &[u8]) -> Result<Vec<Piece>, Spoilt> {
     let mut buf = BytesMut::from(bytes);
     let mut all = Vec::new();
-    while let Some(p) = next(&mut buf)? {
+    while let Some(p) = next(&mut buf, MOST_BODY)? {
         all.push(p);
     }
     Ok(all)
@@ -169,9 +169,9 @@
         let cut = cut.min(bytes.len());
         let mut buf = BytesMut::from(&bytes[..cut]);
         let mut all = Vec::new();
-        while let Some(p) = next(&mut buf).unwrap() { all.push(p); }
+        while let Some(p) = next(&mut buf, MOST_BODY).unwrap() { all.push(p); }
         buf.extend_from_slice(&bytes[cut..]);
-        while let Some(p) = next(&mut buf).unwrap() { all.push(p); }
+        while let Some(p) = next(&mut buf, MOST_BODY).unwrap() { all.push(p); }
         prop_assert_eq!(all, [Piece::Data(Bytes::from(data)), Piece::Last]);
     }
 }
--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -27,7 +27,7 @@
             None => (LIST.to_string(), ANSWER_S),
             Some(v) => (format!("{LIST}?since={v}&timeout_ms={}", (WAIT_S * 1e3) as u64), WAIT_S + ANSWER_S),
         };
-        let call = async { Some(node.pool.short(s, "GET", &target, &at).await) };
+        let call = async { Some(node.pool.list(s, &target, &at).await) };
         let other = async {
             let _ = moved.recv().await;
             None
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -3,7 +3,7 @@
 use crate::core::chunks::Piece;
 use crate::core::engine::{self, Passed};
 use crate::core::list::{News, Roll};
-use crate::core::{names, Framing};
+use crate::core::{names, Framing, MOST_BODY};
 use crate::wire::Pool;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -276,7 +276,7 @@
     async fn rest(&self, mut c: crate::wire::Connection, answer: engine::Answer, read: bool) -> End {
         let cause = engine::cause(&answer, read);
         // Its status has settled it: a body that breaks off changes nothing but the connection.
-        let kept = match c.body(&answer).await {
+        let kept = match c.body(&answer, MOST_BODY).await {
             Ok((body, again)) => {
                 if again {
                     self.pool.give_back(c);
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -3,7 +3,7 @@
 
 use crate::core::chunks::{self, Piece};
 use crate::core::engine::{self, Answer};
-use crate::core::{Framing, Spoilt, MOST_BODY};
+use crate::core::{Framing, Spoilt, MOST_BODY, MOST_LIST};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use nickelgw_node::core::Cause;
@@ -71,17 +71,18 @@
     stream: &mut Async<TcpStream>,
     buf: &mut BytesMut,
     framing: Framing,
+    most: usize,
 ) -> Result<Bytes, Broken> {
     match framing {
         Framing::Unsaid => Ok(Bytes::new()),
-        Framing::Length(n) if n > MOST_BODY => Err(Spoilt::Long.into()),
+        Framing::Length(n) if n > most => Err(Spoilt::Long.into()),
         Framing::Length(n) => next(stream, buf, |b| Ok((b.len() >= n).then(|| b.split_to(n).freeze()))).await,
         Framing::Chunked => {
             let mut body = BytesMut::new();
             loop {
-                match next(stream, buf, chunks::next).await? {
+                match next(stream, buf, |b| chunks::next(b, most)).await? {
                     Piece::Last => return Ok(body.freeze()),
-                    Piece::Data(d) if body.len() + d.len() > MOST_BODY => return Err(Spoilt::Long.into()),
+                    Piece::Data(d) if body.len() + d.len() > most => return Err(Spoilt::Long.into()),
                     Piece::Data(d) => body.extend_from_slice(&d),
                 }
             }
@@ -138,15 +139,15 @@
 
     /// The next piece of a chunked body.
     pub async fn piece(&mut self) -> Result<Piece, Cause> {
-        Ok(next(&mut self.stream, &mut self.buf, chunks::next).await?)
+        Ok(next(&mut self.stream, &mut self.buf, |b| chunks::next(b, MOST_BODY)).await?)
     }
 
     /// A whole body, and whether the connection can carry a further request.
-    pub async fn body(&mut self, answer: &Answer) -> Result<(Bytes, bool), Cause> {
+    pub async fn body(&mut self, answer: &Answer, most: usize) -> Result<(Bytes, bool), Cause> {
         if answer.status == 204 || answer.status == 304 {
             return Ok((Bytes::new(), !answer.close));
         }
-        let body = body(&mut self.stream, &mut self.buf, answer.framing).await?;
+        let body = body(&mut self.stream, &mut self.buf, answer.framing, most).await?;
         Ok((body, !answer.close && answer.framing != Framing::Unsaid))
     }
 }
@@ -222,12 +223,28 @@
         method: &str,
         target: &str,
         address: &str,
+    ) -> Result<(Answer, Bytes), Cause> {
+        self.call(s, method, target, address, MOST_BODY).await
+    }
+
+    /// A list asked of discovery: one of a large fleet is longer than any body of a request.
+    pub async fn list(&self, s: f64, target: &str, address: &str) -> Result<(Answer, Bytes), Cause> {
+        self.call(s, "GET", target, address, MOST_LIST).await
+    }
+
+    async fn call(
+        &self,
+        s: f64,
+        method: &str,
+        target: &str,
+        address: &str,
+        most: usize,
     ) -> Result<(Answer, Bytes), Cause> {
         let call = async {
             let mut c = self.connection(address).await?;
             c.write(&engine::short(method, target, address), &Cell::new(false)).await?;
             let answer = c.answer().await?;
-            let (body, again) = c.body(&answer).await?;
+            let (body, again) = c.body(&answer, most).await?;
             if again {
                 self.give_back(c);
             }
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -223,3 +223,31 @@
     assert!(got.ends_with("0\r\n\r\n") && began.elapsed().as_secs_f64() < 1.5, "{got}");
     assert_eq!(stay[0].read(&mut [0; 8]).unwrap(), 0, "closed with its answer");
 }
+
+/// A list longer than any request was refused, and the node kept to the engines of its start.
+#[test_case(false; "in one length")]
+#[test_case(true; "in one chunk")]
+fn a_fleet_of_over_a_thousand_engines_is_heard(chunked: bool) {
+    let (r, w) = (reader(), peer(|_, _| Then::Answer(stream())));
+    let (readers, writers) = (vec![&r; 800], vec![&w; 800]);
+    let mut all = list(&readers, &writers);
+    for (n, i) in all["instances"].as_array_mut().unwrap().iter_mut().enumerate() {
+        i["instanceId"] = format!("{n}-{}", "long".repeat(50)).into();
+    }
+    let all = all.to_string();
+    assert!(all.len() > 256 * 1024);
+    let discovery = peer(move |asked, _| match asked.contains("since=") {
+        true => Then::Hold,
+        false if chunked => {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            Then::Answer(format!("{head}{}0\r\n\r\n", chunk(&all)).into_bytes())
+        }
+        false => Then::Answer(plain("200 OK", &all)),
+    });
+    let world = node(&discovery, &[], &[], None);
+    let served = (0..40).any(|n| {
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        world.say(ask(&format!("ab{n:02}")).as_bytes()).starts_with("HTTP/1.1 200")
+    });
+    assert!(served);
+}
--- a/crates/nickelgw-protocol/src/list.rs
+++ b/crates/nickelgw-protocol/src/list.rs
@@ -46,7 +46,7 @@
 }
 
 /// Lists longer than this are refused: the tables behind them are bounded.
-pub const MOST_LINES: usize = 1024;
+pub const MOST_LINES: usize = 16_384;
 
 impl List {
     pub fn parse(bytes: &[u8]) -> Result<List, Malformed> {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,7 +15,7 @@
 pub use crate::state::Router;
 use crate::state::{hash, Engine, Inference, ReadCost, Sent, Share, Stage};
 use nanorand::{Rng, WyRand};
-use std::cmp::Reverse;
+use std::{cmp::Reverse, collections::HashSet};
 
 /// Admission threshold of the first-token chance (DESIGN's start).
 const THETA: f64 = 0.5;
@@ -119,7 +119,8 @@
 
     /// News of the engines; a full list leaves out those that are gone. Only those that are in are sent to.
     pub fn list(&mut self, now: f64, lines: &[EngineLine], full: bool) {
-        for e in self.engines.iter_mut().filter(|e| full && lines.iter().all(|l| l.id != e.id)) {
+        let listed: HashSet<&str> = lines.iter().map(|l| &*l.id).collect();
+        for e in self.engines.iter_mut().filter(|e| full && !listed.contains(&*e.id)) {
             e.standing = Standing::Gone;
         }
         for l in lines {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -707,3 +707,17 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Each line of a list was compared with every engine known.
+#[test]
+fn a_large_fleet_leaves_nothing_out_as_engines_are_replaced() {
+    let mut r = router(Repeat::Retriable);
+    for round in 0..4 {
+        let id = |k: usize| format!("{}-{}", k + 500 * round, "long".repeat(50));
+        let lines: Vec<_> = (0..2000).map(|k| line(&id(k), Role::Read, 0, 0)).collect();
+        r.list(NOW, &lines, true);
+        assert_eq!(r.stage(true).len(), 2000);
+    }
+    // Those that are gone make room for new ones.
+    assert!(r.engines.len() <= 2000 + 500 + 5, "{}", r.engines.len());
+}
