One refill of allowances, one pass over the engines, no node number left in the module

Read over once more, nothing that decides changes: - The refill of an allowance stood three times (`take`, `place`, `draw`); `Bucket::fill` serves all. - `Router::node` was dead since turns went; `place` takes the count alone, and the words on turns are gone from the docs. - `survey` listed the readers three times and the writers twice a round; now once each.

--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -390,7 +390,7 @@
 
     /// What part of the whole is this node's has changed.
     pub fn place(&mut self, now: f64, place: Option<(u32, u32)>) {
-        self.router.place(now, place);
+        self.router.place(now, place.map(|(_, of)| of));
     }
 
     /// What an earlier process of this node had learnt, as it was kept; false: it cannot be read.
--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Follows discovery: the whole list first, then a watch that waits for what changes.
 
 use crate::core::list::News;
+use crate::core::MOST_LIST;
 use crate::node::Node;
 use async_channel::Receiver;
 use nickelgw_node::{seconds, within};
@@ -27,7 +28,7 @@
             None => (LIST.to_string(), ANSWER_S),
             Some(v) => (format!("{LIST}?since={v}&timeout_ms={}", (WAIT_S * 1e3) as u64), WAIT_S + ANSWER_S),
         };
-        let call = async { Some(node.pool.list(s, &target, &at).await) };
+        let call = async { Some(node.pool.short(s, "GET", &target, &at, MOST_LIST).await) };
         let other = async {
             let _ = moved.recv().await;
             None
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -348,19 +348,20 @@
     }
 
     async fn probe(self: Rc<Self>, place: Rc<Place>) {
-        let (cause, load) = match self.pool.short(self.short_s, "GET", self.probe, &place.address).await {
-            Err(cause) => (cause, None),
-            Ok((answer, body)) => {
-                let told = std::str::from_utf8(&body).ok().and_then(|b| engine::report(b.trim()));
-                let cause = match answer.status {
-                    200 => Cause::Completed,
-                    // It answers, and has no room now.
-                    503 => Cause::TurnedAway,
-                    status => Cause::Failed(status),
-                };
-                (cause, answer.report.or(told))
-            }
-        };
+        let (cause, load) =
+            match self.pool.short(self.short_s, "GET", self.probe, &place.address, MOST_BODY).await {
+                Err(cause) => (cause, None),
+                Ok((answer, body)) => {
+                    let told = std::str::from_utf8(&body).ok().and_then(|b| engine::report(b.trim()));
+                    let cause = match answer.status {
+                        200 => Cause::Completed,
+                        // It answers, and has no room now.
+                        503 => Cause::TurnedAway,
+                        status => Cause::Failed(status),
+                    };
+                    (cause, answer.report.or(told))
+                }
+            };
         self.core.borrow_mut().probed(self.now(), &place.id, cause, load);
         self.look();
     }
@@ -372,7 +373,7 @@
         let tried: Vec<String> =
             self.roll.borrow().others(&reader.address).take(TRIED).map(str::to_string).collect();
         for address in tried {
-            let answer = self.pool.short(self.short_s, "DELETE", &target, &address).await;
+            let answer = self.pool.short(self.short_s, "DELETE", &target, &address, MOST_BODY).await;
             if answer.is_ok_and(|(a, _)| a.status < 300) {
                 return true;
             }
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -3,7 +3,7 @@
 
 use crate::core::chunks::{self, Piece};
 use crate::core::engine::{self, Answer};
-use crate::core::{Framing, Spoilt, MOST_BODY, MOST_LIST};
+use crate::core::{Framing, Spoilt, MOST_BODY};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use nickelgw_node::core::Cause;
@@ -216,28 +216,13 @@
         }
     }
 
-    /// A call without a body, its answer whole, or nothing within the time.
+    /// A call without a body, its answer whole and no longer than allowed, or nothing within the time.
     pub async fn short(
         &self,
         s: f64,
         method: &str,
         target: &str,
         address: &str,
-    ) -> Result<(Answer, Bytes), Cause> {
-        self.call(s, method, target, address, MOST_BODY).await
-    }
-
-    /// A list asked of discovery: one of a large fleet is longer than any body of a request.
-    pub async fn list(&self, s: f64, target: &str, address: &str) -> Result<(Answer, Bytes), Cause> {
-        self.call(s, "GET", target, address, MOST_LIST).await
-    }
-
-    async fn call(
-        &self,
-        s: f64,
-        method: &str,
-        target: &str,
-        address: &str,
         most: usize,
     ) -> Result<(Answer, Bytes), Cause> {
         let call = async {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,7 +13,7 @@
 
 use crate::interface::*;
 pub use crate::state::Router;
-use crate::state::{hash, Engine, Inference, ReadCost, Sent, Share, Stage};
+use crate::state::{hash, Bucket, Engine, Inference, ReadCost, Sent, Share, Stage};
 use nanorand::{Rng, WyRand};
 use std::{cmp::Reverse, collections::HashSet};
 
@@ -84,10 +84,9 @@
         let (target, pace) = (target.clamp(0.01, 60.0), pace.clamp(0.001, 1.0));
         // Before the first sample: a read costs half a pace, and what the target grants a prompt token.
         let per_k = least(|r| r.target_per_token_s).clamp(1e-5, 1e-3) * 1000.0;
-        let part = |q: &f64| q / d.nodes.max(1) as f64;
-        let share = |q: &f64| Share { left: 2.0 + 2.0 * part(q), at: 0.0, rate: part(q), quota: *q };
+        let bucket = |rate: f64| Bucket { left: 2.0 + 2.0 * rate, at: 0.0, rate };
+        let share = |q: &f64| Share { bucket: bucket(q / d.nodes.max(1) as f64), quota: *q };
         Router {
-            node: d.node as f64,
             nodes: d.nodes.max(1) as f64,
             tick: d.tick_s,
             shares: d.tenant_quotas.iter().map(share).collect(),
@@ -145,17 +144,15 @@
         self.ask_at = now + self.target * (0.5 + self.dice());
     }
 
-    /// Its number and how many nodes count have changed; none: it may use nothing of what all share for now.
-    pub fn place(&mut self, now: f64, place: Option<(u32, u32)>) {
-        self.unplaced = place.is_none();
-        if let Some((node, nodes)) = place {
-            (self.node, self.nodes) = (node as f64, nodes.max(1) as f64);
-        }
+    /// How many nodes count has changed; none: it may use nothing of what all share for now.
+    pub fn place(&mut self, now: f64, nodes: Option<u32>) {
+        self.unplaced = nodes.is_none();
+        self.nodes = nodes.map_or(self.nodes, |n| n.max(1) as f64);
         let of = if self.unplaced { f64::INFINITY } else { self.nodes };
-        for s in &mut self.shares {
-            s.left = (s.left + s.rate * (now - s.at)).min(2.0 + 2.0 * s.rate);
-            (s.at, s.rate) = (now, s.quota / of);
-            s.left = s.left.min(2.0 + 2.0 * s.rate);
+        for Share { bucket, quota } in &mut self.shares {
+            bucket.fill(now, 2.0 + 2.0 * bucket.rate);
+            bucket.rate = *quota / of;
+            bucket.fill(now, 2.0 + 2.0 * bucket.rate);
         }
     }
 
@@ -209,10 +206,10 @@
         let r = &self.routes[a.route];
         let target = now + r.first_token_target_s + r.target_per_token_s * a.prompt_tokens;
         let over_share = a.tenant.is_some_and(|t| {
-            let s = &mut self.shares[t];
-            s.left = (s.left + s.rate * (now - s.at)).clamp(-s.rate, 2.0 + 2.0 * s.rate);
-            (s.at, s.left) = (now, s.left - 1.0);
-            s.left < 0.0
+            let b = &mut self.shares[t].bucket;
+            b.fill(now, 2.0 + 2.0 * b.rate);
+            b.left = b.left.max(-b.rate) - 1.0;
+            b.left < 0.0
         });
         let mut inf = Inference {
             route: a.route,
@@ -395,7 +392,10 @@
                 }
                 continue;
             }
-            let Some(home) = self.reader(now, i, &open).filter(|_| reader_wait <= 0.0) else { continue };
+            if reader_wait > 0.0 {
+                continue;
+            }
+            let Some(home) = self.reader(now, i, &open) else { continue };
             let tokens = self.unkept(home, i);
             let e = &self.engines[home];
             let free = budget.min(e.memory * (1.0 - e.load.memory_share.unwrap_or(0.0)));
@@ -476,15 +476,16 @@
     /// The usual wait of readers and load of writers, against which single engines are judged.
     fn survey(&mut self, now: f64) {
         self.now = now;
-        self.peers = [true, false].map(|reads| self.stage(reads).len().max(1) as f64);
-        let mut zones: Vec<u32> = self.stage(true).iter().map(|&e| self.engines[e].zone).collect();
+        let stages = [self.stage(true), self.stage(false)];
+        self.peers = [stages[0].len().max(1) as f64, stages[1].len().max(1) as f64];
+        let mut zones: Vec<u32> = stages[0].iter().map(|&e| self.engines[e].zone).collect();
         let near = zones.iter().filter(|&&z| z == self.zone).count() as f64;
         zones.sort_unstable();
         zones.dedup();
-        self.homely = (if near > 0.0 { near * zones.len() as f64 } else { self.peers[0] }) / self.peers[0];
+        self.homely = if near > 0.0 { near * zones.len() as f64 / self.peers[0] } else { 1.0 };
         for (k, reads) in [(0, true), (1, false)] {
             let (mut sum, mut weight) = (0.0, 0.0);
-            for e in self.stage(reads) {
+            for &e in &stages[k] {
                 // By age, but gently: hashed readers of popular texts are asked the most.
                 let trust = 1.0 / (1.0 + (now - self.engines[e].load_at) / self.target);
                 let told = if reads { Some(self.engines[e].told_wait) } else { self.told(e) };
@@ -790,15 +791,14 @@
         !self.unplaced && self.infs[i].draw.is_some_and(drawn)
     }
 
-    /// What an inference draws its turns by; none beyond what this node usually starts, or its part of what
+    /// What an inference draws its part by; none beyond what this node usually starts, or its part of what
     /// the tenants are promised: retries in a rush are not traffic.
     fn draw(&mut self, now: f64) -> Option<u64> {
-        let quotas = self.shares.iter().map(|s| s.rate).sum::<f64>();
-        let rate = quotas.max(1.0 / self.start_gap.max(self.tick));
-        self.draws = (self.draws + rate * (now - self.drawn_at)).min(1.0 + rate * self.tip_window / 8.0);
-        self.drawn_at = now;
-        (self.draws >= 1.0).then(|| {
-            self.draws -= 1.0;
+        let quotas = self.shares.iter().map(|s| s.bucket.rate).sum::<f64>();
+        self.draws.rate = quotas.max(1.0 / self.start_gap.max(self.tick));
+        self.draws.fill(now, 1.0 + self.draws.rate * self.tip_window / 8.0);
+        (self.draws.left >= 1.0).then(|| {
+            self.draws.left -= 1.0;
             self.chance.generate()
         })
     }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -164,7 +164,7 @@
 #[test]
 fn all_nodes_agree_on_the_hashed_reader() {
     let (a, mut b) = (router(Repeat::Retriable), router(Repeat::Retriable));
-    (b.node, b.chance) = (1.0, WyRand::new_seed(99));
+    b.chance = WyRand::new_seed(99);
     let inf = inference(Stage::Queued);
     assert_eq!(a.homes(&inf), b.homes(&inf));
 }
@@ -667,15 +667,7 @@
 #[test_case(9, true; "the ninth at once")]
 fn a_small_part_of_a_quota_admits_what_chance_brings(arrivals: usize, over: bool) {
     let mut r = Router::new(Deployment { nodes: 200, ..deployment(Repeat::Retriable) });
-    let arrival = Arrival {
-        route: 0,
-        tenant: Some(0),
-        due_at: NOW + 5.0,
-        prompt_tokens: 900.0,
-        prefix_tokens: 0.0,
-        session: "s".into(),
-        prefix: None,
-    };
+    let arrival = Arrival { tenant: Some(0), prompt_tokens: 900.0, ..arrival() };
     let last = (0..arrivals).map(|_| r.take(NOW, &arrival)).last().unwrap();
     assert_eq!(r.infs[last.0 as usize].over_share, over);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,8 +7,7 @@
 /// All that a node knows and holds; what it does with it is in `src/decide.rs`.
 #[derive(Default)]
 pub struct Router {
-    pub(crate) node: f64,
-    /// It has no number among the nodes now, and may use nothing of what all share.
+    /// It has no place among the nodes now, and may use nothing of what all share.
     pub(crate) unplaced: bool,
     pub(crate) nodes: f64,
     pub(crate) tick: f64,
@@ -47,9 +46,8 @@
     pub(crate) peers: [f64; 2],
     /// The part of the traffic hashed to a reader of this zone that is an even part of all.
     pub(crate) homely: f64,
-    /// Inferences that may still draw turns at fresh engines, and when that was last filled.
-    pub(crate) draws: f64,
-    pub(crate) drawn_at: f64,
+    /// Inferences that may still draw their part of fresh engines.
+    pub(crate) draws: Bucket,
     /// Texts of the latest arrivals.
     pub(crate) recent: VecDeque<u64>,
     /// Mean wait at a reader and load of a writer, fresh news counting more.
@@ -148,7 +146,7 @@
     pub session: u64,
     pub prefix: u64,
     pub over_share: bool,
-    /// By which it draws turns at fresh engines.
+    /// By which it draws its part of fresh engines.
     pub draw: Option<u64>,
     /// Readers named by the hash of its text, best first.
     pub homes: Vec<usize>,
@@ -160,12 +158,26 @@
     pub ran: Option<(usize, f64)>,
 }
 
-/// A tenant's allowance at this node: inferences left of it (two seconds' worth and two that chance may
-/// bring together at most), when last filled, and its rate.
-pub struct Share {
+/// An allowance that fills with time.
+#[derive(Default)]
+pub struct Bucket {
     pub left: f64,
+    /// When it was last filled.
     pub at: f64,
     pub rate: f64,
+}
+
+impl Bucket {
+    pub(crate) fn fill(&mut self, now: f64, most: f64) {
+        self.left = (self.left + self.rate * (now - self.at)).min(most);
+        self.at = now;
+    }
+}
+
+/// A tenant's allowance at this node: inferences, two seconds' worth and two that chance may bring together
+/// at most.
+pub struct Share {
+    pub bucket: Bucket,
     /// Of all nodes together.
     pub quota: f64,
 }
