A held state's time runs on while its writer cannot be reached; another zone is tried once

At fault: Router::settled set held_since at every ending, NoConnection too, while by the protocol the time runs on until a call's last byte is at a running engine; Router::writer made only the very writer that failed a worse choice.

What never came up (or was silent from its send on) is no send for the held state (connect_s; the simulator and `serve` count a send from its order, as before). It makes all writers of that zone a worse choice for this inference; a further send is made only while it and the first call that lets go may fail within the time. Where such a call goes is the module's choice now (Router::heard_last), not the shell's first three in the list. The platform adds the protocol's 300 ms to the time.

Seen to fail without: cut tests on sockets (held 1.255 s; 503 after 1.253 s where another zone had a writer), module tests.

--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -14,7 +14,7 @@
 use ledger::{Held, Ledger};
 use nickelgw::decide::Router;
 use nickelgw::interface::{
-    Arrival, Deployment, Ending, EngineLine, Inf, Learnt, Load, Outcome, Role, Standing,
+    Arrival, Deployment, Ending, Eng, EngineLine, Inf, Learnt, Load, Outcome, Role, Standing,
 };
 use nickelgw_chat::core::grant::{grant, GrantKey, Granted};
 use nickelgw_protocol::list::{self, List};
@@ -111,6 +111,8 @@
     LetGo {
         call: Held,
         state: HeldState,
+        /// Where any engine takes the call: those at which it is tried, in this order.
+        at: Vec<Rc<Place>>,
     },
     Probe(Rc<Place>),
     /// Whatever earlier processes of this node left at the reader is let go of.
@@ -168,6 +170,9 @@
     (first_s * f64::from(1u32 << tries.min(16))).min(longest_s)
 }
 
+/// Engines that a call to let go is tried at before it is repeated.
+const TRIED: usize = 3;
+
 /// Part of its target past which a first token counts as late for the limit: one that waits for misses has had them.
 const IN_GOOD_TIME: f64 = 0.4;
 
@@ -755,7 +760,10 @@
             self.taken[inf.0 as usize] = None;
         }
         let (calls, let_go_at) = self.ledger.due(now);
-        todo.extend(calls.into_iter().map(|(call, state)| Do::LetGo { call, state }));
+        for (call, state) in calls {
+            let at = if state.shared { self.takers(&state.reader) } else { Vec::new() };
+            todo.push(Do::LetGo { call, state, at });
+        }
         let (readers, sweep_at) = self.sweep.due(now);
         todo.extend(readers.into_iter().map(Do::Sweep));
         let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
@@ -763,8 +771,20 @@
         Actions { todo, wake_at }
     }
 
+    /// Engines that the module names for a call which any of them takes; the one meant at least.
+    fn takers(&self, meant: &Rc<Place>) -> Vec<Rc<Place>> {
+        let named = self.router.heard_last(&meant.id, TRIED);
+        let place = |e: &Eng| self.places.get(self.router.engine_id(*e)).map(|p| p.0.clone());
+        let places: Vec<_> = named.iter().filter_map(place).collect();
+        if places.is_empty() {
+            vec![meant.clone()]
+        } else {
+            places
+        }
+    }
+
     /// Books a send and says what the shell needs to make it.
-    fn order(&mut self, now: f64, inf: Inf, eng: nickelgw::interface::Eng, patience_s: f64) -> Option<Order> {
+    fn order(&mut self, now: f64, inf: Inf, eng: Eng, patience_s: f64) -> Option<Order> {
         let ticket = self.ticket(inf)?;
         let id = self.router.engine_id(eng).to_string();
         let idle_s = self.figures.stream_idle_s;
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -25,6 +25,7 @@
         most_sends: 6,
         writers_read: true,
         hold_limit_s: HOLD_S,
+        connect_s: 0.0,
         move_price: 0.0,
         zone_price: 0.0,
         cancel: true,
@@ -155,7 +156,7 @@
                     assert!(!shed || harmless, "shed though it may have run");
                     s.answers.push((self.now, answer));
                 }
-                Do::LetGo { call, state } => {
+                Do::LetGo { call, state, .. } => {
                     self.states.remove(&state.name);
                     self.calls.push(call);
                 }
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -424,7 +424,7 @@
                         again = true;
                     }
                     Do::Answer { ticket, answer } => self.answer(ticket, answer),
-                    Do::LetGo { call, state } => {
+                    Do::LetGo { call, state, .. } => {
                         let task = self.engines.clone().let_go(call, state, self.to_core.clone());
                         self.ex.spawn(task).detach();
                     }
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -86,6 +86,7 @@
         most_sends: 6,
         writers_read: false,
         hold_limit_s: 0.5,
+        connect_s: 0.0,
         move_price: 0.0,
         zone_price: 0.0,
         cancel: true,
--- a/crates/nickelgw-options/src/lib.rs
+++ b/crates/nickelgw-options/src/lib.rs
@@ -103,6 +103,7 @@
             most_sends: num(limits, "most_tries")? as u32,
             writers_read: flag(info, "local_read")?,
             hold_limit_s: num(info, "release_s")?,
+            connect_s: 0.0,
             move_price: num_or(info, "transfer_price", 0.0)?,
             zone_price: num_or(charges, "cross_zone", 0.0)?,
             cancel: flag(limits, "cancel")?,
--- a/crates/nickelgw-platform/src/core/list.rs
+++ b/crates/nickelgw-platform/src/core/list.rs
@@ -91,10 +91,4 @@
     pub fn list(&self) -> List {
         List { revision: self.told, engines: self.by_id.values().cloned().collect() }
     }
-
-    /// Addresses that a call which any engine may take is tried at: the first one named, then others.
-    pub fn others<'a>(&'a self, first: &'a str) -> impl Iterator<Item = &'a str> {
-        let other = move |l: &&Line| l.address != first && l.state == State::In;
-        std::iter::once(first).chain(self.by_id.values().filter(other).map(|l| l.address.as_str()))
-    }
 }
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -18,8 +18,6 @@
 
 /// Events that may wait for a slow client before its writer is slowed.
 const AHEAD: usize = 32;
-/// Engines that a call to let go is tried at, within its time.
-const TRIED: usize = 3;
 
 /// The client's side of a request.
 pub struct Job {
@@ -172,10 +170,10 @@
                         again = true;
                     }
                     Do::Answer { ticket, answer } => self.answer(ticket, answer),
-                    Do::LetGo { call, state } => {
+                    Do::LetGo { call, state, at } => {
                         let node = self.clone();
                         let task = async move {
-                            let done = node.let_go(&state.name, &state.reader).await;
+                            let done = node.let_go(&state.name, &at).await;
                             node.core.borrow_mut().let_go(node.now(), call, done);
                             node.look();
                         };
@@ -366,14 +364,11 @@
         self.look();
     }
 
-    /// Lets go of all that is held for the request: at the reader that has it, or, since any engine takes the call,
-    /// at another when that one cannot be reached.
-    async fn let_go(&self, id: &str, reader: &Place) -> bool {
+    /// Lets go of all that is held for the request, at the first of these that takes the call.
+    async fn let_go(&self, id: &str, at: &[Rc<Place>]) -> bool {
         let target = format!("{}{id}", names::HELD);
-        let tried: Vec<String> =
-            self.roll.borrow().others(&reader.address).take(TRIED).map(str::to_string).collect();
-        for address in tried {
-            let answer = self.pool.short(self.short_s, "DELETE", &target, &address, MOST_BODY).await;
+        for place in at {
+            let answer = self.pool.short(self.short_s, "DELETE", &target, &place.address, MOST_BODY).await;
             if answer.is_ok_and(|(a, _)| a.status < 300) {
                 return true;
             }
--- a/crates/nickelgw-platform/src/start.rs
+++ b/crates/nickelgw-platform/src/start.rs
@@ -23,6 +23,8 @@
 
 /// Where it is read from, in the environment.
 pub const CONFIG: &str = "RELAY_CONFIG";
+/// On sockets what is held has so much more than the settings say (the platform's protocol).
+const HELD_MORE_S: f64 = 0.3;
 const SAME: [(&str, &str); 3] =
     [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")];
 
@@ -58,14 +60,18 @@
             None | Some(Value::Null) => None,
             Some(k) => Some(serde_json::from_value(k.clone()).map_err(|e| Bad(format!("field known: {e}")))?),
         };
+        let connect_s = num_or(allowed, "connect_timeout_s", 0.25)?.clamp(0.01, 10.0);
+        let mut told = Told::read(settings, seed)?;
+        told.deployment.hold_limit_s += HELD_MORE_S;
+        told.deployment.connect_s = connect_s;
         Ok(Start {
             listen: text(v, "listen")?.to_string(),
             discovery: text(v, "discovery")?.to_string(),
-            told: Told::read(settings, seed)?,
+            told,
             known,
             sockets: num_or(own, "sockets", 1024.0)?.max(64.0) as usize,
             most_open: num_or(allowed, "max_open", 20_000.0)?.max(1.0) as usize,
-            connect_s: num_or(allowed, "connect_timeout_s", 0.25)?.clamp(0.01, 10.0),
+            connect_s,
             idle_s: num_or(allowed, "idle_close_s", 15.0)?.clamp(0.1, 3600.0),
             reports: settings.pointer("/reporting/how").and_then(Value::as_str) != Some("silent"),
         })
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -20,6 +20,23 @@
     Hold,
 }
 
+/// A machine that is cut off: connections to it never come up, as nobody takes those that wait at it.
+pub struct CutOff {
+    pub address: SocketAddr,
+    _held: (TcpListener, Vec<TcpStream>),
+}
+
+pub fn cut_off() -> CutOff {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut held = Vec::new();
+    while let Ok(c) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
+        held.push(c);
+        assert!(held.len() < 10_000, "it takes all that come");
+    }
+    CutOff { address, _held: (listener, held) }
+}
+
 #[derive(Clone)]
 pub struct Peer {
     pub address: SocketAddr,
@@ -122,7 +139,11 @@
 }
 
 fn entry(id: &str, kind: &str, p: &Peer) -> Value {
-    json!({"instanceId": id, "hostPort": p.address.to_string(), "zone": "a", "machineType": kind, "cell": 1,
+    line(id, kind, "a", p.address)
+}
+
+pub fn line(id: &str, kind: &str, zone: &str, address: SocketAddr) -> Value {
+    json!({"instanceId": id, "hostPort": address.to_string(), "zone": zone, "machineType": kind, "cell": 1,
         "lifecycle": "up", "weight": 1.0, "startedAtMs": 0})
 }
 
@@ -154,10 +175,21 @@
     readers: &[&Peer],
     writers: &[&Peer],
     path: Option<std::path::PathBuf>,
+) -> World {
+    node_of(discovery, list(readers, writers), path, |_| {})
+}
+
+/// A node that knows these lines, with something else in its configuration.
+pub fn node_of(
+    discovery: &Peer,
+    known: Value,
+    path: Option<std::path::PathBuf>,
+    but: impl Fn(&mut Value),
 ) -> World {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let node = listener.local_addr().unwrap();
-    let told = config(&node.to_string(), &discovery.address.to_string(), list(readers, writers));
+    let mut told = config(&node.to_string(), &discovery.address.to_string(), known);
+    but(&mut told);
     let start = Start::parse(&told, |_| None).map_err(|e| e.0).unwrap();
     let (orders, told) = async_channel::bounded(4);
     let work = move || smol::block_on(nickelgw_platform::run(listener, start, path, told)).unwrap();
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -1,6 +1,8 @@
 //! The platform's protocol on sockets, each hard case caused by a peer that does it.
 
 mod common;
+#[path = "cases/cut.rs"]
+mod cut;
 
 use common::*;
 use nickelgw_platform::Order;
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -484,6 +484,7 @@
         most_sends: r.most_sends(),
         writers_read: r.writers_read(),
         hold_limit_s: r.hold_limit_ms() / 1e3,
+        connect_s: 0.0,
         move_price: r.cell_price(),
         zone_price: r.zone_price(),
         cancel: true,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -91,7 +91,8 @@
             tick: d.tick_s,
             shares: d.tenant_quotas.iter().map(share).collect(),
             most_sends: d.most_sends as usize,
-            hold: d.hold_limit_s / 2.0,
+            hold: d.hold_limit_s,
+            connect: d.connect_s,
             writers_read: d.writers_read,
             cancel: d.cancel,
             probes: d.probes,
@@ -261,7 +262,14 @@
             self.engines[s.eng].tokens -= self.infs[i].prompt;
         }
         load.into_iter().for_each(|l| self.note_load(now, s.eng, l));
-        self.infs[i].held_since = now;
+        // What never came up is no send: a held state's time runs on. It speaks against the way to that zone.
+        let e = &self.engines[s.eng];
+        let silent = matches!(end.outcome, NoAnswer | Cancelled) && e.mute > s.at.max(e.heard);
+        let missed = matches!(end.outcome, NoConnection | NotSent) || silent;
+        self.infs[i].sends[send as usize].missed = missed;
+        if !missed || self.connect == 0.0 {
+            self.infs[i].held_since = now;
+        }
         if !matches!(end.outcome, NoAnswer | NoConnection | Cancelled | NotSent) {
             self.hear(now, s.eng);
         }
@@ -335,6 +343,18 @@
         &self.engines[eng.0 as usize].id
     }
 
+    /// Engines at which a call that any of them takes is tried, in this order: the one meant, unless it was silent
+    /// since it was heard, then those heard last. The first listed are as silent as the rest of their zone.
+    pub fn heard_last(&self, meant: &str, most: usize) -> Vec<Eng> {
+        let able = |&e: &usize| self.engines[e].standing == Standing::In || self.engines[e].id == meant;
+        let mut all: Vec<usize> = (0..self.engines.len()).filter(able).collect();
+        all.sort_by(|&x, &y| {
+            let key = |e: &Engine| (e.mute > e.heard, e.id != meant, -e.heard);
+            key(&self.engines[x]).partial_cmp(&key(&self.engines[y])).unwrap_or(std::cmp::Ordering::Equal)
+        });
+        all.into_iter().take(most).map(|e| Eng(e as u32)).collect()
+    }
+
     /// What to do after a batch of calls.
     pub fn decide(&mut self, now: f64) -> Decisions {
         self.survey(now);
@@ -346,11 +366,15 @@
                 continue;
             }
             // Rule 5: a state that no writer may be sent is not kept; with no sends left it never will be.
-            let spent = now >= self.infs[i].held_since + self.hold || !self.again(now, i, None);
+            let inf = &self.infs[i];
+            // A further send may not come up either, nor the first call that lets go.
+            let last = inf.held_since + (self.hold / 2.0).min(self.hold - 2.0 * self.connect);
+            let spent = now >= last || !self.again(now, i, None);
+            let late = now > last && inf.sends.iter().any(|s| s.missed && s.write && s.at >= inf.held_since);
             match self.writer(now, i) {
-                Some(w) => self.write(now, i, w, 0.0),
-                None if spent => self.give_up(i),
-                None => {}
+                Some(w) if !late => self.write(now, i, w, 0.0),
+                None if !spent => {}
+                _ => self.give_up(i),
             }
         }
         // The queue: by pace aim, then arrival; what a tenant sends beyond its share comes last.
@@ -677,7 +701,9 @@
             }
             let jitter = 0.1 * self.pace * self.dice();
             let (inf, e) = (&self.infs[i], &self.engines[w]);
-            let tried = inf.sends.iter().filter(|s| s.eng == w).count() as f64 * self.target;
+            // One that never came up tells of the whole way there: tried writer by writer, a state's time is gone.
+            let such = |s: &&Sent| s.eng == w || s.missed && s.write && self.engines[s.eng].zone == e.zone;
+            let tried = inf.sends.iter().filter(such).count() as f64 * self.target;
             let from = inf.state.map(|r| &self.engines[r]);
             let far = match from {
                 Some(r) if r.zone != e.zone => self.cell_worth + self.cross,
@@ -703,7 +729,7 @@
             self.last_start = now;
         }
         let there = e.there(self.prompt).max(e.out as f64);
-        inf.sends.push(Sent { eng, at: now, there, expected, write, live: true, late: false });
+        inf.sends.push(Sent { eng, at: now, there, expected, write, live: true, late: false, missed: false });
         // Where probes tell a dead engine from a busy one, no place in a queue is given up for time alone.
         let sure = self.probes && self.cancel;
         let patience = if sure { f64::INFINITY } else { 6.0 * expected + self.target };
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use test_case::test_case;
+use Outcome::*;
 
 const NOW: f64 = 100.0;
 
@@ -16,6 +17,7 @@
         most_sends: 6,
         writers_read: false,
         hold_limit_s: 0.5,
+        connect_s: 0.0,
         move_price: 0.04,
         zone_price: 0.01,
         cancel: true,
@@ -89,7 +91,7 @@
 
 fn sent(r: &mut Router, eng: usize, write: bool) -> Sent {
     r.engines[eng].out += 1;
-    Sent { eng, at: NOW, there: 0.0, expected: 0.1, write, live: true, late: false }
+    Sent { eng, at: NOW, there: 0.0, expected: 0.1, write, live: true, late: false, missed: false }
 }
 
 fn ending(outcome: Outcome) -> Ending {
@@ -267,6 +269,50 @@
     assert_eq!((todo.shed.len(), todo.released.len()), (1, 1));
 }
 
+fn missed(r: &mut Router, eng: usize, outcome: Outcome) -> usize {
+    let s = Sent { at: NOW - 0.25, ..sent(r, eng, true) };
+    let held = Inference { state: Some(0), held_since: NOW - 0.25, ..inference(Stage::Writing) };
+    let i = hold(r, Inference { sends: vec![s], ..held });
+    r.settled(NOW, Inf(i as u32), 0, ending(outcome), None);
+    i
+}
+
+/// Fleet days with a zone lost: the state's time began anew with each connection that did not come up.
+#[test_case(NoConnection, 0.25, 0.25; "never up, where the time runs on")]
+#[test_case(NoConnection, 0.0, 0.0; "where a send counts from its order")]
+#[test_case(TurnedAway, 0.25, 0.0; "it was there")]
+fn what_never_came_up_is_no_send_for_a_held_state(outcome: Outcome, connect_s: f64, runs_s: f64) {
+    let mut r = Router::new(Deployment { connect_s, ..deployment(Repeat::Retriable) });
+    r.list(NOW, &[line("r0", Role::Read, 0, 0), line("w1", Role::Write, 0, 0)], true);
+    let i = missed(&mut r, 1, outcome);
+    assert_eq!(r.infs[i].held_since, NOW - runs_s);
+}
+
+/// The writers of the zone were tried one by one, though the first had shown that the way there was shut.
+#[test_case(0.8, 4; "another zone while there is time for it to fail")]
+#[test_case(0.6, 9; "else it is let go of at once")]
+fn after_a_send_that_never_came_up(hold_limit_s: f64, to: u32) {
+    let d = Deployment { connect_s: 0.25, hold_limit_s, ..deployment(Repeat::Retriable) };
+    let mut r = Router { hold: d.hold_limit_s, connect: d.connect_s, ..router(Repeat::Retriable) };
+    r.engines[2].zone = 0;
+    missed(&mut r, 2, NoConnection);
+    let todo = r.decide(NOW);
+    assert_eq!(engines_of(&todo), if to == 9 { vec![] } else { vec![to] });
+    assert_eq!(todo.released.len(), (to == 9) as usize);
+}
+
+/// Calls that let go were tried at the first engines listed, all in the zone that was cut off.
+#[test]
+fn a_call_that_any_engine_takes_goes_to_one_heard_lately() {
+    let mut r = router(Repeat::Retriable);
+    (r.engines[0].mute, r.engines[3].mute) = (NOW, NOW);
+    (r.engines[1].heard, r.engines[4].heard) = (NOW - 2.0, NOW - 1.0);
+    let at = |r: &Router| r.heard_last("r0", 3).iter().map(|e| e.0).collect::<Vec<_>>();
+    assert_eq!(at(&r), [4, 1, 2]);
+    r.engines[0].heard = NOW + 1.0;
+    assert_eq!(at(&r), [0, 4, 1], "the reader meant, while it is heard");
+}
+
 /// A rolling restart on sockets found a reader that failed at once tried five times within 2 ms, for the text that it
 /// was taken to keep, until no send was left.
 #[test]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,6 +49,9 @@
     pub most_sends: u32,
     pub writers_read: bool,
     pub hold_limit_s: f64,
+    /// Where a held state's time runs on while connections fail to come up: how long one may take to. 0: a send
+    /// counts from its order on.
+    pub connect_s: f64,
     pub move_price: f64,
     pub zone_price: f64,
     pub cancel: bool,
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,8 +14,9 @@
     pub(crate) routes: Vec<ModelRoute>,
     pub(crate) shares: Vec<Share>,
     pub(crate) most_sends: usize,
-    /// How long a state may wait for a writer that may be sent to.
+    /// How long a state may be held with no send out, and what a connection that does not come up takes of it.
     pub(crate) hold: f64,
+    pub(crate) connect: f64,
     pub(crate) writers_read: bool,
     pub(crate) cancel: bool,
     pub(crate) probes: bool,
@@ -132,6 +133,8 @@
     pub write: bool,
     pub live: bool,
     pub late: bool,
+    /// It never came up, or what it was sent on was silent.
+    pub missed: bool,
 }
 
 #[derive(Clone, Debug, Default)]
