--- /dev/null
+++ b/crates/nickelgw-accord/src/core/mod.rs
@@ -0,0 +1,366 @@
+//! Records of nodes, the newest of each, spread by gossip: each round what is new goes to a few peers by chance, and now and
+//! then two compare what they have. No leader and no vote; a node that hears nobody has only its own.
+
+pub mod record;
+
+use nanorand::{Rng, WyRand};
+use record::{short, Datagram, Key, Record, Refused, Seen, Word, MOST_BYTES, MOST_ZONES};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    pub round_s: f64,
+    /// Peers that a round's news goes to.
+    pub fanout: usize,
+    /// Rounds between two comparisons.
+    pub compare_rounds: u32,
+    /// A record is told anew after so long, longer in a large fleet.
+    pub refresh_s: f64,
+    /// Nodes for each of which that time grows by the round: what goes over the wire is bounded.
+    pub refresh_nodes: f64,
+    /// Clocks may differ by so much.
+    pub slack_s: f64,
+    /// Nodes known at most; past it a silent one makes room, else a new one is not heard.
+    pub most_nodes: usize,
+}
+
+impl Default for Figures {
+    fn default() -> Figures {
+        Figures {
+            round_s: 0.1,
+            fanout: 3,
+            compare_rounds: 5,
+            refresh_s: 1.0,
+            refresh_nodes: 20.0,
+            slack_s: 30.0,
+            most_nodes: 4096,
+        }
+    }
+}
+
+/// A record not told anew for so many refreshes stands for nobody.
+const MISSED: f64 = 4.0;
+/// Datagrams that one question is answered by.
+const MOST_ANSWERS: usize = 8;
+/// Datagrams that wait to be sent; what is over is not said, and asked for again.
+const MOST_OUT: usize = 256;
+/// Bytes of a datagram beside what it says: version, seal, name, time.
+const AROUND: usize = 128;
+const DIGEST_ENTRIES: usize = 40;
+/// Peers named in the settings and not heard yet that a round tries.
+const GREETED: usize = 3;
+
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub record: Record,
+    /// When it was told, in this node's time.
+    pub told_at: f64,
+    /// Datagrams that still carry it on.
+    news: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub heard: u64,
+    /// By [`Refused::ALL`].
+    pub refused: [u64; 5],
+    /// No room for one more node.
+    pub full: u64,
+}
+
+pub struct Accord {
+    figures: Figures,
+    key: Key,
+    own: Record,
+    own_news: u32,
+    refreshed_at: f64,
+    /// host:port of peers named in the settings.
+    peers: Vec<String>,
+    known: BTreeMap<u64, Known>,
+    chance: WyRand,
+    next_round: f64,
+    rounds: u32,
+    /// Where the next comparison begins.
+    compared: u64,
+    out: Vec<(String, Vec<u8>)>,
+    pub tally: Tally,
+}
+
+fn ms(s: f64) -> u32 {
+    (s.max(0.0) * 1e3) as u32
+}
+
+impl Accord {
+    pub fn new(figures: Figures, key: Key, own: Record, peers: Vec<String>, seed: u64) -> Accord {
+        let peers = peers.into_iter().filter(|p| *p != own.address).collect();
+        Accord {
+            figures,
+            key,
+            own,
+            own_news: 0,
+            refreshed_at: f64::NEG_INFINITY,
+            peers,
+            known: BTreeMap::new(),
+            chance: WyRand::new_seed(seed),
+            next_round: 0.0,
+            rounds: 0,
+            compared: 0,
+            out: Vec::new(),
+            tally: Tally::default(),
+        }
+    }
+
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// Where datagrams reach it, known once its socket is bound.
+    pub fn reached_at(&mut self, address: String) {
+        self.peers.retain(|p| *p != address);
+        self.own.address = address;
+    }
+
+    fn refresh_s(&self) -> f64 {
+        self.figures
+            .refresh_s
+            .max(self.known.len() as f64 / self.figures.refresh_nodes * self.figures.round_s)
+    }
+
+    /// Records of other nodes that still count, and when each was told.
+    pub fn alive(&self, now: f64) -> impl Iterator<Item = &Known> {
+        let since = now - MISSED * self.refresh_s();
+        self.known.values().filter(move |k| k.told_at >= since)
+    }
+
+    /// How many nodes there may be, this one too.
+    pub fn count(&self, now: f64) -> usize {
+        1 + self.alive(now).count()
+    }
+
+    /// Datagrams that carry one piece of news: enough for all to hear it, by chance, some rounds later.
+    fn spread(&self) -> u32 {
+        let n = (self.known.len() + 2) as f64;
+        n.ln().ceil() as u32 + 2
+    }
+
+    /// What this node saw. `news`: others should hear it at once, not with the next refresh.
+    pub fn tell(&mut self, now: f64, seen: Vec<Seen>, news: bool) {
+        let due = now >= self.refreshed_at + self.refresh_s();
+        if news || due {
+            self.refreshed_at = now;
+            self.own.seq += 1;
+            self.own.seen = seen;
+            // What comes first matters most; the rest is left out where it does not fit.
+            self.own.seen.truncate(MOST_ZONES);
+            while AROUND + length(&self.own) > MOST_BYTES && self.own.seen.pop().is_some() {}
+            self.own_news = self.spread();
+        }
+        if news {
+            self.next_round = now;
+        }
+    }
+
+    /// Datagrams to send now, and when to ask again.
+    pub fn due(&mut self, now: f64, unix_ms: u64) -> (Vec<(String, Vec<u8>)>, f64) {
+        if now >= self.next_round {
+            self.next_round = now + self.figures.round_s * (0.9 + 0.2 * self.dice());
+            self.rounds = self.rounds.wrapping_add(1);
+            self.round(now, unix_ms);
+        }
+        (std::mem::take(&mut self.out), self.next_round)
+    }
+
+    fn dice(&mut self) -> f64 {
+        f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX)
+    }
+
+    /// Some peers by chance: all but one of the own zone, whose ways are this node's too; and of those named in the
+    /// settings now and then one that is not heard.
+    fn some(&mut self, now: f64, most: usize) -> Vec<String> {
+        let zone = self.own.zone.clone();
+        let (near, far): (Vec<&Record>, Vec<&Record>) =
+            self.alive(now).map(|k| &k.record).partition(|r| r.zone == zone);
+        let addresses = |all: Vec<&Record>| all.into_iter().map(|r| r.address.clone()).collect::<Vec<_>>();
+        let (mut near, mut far) = (addresses(near), addresses(far));
+        let unheard = |p: &&String| !near.contains(p) && !far.contains(p);
+        let strangers: Vec<String> = self.peers.iter().filter(unheard).cloned().collect();
+        let alone = near.is_empty() && far.is_empty();
+        let mut out = Vec::new();
+        while out.len() < most && !(near.is_empty() && far.is_empty()) {
+            let enough = out.len() + 1 >= most && !far.is_empty();
+            let from = if near.is_empty() || enough { &mut far } else { &mut near };
+            out.push(from.swap_remove(self.chance.generate_range(0..from.len())));
+        }
+        // One that is not heard is tried now and then: a cut heals, a node comes back.
+        let greet = if alone { GREETED } else { usize::from(self.rounds.is_multiple_of(5)) };
+        for _ in 0..greet.min(strangers.len()) {
+            out.push(strangers[self.chance.generate_range(0..strangers.len())].clone());
+        }
+        out
+    }
+
+    fn round(&mut self, now: f64, unix_ms: u64) {
+        let mut records = Vec::new();
+        let mut size = AROUND;
+        if self.own_news > 0 {
+            self.own_news -= 1;
+            // What it saw has aged since it was told.
+            records.push((ms(now - self.refreshed_at), self.own.clone()));
+            size += length(&self.own);
+        }
+        let mut news: Vec<u64> = self.known.iter().filter(|k| k.1.news > 0).map(|k| *k.0).collect();
+        // What the own zone's nodes say goes first, and what has been carried on least.
+        let zone = &self.own.zone;
+        news.sort_by_key(|h| self.known.get(h).map(|k| (k.record.zone != *zone, std::cmp::Reverse(k.news))));
+        for h in news {
+            let Some(k) = self.known.get_mut(&h) else { continue };
+            let more = length(&k.record);
+            if size + more > MOST_BYTES {
+                break;
+            }
+            size += more;
+            k.news -= 1;
+            records.push((ms(now - k.told_at), k.record.clone()));
+        }
+        let to = self.some(now, self.figures.fanout);
+        if !records.is_empty() {
+            to.iter().for_each(|a| self.say(unix_ms, a, Word::Records(records.clone())));
+        }
+        let lonely = self.alive(now).next().is_none();
+        let compare = self.rounds.is_multiple_of(self.figures.compare_rounds);
+        // Of all zones: what is near is told often enough.
+        if let Some(a) = to.last().filter(|_| lonely || compare) {
+            let word = if lonely { Word::Want(Vec::new()) } else { self.digest() };
+            self.say(unix_ms, a, word);
+        }
+    }
+
+    /// A part of what is known, another one each time.
+    fn digest(&mut self) -> Word {
+        let after = self.known.range(self.compared..).chain(self.known.range(..self.compared));
+        let some: Vec<(u64, u64, u64)> =
+            after.take(DIGEST_ENTRIES).map(|(h, k)| (*h, k.record.incarnation, k.record.seq)).collect();
+        self.compared = some.last().map_or(0, |l| l.0.wrapping_add(1));
+        let own = (short(&self.own.name), self.own.incarnation, self.own.seq);
+        Word::Digest(std::iter::once(own).chain(some).collect())
+    }
+
+    fn say(&mut self, unix_ms: u64, to: &str, word: Word) {
+        if self.out.len() >= MOST_OUT {
+            return;
+        }
+        let d = Datagram { from: self.own.name.clone(), at_ms: unix_ms, word };
+        if let Some(bytes) = self.key.seal(&d) {
+            self.tally.sent += 1;
+            self.tally.sent_bytes += bytes.len() as u64;
+            self.out.push((to.to_string(), bytes));
+        }
+    }
+
+    /// A datagram has come; what it asks for is among what is due next. True: something in it was new.
+    pub fn hear(&mut self, now: f64, unix_ms: u64, bytes: &[u8]) -> Result<bool, Refused> {
+        let d = match self.key.open(bytes, unix_ms, u64::from(ms(self.figures.slack_s))) {
+            Ok(d) => d,
+            Err(why) => {
+                self.tally.refused[why as usize] += 1;
+                return Err(why);
+            }
+        };
+        self.tally.heard += 1;
+        let from = self.known.get(&short(&d.from)).map(|k| k.record.address.clone());
+        match d.word {
+            Word::Records(all) => {
+                let mut new = false;
+                for (held_ms, r) in all {
+                    new |= self.learn(now, now - f64::from(held_ms) / 1e3, r);
+                }
+                return Ok(new);
+            }
+            Word::Digest(theirs) => {
+                let Some(from) = from else { return Ok(false) };
+                let own = (short(&self.own.name), self.own.version());
+                let version = |h: &u64| match self.known.get(h) {
+                    Some(k) => Some(k.record.version()),
+                    None => Some(own.1).filter(|_| *h == own.0),
+                };
+                let newer: Vec<u64> =
+                    theirs.iter().filter(|t| version(&t.0) > Some((t.1, t.2))).map(|t| t.0).collect();
+                let wanted: Vec<u64> =
+                    theirs.iter().filter(|t| version(&t.0) < Some((t.1, t.2))).map(|t| t.0).collect();
+                self.give(now, unix_ms, &from, |h| newer.contains(&h));
+                if !wanted.is_empty() {
+                    self.say(unix_ms, &from, Word::Want(wanted));
+                }
+            }
+            Word::Want(which) => {
+                // Its record comes with its first round; until then it is answered at the next question.
+                let Some(from) = from else { return Ok(false) };
+                self.give(now, unix_ms, &from, |h| which.is_empty() || which.contains(&h));
+            }
+        }
+        Ok(false)
+    }
+
+    fn learn(&mut self, now: f64, told_at: f64, r: Record) -> bool {
+        if r.name == self.own.name {
+            // Of an earlier process of this name whose clock ran ahead, or made up: ours has to be newer.
+            if r.version() > self.own.version() && r.address == self.own.address {
+                self.own.incarnation = r.incarnation + 1;
+            }
+            return false;
+        }
+        let h = short(&r.name);
+        let news = self.spread();
+        let stale = now - MISSED * self.refresh_s();
+        match self.known.get_mut(&h) {
+            Some(k) if k.record.version() >= r.version() => return false,
+            Some(k) => *k = Known { record: r, told_at, news },
+            None => {
+                if self.known.len() >= self.figures.most_nodes {
+                    let oldest = self.known.iter().min_by(|a, b| a.1.told_at.total_cmp(&b.1.told_at));
+                    let gone = oldest.filter(|o| o.1.told_at < stale).map(|o| *o.0);
+                    let Some(gone) = gone else {
+                        self.tally.full += 1;
+                        return false;
+                    };
+                    self.known.remove(&gone);
+                }
+                self.known.insert(h, Known { record: r, told_at, news });
+            }
+        }
+        true
+    }
+
+    /// Records that are asked for, in as many datagrams as one question is worth.
+    fn give(&mut self, now: f64, unix_ms: u64, to: &str, such: impl Fn(u64) -> bool) {
+        let own = Known { record: self.own.clone(), told_at: self.refreshed_at.max(0.0), news: 0 };
+        let own = std::iter::once((short(&self.own.name), own));
+        let mut wanted: Vec<(u32, Record)> = own
+            .chain(self.known.iter().map(|(h, k)| (*h, k.clone())))
+            .filter(|(h, _)| such(*h))
+            .map(|(_, k)| (ms(now - k.told_at), k.record))
+            .collect();
+        for _ in 0..MOST_ANSWERS {
+            let (mut size, mut some) = (AROUND, Vec::new());
+            while let Some(r) = wanted.pop_if(|r| size + length(&r.1) <= MOST_BYTES) {
+                size += length(&r.1);
+                some.push(r);
+            }
+            if some.is_empty() {
+                return;
+            }
+            self.say(unix_ms, to, Word::Records(some));
+        }
+    }
+}
+
+/// Bytes of a record in a datagram, at most.
+fn length(r: &Record) -> usize {
+    let seen = |s: &Seen| s.zone.len() + 12 + 10 * s.silent.len();
+    r.name.len() + r.address.len() + r.zone.len() + 32 + r.seen.iter().map(seen).sum::<usize>()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -855,6 +855,7 @@
             lease_ms: Some(3000.0),
             ..Default::default()
         }),
+        accord: None,
         doubt: None,
         last_list: Some(stage.file(&format!("node{number}.list")).display().to_string()),
         model_route: d.model_route.clone(),
--- a/crates/nickelgw-cli/src/serve.rs
+++ b/crates/nickelgw-cli/src/serve.rs
@@ -7,7 +7,7 @@
 use nickelgw_node::Order;
 use smol::process::{Command, Stdio};
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -64,6 +64,17 @@
             say(&format!("admin {}", l.local_addr()?));
             start.admin = Some(l);
         }
+        if let Some(t) = start.together.as_mut().filter(|_| !self.inherited) {
+            let at = t.sockets.listen.clone();
+            let s =
+                UdpSocket::bind(&at).map_err(|e| Unusable(format!("{at}: cannot listen for nodes: {e}")))?;
+            let bound = s.local_addr()?.to_string();
+            say(&format!("accord {bound}"));
+            if node.accord.as_ref().is_some_and(|a| a.address.is_none()) {
+                t.accord.reached_at(bound);
+            }
+            t.sockets.socket = Some(s);
+        }
         let spare = listener.try_clone()?;
         let (tell, orders) = async_channel::bounded(16);
         start.orders = orders;
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -1,13 +1,15 @@
 //! Wiring: a node's settings become what the node is started with.
 
 use crate::Unusable;
+use nickelgw_accord::core::record::{Key, Record};
+use nickelgw_accord::core::{Accord, Figures as AccordFigures};
 use nickelgw_chat::core::budget::Figures as RetryFigures;
 use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_chat::core::repeats::Figures as RepeatFigures;
 use nickelgw_node::core::door::{Model, Tenant};
 use nickelgw_node::core::{Door, FairShares, Figures, Grants};
 use nickelgw_node::fleet::Registry;
-use nickelgw_node::{Limits, Meter, Source, Start, TlsStart};
+use nickelgw_node::{Limits, Meter, Sockets, Source, Start, TlsStart, Together};
 use nickelgw_registry::core::member::Figures as MemberFigures;
 use nickelgw_registry::core::view::Figures as ViewFigures;
 use nickelgw_settings::{check, Node, Problem};
@@ -123,6 +125,33 @@
 /// Roots for clients' certificates that a new file leaves out are trusted for so long still.
 const OVERLAP_S: f64 = 600.0;
 
+/// How the node is one of a fleet; its socket is bound by the caller, who knows whether another process has it still.
+fn together(n: &Node, epoch: f64) -> Option<Together> {
+    let a = n.accord.as_ref()?;
+    let round_s = a.round_ms() / 1e3;
+    let own = Record {
+        name: n.name.clone(),
+        incarnation: (epoch * 1e3) as u64,
+        seq: 0,
+        address: a.address.clone().unwrap_or_else(|| a.listen.clone()),
+        zone: n.zone.clone(),
+        seen: Vec::new(),
+    };
+    let figures = AccordFigures { round_s, ..AccordFigures::default() };
+    let seed = n.seed() ^ epoch.to_bits();
+    Some(Together {
+        accord: Accord::new(figures, Key::of(&a.key), own, a.peer.clone(), seed),
+        zones: nickelgw_zones::core::Figures {
+            silent_s: n.limits.unwrap_or_default().probe_ms() / 1e3,
+            step_s: a.step_ms() / 1e3,
+            wait_s: a.wait_ms() / 1e3,
+            longest_wait_s: a.longest_wait_ms() / 1e3,
+            ..Default::default()
+        },
+        sockets: Sockets { socket: None, listen: a.listen.clone(), round_s },
+    })
+}
+
 pub fn start(n: &Node, meter: Option<Arc<Mutex<Meter>>>) -> Result<Start, Unusable> {
     let leaving = n.leaving.unwrap_or_default();
     let l = n.limits.unwrap_or_default();
@@ -187,6 +216,7 @@
         },
         source: source(n),
         view: doubt(n),
+        together: together(n, epoch),
         last_list: n.last_list.as_ref().map(Into::into),
         store: n.store.as_ref().map(Into::into),
         admin: None,
--- a/crates/nickelgw-node/src/admin.rs
+++ b/crates/nickelgw-node/src/admin.rs
@@ -2,9 +2,12 @@
 
 use crate::driver::{Doors, Said, Word};
 use crate::server::{json_answer, Answer};
+use crate::Clock;
 use async_channel::{bounded, Sender};
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Method, Request};
+use nickelgw_accord::core::record::Refused;
+use nickelgw_accord::core::Accord;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -14,6 +17,7 @@
 use serde_json::json;
 use smol::{Async, LocalExecutor};
 use smol_hyper::rt::FuturesIo;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -29,6 +33,8 @@
     pub held_p99_s: f64,
     pub held_longest_s: f64,
     pub stories: usize,
+    /// Zones with the part of the traffic that each is given, where nodes tell each other.
+    pub ways: Vec<(String, f64)>,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -36,6 +42,11 @@
     how: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Zone {
+    zone: String,
+}
+
 type Real = Gauge<f64, AtomicU64>;
 
 pub struct Admin {
@@ -43,6 +54,8 @@
     pub doors: Rc<Doors>,
     pub behind: Rc<crate::background::Background>,
     pub keeper: Rc<crate::keep::Keeper>,
+    pub accord: Option<Rc<RefCell<Accord>>>,
+    pub clock: Clock,
 }
 
 impl Admin {
@@ -89,6 +102,7 @@
         whole(&mut r, "held", "States held at readers, as the ledger has it", c.states);
         whole(&mut r, "connections", "Client connections", self.doors.connections.get());
         whole(&mut r, "stories", "Stories kept for 'why'", c.stories);
+        self.together(&mut r, c.ways);
         let kept = self.keeper.account();
         let real = |r: &mut Registry, name: &str, help: &str, unit: Unit, v: f64| {
             let g = Real::default();
@@ -122,6 +136,31 @@
         Some(text)
     }
 
+    /// What nodes tell each other, and what follows for the zones.
+    fn together(&self, r: &mut Registry, ways: Vec<(String, f64)>) {
+        let Some(accord) = &self.accord else { return };
+        let parts = Family::<Zone, Real>::default();
+        for (zone, part) in ways {
+            parts.get_or_create(&Zone { zone }).set(part);
+        }
+        r.register("zone_part", "Part of the traffic that a zone is given", parts);
+        let (a, now) = (accord.borrow(), self.clock.now());
+        let nodes = Gauge::<i64>::default();
+        nodes.set(a.count(now) as i64);
+        r.register("nodes", "Nodes heard lately, this one too", nodes);
+        let datagrams = Family::<How, Counter>::default();
+        let t = a.tally;
+        let refused = Refused::ALL.iter().map(|w| (w.name(), t.refused[*w as usize]));
+        for (how, n) in [("sent", t.sent), ("heard", t.heard), ("no_room", t.full)].into_iter().chain(refused)
+        {
+            datagrams.get_or_create(&How { how }).inc_by(n);
+        }
+        r.register("datagrams", "Datagrams between nodes; refused ones by why", datagrams);
+        let bytes = Counter::<u64>::default();
+        bytes.inc_by(t.sent_bytes);
+        r.register_with_unit("datagrams_sent", "What was sent in them", Unit::Bytes, bytes);
+    }
+
     async fn why(&self, id: &str) -> Option<String> {
         let (to, from) = bounded(1);
         let asked = Word::new(Said::Why { id: id.chars().take(64).collect(), to });
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -7,7 +7,9 @@
 pub mod ledger;
 pub mod life;
 pub mod sweep;
+pub mod together;
 pub mod trace;
+mod words;
 
 pub use cause::Cause;
 pub use door::{Ask, Door, Refusal};
@@ -16,154 +18,17 @@
 use nickelgw::interface::{
     Arrival, Deployment, Ending, Eng, EngineLine, Inf, Learnt, Load, Outcome, Role, Standing,
 };
-use nickelgw_chat::core::grant::{grant, GrantKey, Granted};
+use nickelgw_accord::core::Known;
+use nickelgw_chat::core::grant::{grant, Granted};
 use nickelgw_protocol::list::{self, List};
 use nickelgw_protocol::load::{self, LoadReport};
 use nickelgw_tenants::core::fair;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use sweep::Sweep;
+use together::{Round, Together};
 use trace::{Ring, Step, Story};
-
-/// Names a request taken. A late word for one that is over finds nothing and is passed over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Ticket {
-    inf: u32,
-    pub serial: u64,
-}
-
-/// An engine as the list has it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Place {
-    pub id: String,
-    pub address: String,
-    /// The name that its certificate must stand for; none: the host in the address.
-    pub tls_name: Option<String>,
-}
-
-/// A state that waits at a reader.
-#[derive(Clone, Debug, PartialEq)]
-pub struct HeldState {
-    pub name: String,
-    pub reader: Rc<Place>,
-    /// It bears its request's name: one call, to any engine, lets go of all that is held for the request.
-    pub shared: bool,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Order {
-    pub ticket: Ticket,
-    pub send: u32,
-    /// The send's own name; a read leaves its state under it.
-    pub name: String,
-    pub eng: Rc<Place>,
-    /// Time for a read to end, for a write to begin.
-    pub patience_s: f64,
-    pub what: Work,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Work {
-    Read,
-    /// With no state the writer reads the prompt itself. A stream silent for longer than `idle_s` is lost.
-    Write {
-        state: Option<HeldState>,
-        /// By which the writer may fetch it, where readers ask for one.
-        grant: Option<String>,
-        idle_s: f64,
-    },
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Answer {
-    Completed,
-    /// Nothing has run, or may run again: the client may come back, where said, after so long.
-    Shed {
-        come_back_s: Option<f64>,
-    },
-    Errored(Why),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
-    /// The client's time ended before an answer began.
-    TimeUp,
-    /// Every send allowed has failed.
-    SendsFailed,
-    /// The stream broke after its first token.
-    StreamBroken,
-    /// The node stops, and its grace is over.
-    Stopping,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Do {
-    Send(Order),
-    CallOff {
-        ticket: Ticket,
-        send: u32,
-    },
-    /// The one final answer; nothing is sent for the ticket after it.
-    Answer {
-        ticket: Ticket,
-        answer: Answer,
-    },
-    LetGo {
-        call: Held,
-        state: HeldState,
-        /// Where any engine takes the call: those at which it is tried, in this order.
-        at: Vec<Rc<Place>>,
-    },
-    Probe(Rc<Place>),
-    /// Whatever earlier processes of this node left at the reader is let go of.
-    Sweep(Rc<Place>),
-    AskList,
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct Actions {
-    pub todo: Vec<Do>,
-    pub wake_at: Option<f64>,
-}
-
-/// How a send ended, as the shell saw it.
-#[derive(Clone, Debug, Default)]
-pub struct End {
-    pub cause: Cause,
-    pub load: Option<LoadReport>,
-    /// Prompt tokens that the reader had kept.
-    pub kept: f64,
-}
-
-/// The few figures of the settings that the core uses itself.
-#[derive(Clone, Debug)]
-pub struct Figures {
-    /// Name of this process of this node, in every send's name: never used by another.
-    pub boot: String,
-    /// Unix time at the process's time zero, for start times in the list.
-    pub epoch_unix_s: f64,
-    pub zones: Vec<String>,
-    /// Inferences open at once; one more is refused at the door.
-    pub most_open: usize,
-    pub stream_idle_s: f64,
-    pub let_go_within_s: f64,
-    /// From when, and until when, states that an earlier process left are looked for.
-    pub sweep_s: (f64, f64),
-    /// What a client is told when the node goes.
-    pub come_back_s: f64,
-    pub grants: Option<Grants>,
-    /// Tenants are let in by their parts when there is not enough for all.
-    pub fair: Option<FairShares>,
-    /// Inferences open at once for each tenant; none: only the node's own limit counts.
-    pub tenant_most_open: Vec<Option<usize>>,
-}
-
-/// Weights of the tenants.
-#[derive(Clone, Debug)]
-pub struct FairShares {
-    pub figures: fair::Figures,
-    pub weights: Vec<f64>,
-}
+pub use words::*;
 
 /// Gap before the next try of a call that has failed so often: doubled each time, up to the longest.
 fn doubling(first_s: f64, tries: u32, longest_s: f64) -> f64 {
@@ -176,38 +41,6 @@
 /// Part of its target past which a first token counts as late for the limit: one that waits for misses has had them.
 const IN_GOOD_TIME: f64 = 0.4;
 
-/// Keys that grants of states are made with.
-#[derive(Clone)]
-pub struct Grants {
-    /// From when (Unix time) each is used, in that order; readers know them all.
-    pub keys: Vec<(f64, GrantKey)>,
-    pub lifetime_s: f64,
-}
-
-impl std::fmt::Debug for Grants {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        write!(f, "{} keys", self.keys.len())
-    }
-}
-
-impl Grants {
-    /// The newest key whose time has come; before any has, the first.
-    fn key(&self, unix_now: f64) -> Option<&GrantKey> {
-        let ripe = self.keys.iter().rev().find(|k| k.0 <= unix_now);
-        ripe.or(self.keys.first()).map(|k| &k.1)
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
-    pub taken: u64,
-    pub completed: u64,
-    pub shed: u64,
-    pub errored: u64,
-    pub left: u64,
-    pub refused: u64,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Waiting,
@@ -252,6 +85,10 @@
     serial: u64,
     pub ledger: Ledger,
     sweep: Sweep,
+    /// Its own zone.
+    zone: usize,
+    /// The node as one of a fleet, where nodes tell each other what they see.
+    pub together: Option<Together>,
     pub ring: Ring,
     /// What an earlier process had learnt, and how far it is believed; used with the first list.
     recall: Option<(Learnt, f64)>,
@@ -279,6 +116,7 @@
         let ledger = Ledger::new(deployment.hold_limit_s, figures.let_go_within_s);
         Core {
             tick: deployment.tick_s,
+            zone: deployment.zone as usize,
             targets: deployment
                 .routes
                 .iter()
@@ -292,6 +130,7 @@
             ledger,
             sweep: Sweep::new(figures.sweep_s.0, figures.sweep_s.1),
             recall: None,
+            together: None,
             ring: Ring::default(),
             open_by_tenant: vec![0; figures.tenant_most_open.len()],
             fair: fair::Fair::default(),
@@ -398,6 +237,17 @@
         self.router.place(now, place.map(|(_, of)| of));
     }
 
+    /// From now on it is one of a fleet, under this name.
+    pub fn join(&mut self, name: &str, figures: nickelgw_zones::core::Figures, round_s: f64, seed: u64) {
+        let (zones, own) = (self.figures.zones.clone(), self.zone);
+        self.together = Some(Together::new(zones, own, name, figures, round_s, seed));
+    }
+
+    /// What other nodes of the fleet have told: turns the ways to zones. What is to be told to them comes back.
+    pub fn round(&mut self, now: f64, others: &[Known]) -> Option<Round> {
+        Some(self.together.as_mut()?.round(now, &mut self.router, others))
+    }
+
     /// What an earlier process of this node had learnt, as it was kept; false: it cannot be read.
     pub fn recall(&mut self, kept: &[u8], trust: f64) -> bool {
         self.recall = kept::read(kept, self.figures.epoch_unix_s).map(|l| (l, trust));
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use nickelgw::interface::{Group, ModelRoute, Repeat};
+use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_protocol::list::{Line, State};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- /dev/null
+++ b/crates/nickelgw-node/src/core/together.rs
@@ -0,0 +1,194 @@
+//! A node as one of a fleet: what its module saw of each zone goes into its record, what others saw turns its ways, and the
+//! module hears one thing, the part of the traffic that each zone is to get. No sockets and no clock.
+
+use nanorand::{Rng, WyRand};
+use nickelgw::decide::Router;
+use nickelgw::interface::Role;
+use nickelgw_accord::core::record::{self, short, MOST_SILENT};
+use nickelgw_accord::core::Known;
+use nickelgw_zones::core::{Figures, Seen, State, There, Turn, Ways};
+
+/// Engines of a zone asked by all nodes together in a round, where something there is silent: as many as prove it left.
+const KNOCKS_IN_DOUBT: f64 = 8.0;
+/// And while it is left, or returned to.
+const KNOCKS: f64 = 1.0;
+
+pub struct Together {
+    ways: Ways,
+    figures: Figures,
+    zones: Vec<String>,
+    own: usize,
+    name: u64,
+    chance: WyRand,
+    knocked_at: f64,
+    round_s: f64,
+    /// Engines whose silence was told, by zone.
+    told: Vec<Vec<u64>>,
+    /// When others last met silence there.
+    silence: Vec<f64>,
+    /// When others last heard anything of it.
+    heard: Vec<f64>,
+}
+
+/// What a round brought.
+#[derive(Clone, Debug, Default)]
+pub struct Round {
+    pub turns: Vec<Turn>,
+    /// What others are to be told, and whether at once.
+    pub tell: Vec<record::Seen>,
+    pub news: bool,
+}
+
+fn engine(id: &str) -> u64 {
+    // As it travels: half of the hash.
+    short(id) & u64::from(u32::MAX)
+}
+
+impl Together {
+    pub fn new(
+        zones: Vec<String>,
+        own: usize,
+        name: &str,
+        figures: Figures,
+        round_s: f64,
+        seed: u64,
+    ) -> Together {
+        let n = zones.len();
+        Together {
+            ways: Ways::new(n, figures),
+            figures,
+            zones,
+            own,
+            name: short(name),
+            chance: WyRand::new_seed(seed),
+            knocked_at: f64::NEG_INFINITY,
+            round_s,
+            told: vec![Vec::new(); n],
+            silence: vec![f64::NEG_INFINITY; n],
+            heard: vec![f64::NEG_INFINITY; n],
+        }
+    }
+
+    /// Each zone with the part of the traffic that it is given.
+    pub fn ways(&self) -> Vec<(String, f64)> {
+        self.zones.iter().enumerate().map(|(z, name)| (name.clone(), self.ways.part(z))).collect()
+    }
+
+    /// A line for each turn.
+    pub fn log(&self, turns: &[Turn]) {
+        for t in turns {
+            let (zone, part, engines, nodes) =
+                (&self.zones[t.zone], self.ways.own_part(t.zone), t.engines, t.nodes);
+            match t.state {
+                State::Left(_, None) => tracing::warn!(%zone, engines, nodes, "a zone is left"),
+                State::Left(..) => tracing::info!(%zone, "a zone that was left is heard"),
+                State::Returning(..) => tracing::info!(%zone, part, engines, "a zone is returned to in part"),
+                State::In => tracing::info!(%zone, "a zone is in"),
+                State::Doubted(_) => tracing::info!(%zone, engines, nodes, "a zone is in doubt"),
+            }
+        }
+    }
+
+    /// Looks at what the module and the others saw, and tells the module what follows.
+    pub fn round(&mut self, now: f64, router: &mut Router, others: &[Known]) -> Round {
+        let n = self.zones.len();
+        let mut there = vec![There::default(); n];
+        let own = |zone| Seen { node: self.name, zone, heard: None, silent: Vec::new(), part: 1.0 };
+        let mut seen: Vec<Seen> = (0..n).map(own).collect();
+        for e in router.seen() {
+            let Some(zone) = seen.get_mut(e.zone as usize) else { continue };
+            let there = &mut there[e.zone as usize];
+            there.readers += usize::from(e.role != Role::Write);
+            there.writers += usize::from(e.role != Role::Read);
+            if e.heard > zone.heard.unwrap_or(0.0) {
+                zone.heard = Some(e.heard);
+            }
+            if e.mute > e.heard && e.mute > now - self.figures.window_s {
+                zone.silent.push((engine(e.id), e.mute));
+            }
+        }
+        for s in &mut seen {
+            s.silent.sort_by(|a, b| b.1.total_cmp(&a.1));
+            s.silent.truncate(MOST_SILENT);
+        }
+        // Ways are from a zone: what nodes of others reach is their own.
+        let near: Vec<&Known> = others.iter().filter(|k| k.record.zone == self.zones[self.own]).collect();
+        seen.extend(near.iter().flat_map(|k| self.of(k)));
+        let turns = self.ways.look(now, &seen, &there);
+        let nodes = (near.len() + 1) as f64;
+        for zone in 0..n {
+            router.give_part(zone as u32, self.ways.part(zone));
+        }
+        // News is looked at more often than by the round: what is asked goes by time.
+        let rounds = ((now - self.knocked_at) / self.round_s).min(1.0);
+        self.knocked_at = now;
+        let knocks: Vec<usize> = self.ways.to_knock().collect();
+        for zone in knocks {
+            let all = match self.ways.state(zone) {
+                Some(State::Doubted(_)) => KNOCKS_IN_DOUBT,
+                _ => KNOCKS,
+            };
+            // The fleet's sum stays the same however many nodes there are.
+            let own = (rounds * all / nodes + self.dice()) as usize;
+            (0..own).for_each(|_| router.knock(now, zone as u32));
+        }
+        for s in seen.iter().filter(|s| s.node != self.name) {
+            let last = s.silent.iter().map(|x| x.1).fold(f64::NEG_INFINITY, f64::max);
+            self.silence[s.zone] = self.silence[s.zone].max(last);
+            self.heard[s.zone] = self.heard[s.zone].max(s.heard.unwrap_or(f64::NEG_INFINITY));
+        }
+        let (tell, news) = self.tell(now, &seen[..n]);
+        Round { turns, tell, news }
+    }
+
+    fn dice(&mut self) -> f64 {
+        f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX)
+    }
+
+    /// Another node's record in this node's time.
+    fn of<'a>(&'a self, k: &'a Known) -> impl Iterator<Item = Seen> + 'a {
+        let at = move |age: u32| k.told_at - f64::from(age) / 1e3;
+        k.record.seen.iter().filter_map(move |s| {
+            Some(Seen {
+                node: short(&k.record.name),
+                zone: self.zones.iter().position(|z| *z == s.zone)?,
+                heard: s.heard_ms.map(at),
+                silent: s.silent.iter().map(|x| (u64::from(x.0), at(x.1))).collect(),
+                part: f64::from(s.part) / 1e3,
+            })
+        })
+    }
+
+    /// The own record's lines. Others hear at once of an engine newly silent, as long as that may turn anything, and of one
+    /// heard after the silence that they met, if nobody has told it: it ends their doubt. All else comes with the next
+    /// refresh, since what all tell at once nobody hears in time.
+    fn tell(&mut self, now: f64, own: &[Seen]) -> (Vec<record::Seen>, bool) {
+        let mut news = false;
+        let mut all = Vec::new();
+        for s in own {
+            let z = s.zone;
+            let own_part = self.ways.own_part(z);
+            let newly = s.silent.iter().any(|x| !self.told[z].contains(&x.0)) && own_part > 0.0;
+            let contradicts =
+                s.heard.is_some_and(|h| h > self.silence[z]) && self.heard[z] <= self.silence[z];
+            if newly || contradicts {
+                news = true;
+                self.heard[z] = self.heard[z].max(s.heard.unwrap_or(f64::NEG_INFINITY));
+            }
+            self.told[z].retain(|t| s.silent.iter().any(|x| x.0 == *t));
+            if newly {
+                self.told[z] = s.silent.iter().map(|x| x.0).collect();
+            }
+            let ago = |t: f64| ((now - t).max(0.0) * 1e3) as u32;
+            all.push(record::Seen {
+                zone: self.zones[z].clone(),
+                heard_ms: s.heard.map(ago),
+                silent: s.silent.iter().map(|x| (x.0 as u32, ago(x.1))).collect(),
+                part: (own_part * 1e3) as u16,
+            });
+        }
+        // Where all is well comes last: a record has room for so many.
+        all.sort_by_key(|s| s.silent.is_empty() && s.part == 1000);
+        (all, news)
+    }
+}
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::admin::Counted;
 use crate::core::ledger::Held;
 use crate::core::life::{self, Exit, Left, Life};
+use crate::core::together::Round;
 use crate::core::trace::Story;
 use crate::core::{Answer, Ask, Cause, Core, Do, End, Place, Refusal, Ticket, Why};
 use crate::engines::Engines;
@@ -11,6 +12,7 @@
 use crate::{seconds, Clock};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
+use nickelgw_accord::core::Known;
 use nickelgw_protocol::chat::{ApiError, ChatRequest, Chunk, Whole};
 use nickelgw_protocol::list::List;
 use nickelgw_protocol::load::LoadReport;
@@ -54,17 +56,55 @@
 
 pub enum Said {
     Order(Order),
-    Take { ask: Ask, job: Job, taken: Sender<Ticket> },
-    Began { ticket: Ticket, send: u32, grant: Sender<Sink> },
-    Ended { ticket: Ticket, send: u32, end: End, sink: Option<Sink> },
-    Probed { place: Rc<Place>, cause: Cause, load: Option<LoadReport> },
-    LetGo { call: Held, done: bool },
-    Swept { place: Rc<Place>, done: bool },
-    Learnt { to: Sender<Vec<u8>> },
+    Take {
+        ask: Ask,
+        job: Job,
+        taken: Sender<Ticket>,
+    },
+    Began {
+        ticket: Ticket,
+        send: u32,
+        grant: Sender<Sink>,
+    },
+    Ended {
+        ticket: Ticket,
+        send: u32,
+        end: End,
+        sink: Option<Sink>,
+    },
+    Probed {
+        place: Rc<Place>,
+        cause: Cause,
+        load: Option<LoadReport>,
+    },
+    LetGo {
+        call: Held,
+        done: bool,
+    },
+    Swept {
+        place: Rc<Place>,
+        done: bool,
+    },
+    Learnt {
+        to: Sender<Vec<u8>>,
+    },
     Part(Part),
-    Count { to: Sender<Counted> },
-    Why { id: String, to: Sender<Option<String>> },
-    List { list: List, renewed: Vec<String> },
+    /// What the other nodes of the zone have told; what they are to be told goes back.
+    Round {
+        others: Vec<Known>,
+        to: Sender<Round>,
+    },
+    Count {
+        to: Sender<Counted>,
+    },
+    Why {
+        id: String,
+        to: Sender<Option<String>>,
+    },
+    List {
+        list: List,
+        renewed: Vec<String>,
+    },
     ListFailed,
 }
 
@@ -114,6 +154,8 @@
 
 pub struct Driver {
     pub core: Core,
+    /// Something was found silent, that others may want to hear of.
+    pub met: Sender<()>,
     pub clock: Clock,
     pub ex: Rc<LocalExecutor<'static>>,
     pub engines: Rc<Engines>,
@@ -262,6 +304,7 @@
             held_p99_s: ledger.waited(0.99),
             held_longest_s: ledger.waited(1.0),
             stories: c.ring.len(),
+            ways: c.together.as_ref().map(|t| t.ways()).unwrap_or_default(),
         }
     }
 
@@ -334,10 +377,20 @@
                 }
                 self.core.ended(now, ticket, send, end);
             }
-            Said::Probed { place, cause, load } => self.core.probed(now, &place.id, cause, load),
+            Said::Probed { place, cause, load } => {
+                self.core.probed(now, &place.id, cause, load);
+                if matches!(cause, Cause::NoAnswer | Cause::NoConnection) {
+                    let _ = self.met.try_send(());
+                }
+            }
             Said::LetGo { call, done } => self.core.let_go(now, call, done),
             Said::Swept { place, done } => self.core.swept(now, &place.address, done),
             Said::Part(p) => self.core.place(now, p.number.zip(p.of)),
+            Said::Round { others, to } => {
+                let Some(round) = self.core.round(now, &others) else { return };
+                self.core.together.iter().for_each(|t| t.log(&round.turns));
+                let _ = to.try_send(round);
+            }
             Said::Count { to } => drop(to.try_send(self.counted())),
             Said::Why { id, to } => drop(to.try_send(self.core.story(&id).map(Story::tell))),
             Said::Learnt { to } => drop(to.try_send(self.core.learnt(now))),
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -14,9 +14,11 @@
 mod meter;
 mod repeat;
 mod server;
+mod together;
 mod watch;
 
 pub use meter::Meter;
+pub use together::{Fleet as Together, Sockets};
 
 use crate::core::life::Life;
 use crate::core::{Core, Door, Figures};
@@ -85,6 +87,8 @@
     pub view: nickelgw_registry::core::view::Figures,
     /// Called once, when it can serve.
     pub on_serving: Option<Box<dyn FnOnce() + Send>>,
+    /// What nodes tell each other; none: each goes by what it sees itself.
+    pub together: Option<Together>,
     /// Accepts nothing before it can serve: another process listens on the same socket meanwhile.
     pub patient: bool,
 }
@@ -172,6 +176,14 @@
     let boot = start.figures.boot.clone();
     let (keeper, found) = keep::Keeper::open(start.store, clock);
     let mut core = Core::new(start.deployment, start.figures);
+    let doors = driver::Doors::new();
+    let met = bounded(1);
+    let fleet_of_nodes = start.together.map(|t| {
+        core.join(&t.accord.own().name, t.zones, t.sockets.round_s, seed);
+        let accord = Rc::new(RefCell::new(t.accord));
+        let (words, closing) = (to_core.clone(), doors.listening.1.clone());
+        (accord.clone(), ex.spawn(together::run(t.sockets, accord, words, clock, closing, met.clone())))
+    });
     let relays = repeat::Relays::new(start.repeats);
     for f in found {
         match f.kind {
@@ -185,7 +197,6 @@
         }
     }
     let mut life = Life::new(start.life);
-    let doors = driver::Doors::new();
     let (gate, opened) = bounded::<()>(1);
     let (say, patient) = (start.on_serving, start.patient);
     let mut on_serving: Option<Box<dyn FnOnce() + Send>> = Some(Box::new(move || {
@@ -245,6 +256,7 @@
     let waiting = Rc::new(std::cell::Cell::new(0));
     let driver = driver::Driver {
         core,
+        met: met.0,
         clock,
         ex: ex.clone(),
         engines,
@@ -289,6 +301,8 @@
         doors: server.doors.clone(),
         behind: behind.clone(),
         keeper: keeper.clone(),
+        accord: fleet_of_nodes.as_ref().map(|f| f.0.clone()),
+        clock,
     });
     let operators = ex.spawn(admin::run(start.admin, start.admin_later, admin, ex.clone()));
     let chores = ex.spawn(behind.run());
@@ -306,7 +320,7 @@
         server::accept(listener, server, of).await;
     });
     let exit = ex.run(driving).await;
-    drop((operators, following, tending, chores, ordering, accepting, keeping));
+    drop((operators, fleet_of_nodes, following, tending, chores, ordering, accepting, keeping));
     ex.run(keeper.flush()).await;
     Ok(exit)
 }
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -99,6 +99,7 @@
         self.tls(n);
         self.repeats(n);
         self.grants(&n.state_grants);
+        self.accord(n);
         let l = n.leaving.unwrap_or_default();
         let at = ("leaving", 0);
         self.not_negative(&[at, ("notice_ms", 0)], l.notice_ms());
@@ -107,6 +108,32 @@
         self.done()
     }
 
+    fn accord(&mut self, n: &Node) {
+        let Some(a) = &n.accord else { return };
+        let at = ("accord", 0);
+        self.address(&[at, ("listen", 0)], &a.listen);
+        if let Some(address) = &a.address {
+            self.address(&[at, ("address", 0)], address);
+        }
+        for (k, p) in a.peer.iter().enumerate() {
+            self.address(&[at, ("peer", k)], p);
+        }
+        if a.key.len() < 16 {
+            // The key itself is not shown.
+            self.wrong(&[at, ("key", 0)], "is too short", "a secret of 16 bytes or more");
+        }
+        self.above_zero(&[at, ("round_ms", 0)], a.round_ms());
+        self.above_zero(&[at, ("step_ms", 0)], a.step_ms());
+        self.above_zero(&[at, ("wait_ms", 0)], a.wait_ms());
+        if a.longest_wait_ms().is_nan() || a.longest_wait_ms() < a.wait_ms() {
+            self.wrong(
+                &[at, ("longest_wait_ms", 0)],
+                format!("is {}", a.longest_wait_ms()),
+                "wait_ms or more",
+            );
+        }
+    }
+
     fn repeats(&mut self, n: &Node) {
         let r = n.repeats.unwrap_or_default();
         let at = ("repeats", 0);
--- a/crates/nickelgw-standin/src/lib.rs
+++ b/crates/nickelgw-standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod model;
 pub mod record;
 pub mod registry;
+pub mod relay;
 mod serve;
 mod tls;
 
--- /dev/null
+++ b/src/decide/again.rs
@@ -0,0 +1,65 @@
+//! Sending again, as far as the kind allows; answering and letting go.
+
+use super::*;
+
+impl Router {
+    /// Whether a further send is allowed: to this writer, or (none named) at all, a read and a write left.
+    pub(super) fn again(&self, now: f64, i: usize, writer: Option<usize>) -> bool {
+        let inf = &self.infs[i];
+        let need = if inf.state.is_some() || writer.is_some() { 1 } else { 2 };
+        if inf.sends.len() + need > self.most_sends {
+            return false;
+        }
+        match (inf.ran, self.routes[inf.route].repeat) {
+            (None, _) | (_, Repeat::Retriable) => true,
+            (_, Repeat::NonRetriable) => false,
+            // Only inside the group that drops repeats, and while it surely still remembers.
+            (Some((first, at)), Repeat::Deduped { group, memory_s }) => {
+                let same = |w: usize| match group {
+                    Group::All => true,
+                    Group::Zone => self.engines[w].zone == self.engines[first].zone,
+                    Group::Cell => self.engines[w].cell == self.engines[first].cell,
+                };
+                // A prompt is not read again for it outside the group either: that, too, counts as a send.
+                let inside = writer.map_or(need == 1 || group == Group::All, same);
+                now + self.target < at + memory_s && inside
+            }
+        }
+    }
+
+    /// Answers at once: shed where a repeat is harmless, else errored; lets go of what is held.
+    pub(super) fn give_up(&mut self, i: usize) {
+        if matches!(self.infs[i].stage, Stage::Ended | Stage::Closed) {
+            return;
+        }
+        let inf = &self.infs[i];
+        let may_have_run = inf.ran.is_some() || inf.sends.iter().any(|s| s.write && s.live);
+        let harmless = match self.routes[inf.route].repeat {
+            Repeat::Retriable | Repeat::Deduped { group: Group::All, .. } => true,
+            _ => !may_have_run,
+        };
+        if harmless {
+            let back = self.come_back.map(|most| most.min(self.life / 4.0));
+            self.todo.shed.push((Inf(i as u32), back));
+        } else {
+            self.todo.errored.push(Inf(i as u32));
+        }
+        let live = inf.sends.iter().enumerate().filter(|(_, s)| s.live && self.cancel);
+        self.todo.cancelled.extend(live.map(|(n, _)| (Inf(i as u32), n as u32)));
+        self.close(i);
+    }
+
+    /// The inference is over; what it holds is let go, and its handle once no send is out.
+    pub(super) fn close(&mut self, i: usize) {
+        let live = self.infs[i].sends.iter().any(|s| s.live);
+        // A send still out keeps the state from being let go: it is said again when the last one ends.
+        if self.infs[i].stage != Stage::Streaming && !self.infs[i].sends.is_empty() {
+            self.todo.released.push(Inf(i as u32));
+        }
+        self.infs[i].stage = if live { Stage::Ended } else { Stage::Closed };
+        self.open.retain(|&o| o != i);
+        if !live {
+            self.todo.closed.push(Inf(i as u32));
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/ration.rs
@@ -0,0 +1,63 @@
+//! The part of the traffic that a fresh engine bears, drawn by each inference.
+
+use super::*;
+
+/// Part of the cold allowance used; the rest is for chance: draws spread evenly what is sent.
+pub(super) const COLD_CAUTION: f64 = 0.5;
+
+impl Router {
+    /// Whether the inference may be sent to the engine now. A fresh one gets an even part of the traffic,
+    /// times what it may bear by its age: each inference draws whether it is of that, so that all nodes
+    /// keep to it, however uneven their traffic, and none is lost at nodes with nothing to send. Those whose
+    /// hashed reader it is are an even part already; of the others half as many may spill to it.
+    pub(super) fn ration(&self, now: f64, i: usize, e: usize) -> bool {
+        let eng = &self.engines[e];
+        // A zone returned to in steps bears a part of all, each zone's drawn on its own.
+        let part = self.part(eng.zone);
+        let of_part = |d: u64| (hash("", d ^ u64::from(eng.zone + 1)) as f64) < part * u64::MAX as f64;
+        if part < 1.0 && !self.infs[i].draw.is_some_and(of_part) {
+            return false;
+        }
+        let age = now - eng.started;
+        if age >= self.warm_within {
+            return true;
+        }
+        let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
+        let home = self.infs[i].homes.first() == Some(&e);
+        let part = if home { self.homely } else { 0.5 / self.peers[(eng.role != Role::Read) as usize] };
+        let drawn = |d: u64| (hash(&eng.id, d) as f64) < self.cold_multiple * grown * part * u64::MAX as f64;
+        !self.unplaced && self.infs[i].draw.is_some_and(drawn)
+    }
+
+    /// What an inference draws its part by; none beyond what this node usually starts, or its part of what
+    /// the tenants are promised: retries in a rush are not traffic.
+    pub(super) fn draw(&mut self, now: f64) -> Option<u64> {
+        let quotas = self.shares.iter().map(|s| s.bucket.rate).sum::<f64>();
+        self.draws.rate = quotas.max(1.0 / self.start_gap.max(self.tick));
+        self.draws.fill(now, 1.0 + self.draws.rate * self.tip_window / 8.0);
+        (self.draws.left >= 1.0).then(|| {
+            self.draws.left -= 1.0;
+            self.chance.generate()
+        })
+    }
+
+    /// The part of the traffic that may go to a zone from now on: 0, it is left; 1, it is as any other. Who
+    /// tells it keeps one zone at least.
+    pub fn give_part(&mut self, zone: u32, part: f64) {
+        self.parts.resize(self.parts.len().max(zone as usize + 1), 1.0);
+        self.parts[zone as usize] = part;
+    }
+
+    pub(super) fn part(&self, zone: u32) -> f64 {
+        self.parts.get(zone as usize).copied().unwrap_or(1.0)
+    }
+
+    /// Asks that engine of a zone of which there was no news for longest, left or not.
+    pub fn knock(&mut self, now: f64, zone: u32) {
+        let there = |&e: &usize| self.engines[e].zone == zone && self.engines[e].standing == Standing::In;
+        let by_news =
+            |&x: &usize, &y: &usize| self.engines[x].news_at().total_cmp(&self.engines[y].news_at());
+        let oldest = (0..self.engines.len()).filter(there).min_by(by_news);
+        oldest.into_iter().for_each(|e| self.ask(now, e, self.tick));
+    }
+}
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -759,3 +759,38 @@
     // Those that are gone make room for new ones.
     assert!(r.engines.len() <= 2000 + 500 + 5, "{}", r.engines.len());
 }
+
+#[test]
+fn a_zone_left_gets_nothing_and_one_returned_to_its_part() {
+    let mut r = router(Repeat::Retriable);
+    r.engines[1].zone = 1;
+    r.give_part(1, 0.0);
+    assert_eq!((r.stage(true), r.stage(false)), (vec![0], vec![2, 3]));
+    r.give_part(1, 0.25);
+    let drawn = |d: u64| Inference { draw: Some(hash("", d)), ..inference(Stage::Queued) };
+    let infs: Vec<usize> = (0..4000).map(|d| hold(&mut r, drawn(d))).collect();
+    let part = |e: usize| infs.iter().filter(|&&i| r.ration(NOW, i, e)).count() as f64 / 4000.0;
+    assert!((part(1) - 0.25).abs() < 0.03, "{}", part(1));
+    assert_eq!((part(1), part(0)), (part(4), 1.0), "the same ones for all of a zone");
+    let beyond = hold(&mut r, inference(Stage::Queued));
+    assert!(!r.ration(NOW, beyond, 1), "what may not draw is not of the part");
+}
+
+#[test]
+fn what_is_out_to_a_zone_that_is_left_goes_elsewhere() {
+    let mut r = router(Repeat::Retriable);
+    let s = Sent { at: NOW - 0.3, expected: 1.0, ..sent(&mut r, 4, true) };
+    hold(&mut r, Inference { state: Some(0), sends: vec![s], ..inference(Stage::Writing) });
+    assert!(r.decide(NOW).cancelled.is_empty());
+    r.give_part(1, 0.0);
+    assert_eq!(r.decide(NOW).cancelled, [(Inf(0), 0)]);
+}
+
+#[test]
+fn a_knock_asks_that_engine_of_the_zone_with_the_oldest_news() {
+    let mut r = router(Repeat::Retriable);
+    r.engines[2].load_at = NOW - 5.0;
+    r.give_part(0, 0.0);
+    r.knock(NOW, 0);
+    assert_eq!(r.todo.probes, [Eng(2)]);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -180,3 +180,13 @@
     pub faults: f64,
     pub fault_at: f64,
 }
+
+/// When an engine last answered anything, and when it last could not be reached; 0: never.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSeen<'a> {
+    pub id: &'a str,
+    pub zone: u32,
+    pub role: Role,
+    pub heard: f64,
+    pub mute: f64,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod decide;
 pub mod interface;
+mod kept;
 mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,8 @@
     pub(crate) now: f64,
     /// Readers and writers in service.
     pub(crate) peers: [f64; 2],
+    /// The part of the traffic that may go to each zone; none said: all.
+    pub(crate) parts: Vec<f64>,
     /// The part of the traffic hashed to a reader of this zone that is an even part of all.
     pub(crate) homely: f64,
     /// Inferences that may still draw their part of fresh engines.
