Offline inferences are parked on disk and run by tenants' parts in spare room (off unless set)

Batch checks that could wait were shed when their site was cut off.

- nickelgw-parked (core only): parked, running, ended; a ticket is told when its record is on disk, an answer too; what may not run twice is marked before it can be sent and ends errored if found so after a crash; a deduped one runs again only inside half of its span; one whose time passes ends then.
Tenants by weight, oldest first within one; a tenant parked at five sites gets no more than one parked at one (counts in the nodes' records).
Records, bytes, records a tenant, age, answers: bounded, refused at the door.
- nickelgw-node/src/parked.rs: one field (offline_within_s), one path (/v1/parked/TICKET), a file of its own; runs by additive increase and halving, with a pause and chance; none while a zone is left or returned to.
- Module: Arrival::spare makes it a tenant's surplus: last, shed at once if not admitted, against no share.
- A store cut short counted as unusable and nothing was kept; it is put aside as damaged (seen in the test of a damaged file).

--- a/crates/nickelgw-accord/src/core/mod.rs
+++ b/crates/nickelgw-accord/src/core/mod.rs
@@ -4,7 +4,7 @@
 pub mod record;
 
 use nanorand::{Rng, WyRand};
-use record::{short, Datagram, Key, Record, Refused, Seen, Word, MOST_BYTES, MOST_ZONES};
+use record::{short, Datagram, Key, Record, Refused, Seen, Word, MOST_BYTES, MOST_TENANTS, MOST_ZONES};
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug)]
@@ -162,6 +162,13 @@
         }
     }
 
+    /// What waits here to be run; others hear it with the next refresh.
+    pub fn tell_parked(&mut self, mut parked: Vec<(u32, u32)>) {
+        parked.sort_by_key(|p| std::cmp::Reverse(p.1));
+        parked.truncate(MOST_TENANTS);
+        self.own.parked = parked;
+    }
+
     /// Datagrams to send now, and when to ask again.
     pub fn due(&mut self, now: f64, unix_ms: u64) -> (Vec<(String, Vec<u8>)>, f64) {
         if now >= self.next_round {
@@ -359,7 +366,8 @@
 /// Bytes of a record in a datagram, at most.
 fn length(r: &Record) -> usize {
     let seen = |s: &Seen| s.zone.len() + 12 + 10 * s.silent.len();
-    r.name.len() + r.address.len() + r.zone.len() + 32 + r.seen.iter().map(seen).sum::<usize>()
+    let parked = 10 * r.parked.len();
+    r.name.len() + r.address.len() + r.zone.len() + 32 + parked + r.seen.iter().map(seen).sum::<usize>()
 }
 
 #[cfg(test)]
--- a/crates/nickelgw-accord/src/core/record.rs
+++ b/crates/nickelgw-accord/src/core/record.rs
@@ -6,6 +6,8 @@
 pub const MOST_BYTES: usize = 1200;
 pub const MOST_ZONES: usize = 16;
 pub const MOST_SILENT: usize = 8;
+/// Tenants told of: those with the most parked.
+pub const MOST_TENANTS: usize = 24;
 const MOST_NAME: usize = 64;
 const VERSION: u8 = 1;
 const SEAL: usize = blake3::OUT_LEN;
@@ -32,6 +34,8 @@
     pub address: String,
     pub zone: String,
     pub seen: Vec<Seen>,
+    /// Offline inferences that wait here, by the hash of the tenant's name.
+    pub parked: Vec<(u32, u32)>,
 }
 
 impl Record {
@@ -46,6 +50,7 @@
             && short(&self.address)
             && short(&self.zone)
             && self.seen.len() <= MOST_ZONES
+            && self.parked.len() <= MOST_TENANTS
             && self.seen.iter().all(seen)
     }
 }
--- a/crates/nickelgw-accord/src/core/tests.rs
+++ b/crates/nickelgw-accord/src/core/tests.rs
@@ -10,6 +10,7 @@
         seq,
         address: format!("{name}:1"),
         zone: "a".into(),
+        parked: vec![(1, 5)],
         seen: vec![Seen { zone: "b".into(), heard_ms: Some(20), silent: vec![(7, 300); 8], part: 1000 }],
     }
 }
--- a/crates/nickelgw-cli/src/rehearse.rs
+++ b/crates/nickelgw-cli/src/rehearse.rs
@@ -856,6 +856,7 @@
             ..Default::default()
         }),
         accord: None,
+        parked: None,
         doubt: None,
         last_list: Some(stage.file(&format!("node{number}.list")).display().to_string()),
         model_route: d.model_route.clone(),
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -9,7 +9,8 @@
 use nickelgw_node::core::door::{Model, Tenant};
 use nickelgw_node::core::{Door, FairShares, Figures, Grants};
 use nickelgw_node::fleet::Registry;
-use nickelgw_node::{Limits, Meter, Sockets, Source, Start, TlsStart, Together};
+use nickelgw_node::{Limits, Lot, Meter, Sockets, Source, Start, TlsStart, Together};
+use nickelgw_parked::core::{Figures as ParkedFigures, Repeat};
 use nickelgw_registry::core::member::Figures as MemberFigures;
 use nickelgw_registry::core::view::Figures as ViewFigures;
 use nickelgw_settings::{check, Node, Problem};
@@ -136,6 +137,7 @@
         address: a.address.clone().unwrap_or_else(|| a.listen.clone()),
         zone: n.zone.clone(),
         seen: Vec::new(),
+        parked: Vec::new(),
     };
     let figures = AccordFigures { round_s, ..AccordFigures::default() };
     let seed = n.seed() ^ epoch.to_bits();
@@ -152,6 +154,35 @@
     })
 }
 
+fn parked(n: &Node) -> Option<Lot> {
+    let p = n.parked.as_ref()?;
+    let repeat = |r: &nickelgw_settings::proto::ModelRoute| match r.repeat() {
+        nickelgw_settings::proto::Repeat::Retriable => Repeat::Retriable,
+        // Which engines heard of it is not known to a later process.
+        nickelgw_settings::proto::Repeat::Deduped
+            if r.dedupe_group() == nickelgw_settings::proto::Group::All =>
+        {
+            Repeat::Deduped(r.dedupe_memory_ms() / 1e3)
+        }
+        _ => Repeat::Never,
+    };
+    Some(Lot {
+        file: (&p.file).into(),
+        figures: ParkedFigures {
+            most_records: p.most_records() as usize,
+            most_bytes: p.most_bytes() as usize,
+            most_each: p.most_records_tenant() as usize,
+            longest_wait_s: p.longest_wait_ms() / 1e3,
+            keep_s: p.keep_ms() / 1e3,
+            most_answer: p.most_answer_bytes() as usize,
+            most_tries: nickelgw_node::MOST_TRIES,
+        },
+        most_running: p.most_running() as usize,
+        repeats: n.model_route.iter().map(repeat).collect(),
+        weights: n.tenant.iter().map(|t| t.weight()).collect(),
+    })
+}
+
 pub fn start(n: &Node, meter: Option<Arc<Mutex<Meter>>>) -> Result<Start, Unusable> {
     let leaving = n.leaving.unwrap_or_default();
     let l = n.limits.unwrap_or_default();
@@ -217,6 +248,7 @@
         source: source(n),
         view: doubt(n),
         together: together(n, epoch),
+        parked: parked(n),
         last_list: n.last_list.as_ref().map(Into::into),
         store: n.store.as_ref().map(Into::into),
         admin: None,
--- a/crates/nickelgw-cli/tests/fleet/main.rs
+++ b/crates/nickelgw-cli/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Several processes of the program over three zones, and faults between them.
 
+mod parked;
 mod site;
 
 use nickelgw_accord::core::record::{Datagram, Key, Record, Seen, Word};
@@ -162,6 +163,7 @@
             seq,
             address: socket.local_addr().unwrap().to_string(),
             zone: "a".into(),
+            parked: vec![],
             seen: vec![Seen { zone: "b".into(), heard_ms: None, silent, part: 0 }],
         };
         let at_ms = (unix_now() * 1e3) as u64;
--- a/crates/nickelgw-cli/tests/fleet/site.rs
+++ b/crates/nickelgw-cli/tests/fleet/site.rs
@@ -98,7 +98,7 @@
         let at = SITES.fetch_add(1, Ordering::Relaxed);
         let record = Record::memory("driver");
         let rules = json!({"drain_grace_s": 0.5, "hold_limit_s": 0.5, "slack_s": 1.0,
-            "routes": {"chat": {"repeat": "retriable"}}});
+            "routes": {"chat": {"repeat": "retriable"}, "booking": {"repeat": "non_retriable"}}});
         record.note("rules", rules);
         let mut engines = Vec::new();
         let mut lines: Vec<Vec<Line>> = vec![Vec::new(); ZONES.len()];
@@ -168,7 +168,7 @@
                 ZONES[zone],
                 lists[zone],
                 if plan.exchange { accord } else { String::new() },
-                plan.more,
+                plan.more.replace("FILE", &dir.join(format!("node{n}.parked")).display().to_string()),
             );
             let name = format!("node{n}");
             let file = dir.join(format!("{name}.txtpb"));
@@ -268,13 +268,20 @@
 
     /// Clients that ask each node so often a second, until told to stop.
     pub fn traffic(self: &Arc<Self>, each_s: f64) -> Traffic {
+        self.traffic_of(each_s, None)
+    }
+
+    /// With a tenant's key.
+    pub fn traffic_of(self: &Arc<Self>, each_s: f64, key: Option<&'static str>) -> Traffic {
+        static RUNS: AtomicUsize = AtomicUsize::new(0);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let stop = Arc::new(AtomicBool::new(false));
         let asked = Arc::new(Mutex::new(Vec::new()));
         let client = |n: usize| {
             let (site, stop, asked) = (self.clone(), stop.clone(), asked.clone());
             thread::spawn(move || {
                 let ex = smol::LocalExecutor::new();
-                let run = async {
+                let asking = async {
                     let mut tasks = Vec::new();
                     let began = Instant::now();
                     for k in 0.. {
@@ -288,10 +295,11 @@
                             let node = &site.nodes[n];
                             let address = node.address.lock().unwrap().clone();
                             let ask = Ask {
-                                req: format!("q{n}-{k}"),
+                                req: format!("q{run}-{n}-{k}"),
                                 node: node.name.clone(),
                                 address,
                                 model: "chat".into(),
+                                key: key.map(str::to_string),
                                 prompt: format!("session {k} of {n}: tell me more"),
                                 stream: true,
                                 timeout_s: 4.0,
@@ -307,7 +315,7 @@
                         t.await;
                     }
                 };
-                smol::block_on(ex.run(run));
+                smol::block_on(ex.run(asking));
             })
         };
         let clients = (0..self.nodes.len()).map(client).collect();
@@ -328,7 +336,7 @@
         nickelgw_audit::sort(&mut lines);
         let verdict = nickelgw_audit::judge(&lines);
         assert!(verdict.judged.get("lost").is_some_and(|n| *n > 0), "nothing was judged");
-        verdict.breaks.iter().map(|b| format!("{}: {}", b.rule.name(), b.what)).collect()
+        verdict.breaks.iter().take(10).map(|b| format!("{}: {}", b.rule.name(), b.what)).collect()
     }
 }
 
@@ -396,6 +404,24 @@
         }
     }
 
+    pub fn parked_file(&self) -> PathBuf {
+        self.file.with_extension("parked")
+    }
+
+    /// A call of the chat API: status and body.
+    pub fn call(&self, method: &str, path: &str, key: &str, body: &str) -> (u16, Value) {
+        let address = self.address.lock().unwrap().clone();
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\nconnection: close\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let raw = smol::block_on(client::raw(&address, &[text.as_bytes()], 0.0, 5.0));
+        let body = String::from_utf8_lossy(&raw).to_string();
+        let body = body.split_once("\r\n\r\n").map_or("", |b| b.1);
+        (client::status(&raw), serde_json::from_str(body).unwrap_or_default())
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.file.with_extension("log")).unwrap_or_default()
     }
--- a/crates/nickelgw-drill/src/node.rs
+++ b/crates/nickelgw-drill/src/node.rs
@@ -107,6 +107,7 @@
                     prefix_tokens: num_or(event, "n_prefix", 0.0)?,
                     session: event.get("session").map_or(Ok(""), |_| text(event, "session"))?.to_string(),
                     prefix: prefix.map(str::to_string),
+                    spare: false,
                 };
                 let request = index(event, "req")?;
                 let inf = self.router.take(now, &arrival);
--- a/crates/nickelgw-node/examples/fleet.rs
+++ b/crates/nickelgw-node/examples/fleet.rs
@@ -171,6 +171,7 @@
                     prefix_tokens: 0.0,
                     session,
                     prefix: None,
+                    spare: false,
                 };
                 self.nodes[n].router.take(now, &a);
                 self.decide(n, now);
@@ -276,6 +277,7 @@
             address: format!("{name}:1"),
             zone: ZONES[n % 3].into(),
             seen: vec![],
+            parked: vec![],
         };
         let peers = if exchange { vec!["n0:1".into(), "n1:1".into(), "n2:1".into()] } else { vec![] };
         let key = Key::of("a key for the fleet in one process");
--- a/crates/nickelgw-node/src/admin.rs
+++ b/crates/nickelgw-node/src/admin.rs
@@ -55,6 +55,7 @@
     pub behind: Rc<crate::background::Background>,
     pub keeper: Rc<crate::keep::Keeper>,
     pub accord: Option<Rc<RefCell<Accord>>>,
+    pub parked: Option<Rc<crate::parked::Parking>>,
     pub clock: Clock,
 }
 
@@ -103,6 +104,7 @@
         whole(&mut r, "connections", "Client connections", self.doors.connections.get());
         whole(&mut r, "stories", "Stories kept for 'why'", c.stories);
         self.together(&mut r, c.ways);
+        self.parked(&mut r);
         let kept = self.keeper.account();
         let real = |r: &mut Registry, name: &str, help: &str, unit: Unit, v: f64| {
             let g = Real::default();
@@ -161,6 +163,30 @@
         r.register_with_unit("datagrams_sent", "What was sent in them", Unit::Bytes, bytes);
     }
 
+    fn parked(&self, r: &mut Registry) {
+        let Some(p) = &self.parked else { return };
+        let (waiting, running, t) = p.tally();
+        for (name, help, n) in [
+            ("parked", "Offline inferences that wait to be run", waiting),
+            ("parked_running", "Offline inferences being run", running),
+        ] {
+            let g = Gauge::<i64>::default();
+            g.set(n as i64);
+            r.register(name, help, g);
+        }
+        let ended = Family::<How, Counter>::default();
+        for (how, n) in [
+            ("taken", t.parked),
+            ("refused", t.refused),
+            ("answered", t.answered),
+            ("given_up", t.given_up),
+            ("errored", t.errored),
+        ] {
+            ended.get_or_create(&How { how }).inc_by(n);
+        }
+        r.register("parked_inferences", "Offline inferences by what became of them", ended);
+    }
+
     async fn why(&self, id: &str) -> Option<String> {
         let (to, from) = bounded(1);
         let asked = Word::new(Said::Why { id: id.chars().take(64).collect(), to });
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -35,6 +35,8 @@
     pub prefix_tokens: f64,
     pub session: String,
     pub prefix: Option<String>,
+    /// Offline work: it takes only room that others leave.
+    pub spare: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -95,6 +97,19 @@
 }
 
 impl Door {
+    /// Whose the bearer token is; none where no tenants are named.
+    pub fn tenant(&self, bearer: Option<&str>) -> Result<Option<usize>, Refusal> {
+        match bearer {
+            _ if self.tenants.is_empty() => Ok(None),
+            None => Err(denied("you must provide an API key as a bearer token")),
+            Some(key) => {
+                let known = |t: &Tenant| same(t.key.as_bytes(), key.as_bytes());
+                let found = self.tenants.iter().position(known);
+                found.map(Some).ok_or_else(|| denied("the API key is not known"))
+            }
+        }
+    }
+
     /// `client_timeout_s`: the client's own word on how long it waits, which only shortens.
     pub fn enter(
         &self,
@@ -102,15 +117,7 @@
         bearer: Option<&str>,
         client_timeout_s: Option<f64>,
     ) -> Result<Ask, Refusal> {
-        let tenant = match bearer {
-            _ if self.tenants.is_empty() => None,
-            None => return Err(denied("you must provide an API key as a bearer token")),
-            Some(key) => {
-                let known = |t: &Tenant| same(t.key.as_bytes(), key.as_bytes());
-                let found = self.tenants.iter().position(known);
-                Some(found.ok_or_else(|| denied("the API key is not known"))?)
-            }
-        };
+        let tenant = self.tenant(bearer)?;
         let Some(route) = self.models.iter().position(|m| m.name == chat.model) else {
             let word =
                 format!("the model '{}' does not exist", chat.model.chars().take(64).collect::<String>());
@@ -139,6 +146,7 @@
             prefix_tokens: chat.prefix_tokens,
             session: chat.session.clone(),
             prefix: chat.prefix.clone(),
+            spare: false,
         })
     }
 }
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -290,6 +290,7 @@
             prefix_tokens: ask.prefix_tokens,
             session: ask.session.clone(),
             prefix: ask.prefix.clone(),
+            spare: ask.spare,
         };
         let inf = self.router.take(now, &arrival).0;
         self.serial += 1;
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -85,6 +85,7 @@
         prefix_tokens: 0.0,
         session: "s".into(),
         prefix: None,
+        spare: false,
     }
 }
 
--- a/crates/nickelgw-node/src/core/together.rs
+++ b/crates/nickelgw-node/src/core/together.rs
@@ -37,6 +37,8 @@
     /// What others are to be told, and whether at once.
     pub tell: Vec<record::Seen>,
     pub news: bool,
+    /// No zone is left or returned to.
+    pub whole: bool,
 }
 
 fn engine(id: &str) -> u64 {
@@ -138,7 +140,8 @@
             self.heard[s.zone] = self.heard[s.zone].max(s.heard.unwrap_or(f64::NEG_INFINITY));
         }
         let (tell, news) = self.tell(now, &seen[..n]);
-        Round { turns, tell, news }
+        let whole = (0..n).all(|z| self.ways.part(z) == 1.0);
+        Round { turns, tell, news, whole }
     }
 
     fn dice(&mut self) -> f64 {
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -172,7 +172,7 @@
     pub meter: Option<Arc<Mutex<Meter>>>,
     pub life: Life,
     pub boot: String,
-    pub keeper: Rc<Keeper>,
+    pub keepers: Vec<Rc<Keeper>>,
     pub doors: Rc<Doors>,
     /// Called once, when it can serve.
     pub on_serving: Option<Box<dyn FnOnce() + Send>>,
@@ -347,8 +347,9 @@
                 }
             }
             Said::Order(Order::Hasten) => self.life.hasten(now),
-            Said::Order(Order::Release) => self.keeper.release(true),
-            Said::Order(Order::Resume) => self.keeper.release(false),
+            Said::Order(order @ (Order::Release | Order::Resume)) => {
+                self.keepers.iter().for_each(|k| k.release(order == Order::Release));
+            }
             Said::Order(order) => self.life.leave(now, order == Order::HandOver),
             Said::Began { ticket, send, grant } => {
                 if self.core.began(now, ticket, send) {
--- a/crates/nickelgw-node/src/keep.rs
+++ b/crates/nickelgw-node/src/keep.rs
@@ -66,6 +66,10 @@
         (Rc::new(keeper), found)
     }
 
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
     /// Another process has the file now, or is about to: what must be on disk before it runs cannot run here.
     pub fn is_released(&self) -> bool {
         self.released.get()
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -12,12 +12,14 @@
 pub mod fleet;
 mod keep;
 mod meter;
+mod parked;
 mod repeat;
 mod server;
 mod together;
 mod watch;
 
 pub use meter::Meter;
+pub use parked::{Lot, MOST_TRIES};
 pub use together::{Fleet as Together, Sockets};
 
 use crate::core::life::Life;
@@ -87,6 +89,8 @@
     pub view: nickelgw_registry::core::view::Figures,
     /// Called once, when it can serve.
     pub on_serving: Option<Box<dyn FnOnce() + Send>>,
+    /// Where offline inferences are kept; none: they are not taken.
+    pub parked: Option<Lot>,
     /// What nodes tell each other; none: each goes by what it sees itself.
     pub together: Option<Together>,
     /// Accepts nothing before it can serve: another process listens on the same socket meanwhile.
@@ -178,12 +182,20 @@
     let mut core = Core::new(start.deployment, start.figures);
     let doors = driver::Doors::new();
     let met = bounded(1);
+    let whole = Rc::new(std::cell::Cell::new(true));
     let fleet_of_nodes = start.together.map(|t| {
         core.join(&t.accord.own().name, t.zones, t.sockets.round_s, seed);
         let accord = Rc::new(RefCell::new(t.accord));
         let (words, closing) = (to_core.clone(), doors.listening.1.clone());
-        (accord.clone(), ex.spawn(together::run(t.sockets, accord, words, clock, closing, met.clone())))
+        (
+            accord.clone(),
+            ex.spawn(together::run(t.sockets, accord, words, clock, closing, met.clone(), whole.clone())),
+        )
     });
+    let accord = fleet_of_nodes.as_ref().map(|f| f.0.clone());
+    let parked =
+        start.parked.map(|lot| parked::Parking::open(lot, clock, &start.door, accord.clone(), whole));
+    let keepers: Vec<_> = std::iter::once(&keeper).chain(parked.iter().map(|p| &p.keeper)).cloned().collect();
     let relays = repeat::Relays::new(start.repeats);
     for f in found {
         match f.kind {
@@ -193,7 +205,7 @@
                 let read = core.recall(&f.value, trust);
                 tracing::info!(trust, read, "what the process before had learnt");
             }
-            Kind::List => {}
+            Kind::List | Kind::Parked => {}
         }
     }
     let mut life = Life::new(start.life);
@@ -270,7 +282,7 @@
         meter: start.meter,
         life,
         boot,
-        keeper: keeper.clone(),
+        keepers: keepers.clone(),
         doors: doors.clone(),
         on_serving,
         sources,
@@ -292,8 +304,10 @@
         budget: RefCell::new(budget::Budget::new(start.retries, seed)),
         repeats: relays,
         keeper: keeper.clone(),
+        parked: parked.clone(),
     });
-    let keeping = ex.spawn(keeper.clone().run());
+    let keeping: Vec<_> = keepers.iter().map(|k| ex.spawn(k.clone().run())).collect();
+    let replaying = ex.spawn(server.clone().replay());
     let behind = background::Background::new(ex.clone(), clock, seed);
     chores(&behind, &server, looked, reload_s);
     let admin = Rc::new(admin::Admin {
@@ -301,7 +315,8 @@
         doors: server.doors.clone(),
         behind: behind.clone(),
         keeper: keeper.clone(),
-        accord: fleet_of_nodes.as_ref().map(|f| f.0.clone()),
+        accord,
+        parked,
         clock,
     });
     let operators = ex.spawn(admin::run(start.admin, start.admin_later, admin, ex.clone()));
@@ -320,8 +335,10 @@
         server::accept(listener, server, of).await;
     });
     let exit = ex.run(driving).await;
-    drop((operators, fleet_of_nodes, following, tending, chores, ordering, accepting, keeping));
-    ex.run(keeper.flush()).await;
+    drop((operators, replaying, fleet_of_nodes, following, tending, chores, ordering, accepting, keeping));
+    for k in keepers {
+        ex.run(k.flush()).await;
+    }
     Ok(exit)
 }
 
--- /dev/null
+++ b/crates/nickelgw-node/src/parked.rs
@@ -0,0 +1,382 @@
+//! Offline inferences on sockets and on disk: taken under a ticket, run in room that others leave, answered by the ticket.
+
+use crate::core::Ask;
+use crate::driver::Reply;
+use crate::keep::Keeper;
+use crate::server::{json_answer, Answer, Asked, Server};
+use crate::{seconds, unix_now, within};
+use async_channel::{bounded, Receiver, Sender};
+use bytes::Bytes;
+use nickelgw_accord::core::record::short;
+use nickelgw_accord::core::Accord;
+use nickelgw_parked::core::record::{Answer as Kept, Record, State};
+use nickelgw_parked::core::{Figures, Look, Parked, Refused, Repeat, Tally, Ticket, Write};
+use nickelgw_protocol::chat::{ApiError, ChatRequest};
+use nickelgw_protocol::Malformed;
+use nickelgw_store::core::Kind;
+use serde_json::json;
+use smol::Timer;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// The field by which a client says that it can wait, and how long, in seconds.
+pub const FIELD: &str = "offline_within_s";
+pub const PATH: &str = "/v1/parked/";
+
+/// What a node needs to park.
+pub struct Lot {
+    pub file: PathBuf,
+    pub figures: Figures,
+    /// Run at once, at most.
+    pub most_running: usize,
+    /// For each model route, whether it may run again.
+    pub repeats: Vec<Repeat>,
+    /// For each tenant, its part.
+    pub weights: Vec<f64>,
+}
+
+pub struct Parking {
+    core: RefCell<Parked>,
+    pub keeper: Rc<Keeper>,
+    repeats: Vec<Repeat>,
+    weights: Vec<f64>,
+    most_running: f64,
+    running: Cell<usize>,
+    /// As many at once as found room of late, and when the next may begin.
+    room: Cell<f64>,
+    not_before: Cell<f64>,
+    turned_away: Cell<u32>,
+    serial: Cell<u64>,
+    bell: (Sender<()>, Receiver<()>),
+    accord: Option<Rc<RefCell<Accord>>>,
+    /// Whether no zone is left or returned to: what is held back there has the room first.
+    pub whole: Rc<Cell<bool>>,
+}
+
+/// After one that found no room the next waits, longer each time in a row.
+const FIRST_PAUSE_S: f64 = 0.2;
+const LONGEST_PAUSE_S: f64 = 5.0;
+const LOOK_S: f64 = 0.05;
+/// A disk that cannot be written is tried again after so long.
+const DISK_S: f64 = 0.2;
+/// Runs of one that failed, where it may run again.
+pub const MOST_TRIES: u32 = 8;
+
+fn key(t: Ticket) -> [u8; 16] {
+    t.to_be_bytes()
+}
+
+impl Parking {
+    /// Reads what an earlier process left; blocking, before anything is served.
+    pub fn open(
+        lot: Lot,
+        clock: crate::Clock,
+        door: &crate::core::Door,
+        accord: Option<Rc<RefCell<Accord>>>,
+        whole: Rc<Cell<bool>>,
+    ) -> Rc<Parking> {
+        let (keeper, found) = Keeper::open(Some(lot.file), clock);
+        let mut core = Parked::new(lot.figures);
+        let found = found.into_iter().filter(|f| f.kind == Kind::Parked);
+        let found = found.filter_map(|f| Some((Ticket::from_be_bytes(f.key.try_into().ok()?), f.value)));
+        let known = |r: &Record| {
+            let tenant = door.tenants.is_empty() || door.tenants.iter().any(|t| t.name == r.tenant);
+            let route = door.models.iter().position(|m| m.name == r.model)?;
+            lot.repeats.get(route).copied().filter(|_| tenant)
+        };
+        for (t, bytes) in core.restore(unix_now(), found, known) {
+            match bytes {
+                Some(b) => keeper.put(Kind::Parked, &key(t), &b),
+                None => keeper.remove(Kind::Parked, &key(t)),
+            }
+            // Told from now on: if this process dies before the write, the next comes to the same.
+            core.written(t, true);
+        }
+        tracing::info!(parked = core.len(), "offline inferences were read");
+        Rc::new(Parking {
+            core: RefCell::new(core),
+            keeper,
+            repeats: lot.repeats,
+            weights: lot.weights,
+            most_running: lot.most_running.max(1) as f64,
+            running: Cell::new(0),
+            room: Cell::new(1.0),
+            not_before: Cell::new(0.0),
+            turned_away: Cell::new(0),
+            serial: Cell::new(0),
+            bell: bounded(1),
+            accord,
+            whole,
+        })
+    }
+
+    pub fn tally(&self) -> (usize, usize, Tally) {
+        let core = self.core.borrow();
+        (core.waiting().map(|w| w.1).sum(), self.running.get(), core.tally)
+    }
+
+    fn ticket(&self) -> Ticket {
+        self.serial.set(self.serial.get() + 1);
+        // Each of these draws from the system's own chance anew.
+        let draw = || RandomState::new().hash_one(self.serial.get());
+        Ticket::from(draw()) << 64 | Ticket::from(draw())
+    }
+
+    /// On disk, tried until it is; what is taken out need not be waited for.
+    async fn write(&self, (t, bytes): Write) {
+        match bytes {
+            None => self.keeper.remove(Kind::Parked, &key(t)),
+            Some(b) => {
+                while !self.keeper.put_and_wait(Kind::Parked, &key(t), &b).await {
+                    Timer::after(seconds(DISK_S)).await;
+                }
+                self.core.borrow_mut().written(t, true);
+            }
+        }
+    }
+
+    /// Of what is run here, by its weight, and by how much of what waits in the whole fleet waits here: a tenant parked at
+    /// one node has as much in all as one parked at five.
+    fn part(&self, tenants: &[crate::core::door::Tenant], name: &str) -> f64 {
+        let weight = tenants.iter().position(|t| t.name == name).and_then(|t| self.weights.get(t));
+        let own = self.core.borrow().waiting().find(|w| w.0 == name).map_or(0, |w| w.1);
+        let hash = short(name) as u32;
+        let others = self.accord.as_ref().map_or(0, |a| {
+            let a = a.borrow();
+            let of = |k: &nickelgw_accord::core::Known| {
+                k.record.parked.iter().filter(|p| p.0 == hash).map(|p| u64::from(p.1)).sum::<u64>()
+            };
+            a.alive(self.keeper.now()).map(of).sum()
+        });
+        nickelgw_parked::core::part(weight.copied().unwrap_or(1.0), own, others)
+    }
+
+    fn found_room(&self) {
+        self.turned_away.set(0);
+        self.room.set((self.room.get() + 1.0 / self.room.get()).min(self.most_running));
+    }
+
+    fn found_none(&self, now: f64) {
+        self.turned_away.set((self.turned_away.get() + 1).min(10));
+        self.room.set((self.room.get() / 2.0).max(1.0));
+        let pause = (FIRST_PAUSE_S * f64::from(1u32 << (self.turned_away.get() - 1))).min(LONGEST_PAUSE_S);
+        // Nodes that meet the same fullness do not come back at the same moment.
+        let dice = RandomState::new().hash_one(0) as f64 / u64::MAX as f64;
+        self.not_before.set(now + pause * (0.5 + dice));
+    }
+}
+
+fn refused(status: u16, code: &'static str, word: &str, come_back_s: f64) -> ApiError {
+    let mut e = ApiError::new(status, "server_error", code, word);
+    e.retry_after_s = Some(come_back_s);
+    e
+}
+
+impl Server {
+    /// Parks a request whose client can wait: its ticket, once its record is on disk.
+    pub async fn park(self: Rc<Self>, mut chat: ChatRequest, ask: &Ask) -> Result<Answer, ApiError> {
+        let field = |what: &'static str| ApiError::invalid(&Malformed::field(FIELD, what));
+        let Some(p) = self.parked.clone() else { return Err(field("is not served here")) };
+        let within = chat.fields.remove(FIELD).and_then(|v| serde_json::from_str::<f64>(v.get()).ok());
+        let within =
+            within.filter(|s| *s > 0.0).ok_or_else(|| field("must be a number of seconds above zero"))?;
+        // Nobody listens while it runs.
+        chat.fields.remove("stream");
+        chat.fields.remove("stream_options");
+        let body = serde_json::to_vec(&chat.fields).map_err(|_| field("cannot be kept"))?;
+        let (now, ticket) = (unix_now(), p.ticket());
+        let record = Record {
+            tenant: ask.tenant.map_or(String::new(), |t| self.door.tenants[t].name.clone()),
+            model: chat.model.clone(),
+            body,
+            parked_at: now,
+            until: now + within,
+            first_run: None,
+            tries: 0,
+            state: State::Parked,
+        };
+        let come_back = self.limits.come_back_s;
+        let full = || refused(503, "parked_full", "no place to keep more offline requests", come_back);
+        if p.keeper.is_released() {
+            return Err(full());
+        }
+        let taken = p.core.borrow_mut().take(now, ticket, record);
+        let write = taken.map_err(|why| match why {
+            Refused::Tenant => {
+                refused(429, "parked_tenant_full", "this tenant has its part of what is kept", come_back)
+            }
+            Refused::Wait => field("is longer than any may wait"),
+            Refused::Records | Refused::Bytes => full(),
+        })?;
+        // Its client may go meanwhile: what was begun is ended all the same.
+        let (tell, told) = bounded(1);
+        let of = p.clone();
+        let keep = async move {
+            let (t, bytes) = write;
+            let kept = of.keeper.put_and_wait(Kind::Parked, &key(t), &bytes.unwrap_or_default()).await;
+            of.core.borrow_mut().written(t, kept);
+            if !kept {
+                // It may yet get there, and must not be run by a later process.
+                of.keeper.remove(Kind::Parked, &key(t));
+            }
+            let _ = of.bell.0.try_send(());
+            let _ = tell.try_send(kept);
+        };
+        self.ex.spawn(keep).detach();
+        match told.recv().await {
+            Ok(true) => {
+                let body =
+                    json!({"id": format!("{ticket:032x}"), "object": "chat.parked", "status": "parked"});
+                Ok(json_answer(202, body.to_string().into()))
+            }
+            _ => Err(full()),
+        }
+    }
+
+    /// What became of a ticket. One that is unknown, too old or another tenant's is told apart by nothing.
+    pub fn parked(&self, bearer: Option<&str>, ticket: &str) -> Result<Answer, ApiError> {
+        let tenant = self.door.tenant(bearer).map_err(|r| r.error(self.limits.come_back_s))?;
+        let tenant = tenant.map_or("", |t| &self.door.tenants[t].name);
+        let none = || ApiError::new(404, "invalid_request_error", "not_found", "there is no such ticket");
+        let p = self.parked.as_ref().ok_or_else(none)?;
+        let id = Some(ticket).filter(|t| t.len() == 32).and_then(|t| Ticket::from_str_radix(t, 16).ok());
+        let core = p.core.borrow();
+        let status = match id.and_then(|t| core.look(t, tenant)).ok_or_else(none)? {
+            Look::Ended(a) => return Ok(json_answer(a.status, Bytes::from(a.body.clone()))),
+            Look::Parked => "parked",
+            Look::Running => "running",
+        };
+        let body = json!({"id": ticket, "object": "chat.parked", "status": status});
+        Ok(json_answer(202, body.to_string().into()))
+    }
+
+    /// Runs what is parked while there is room, until dropped.
+    pub async fn replay(self: Rc<Self>) {
+        let Some(p) = self.parked.clone() else { return };
+        loop {
+            let due = p.core.borrow_mut().due(unix_now());
+            for w in due {
+                let of = p.clone();
+                self.ex.spawn(async move { of.write(w).await }).detach();
+            }
+            while self.has_room(&p) {
+                let repeat = |r: &Record| self.repeat(&p, r);
+                let parts: HashMap<String, f64> = {
+                    let waiting: Vec<String> = p.core.borrow().waiting().map(|w| w.0.to_string()).collect();
+                    waiting.into_iter().map(|t| (t.clone(), p.part(&self.door.tenants, &t))).collect()
+                };
+                let part = |t: &str| parts.get(t).copied().unwrap_or(1.0);
+                let next = p.core.borrow_mut().next(unix_now(), part, repeat);
+                let Some(write) = next else { break };
+                p.running.set(p.running.get() + 1);
+                self.ex.spawn(self.clone().run_parked(p.clone(), write)).detach();
+            }
+            if let Some(a) = &p.accord {
+                let core = p.core.borrow();
+                let waiting = core.waiting().map(|w| (short(w.0) as u32, w.1.min(u32::MAX as usize) as u32));
+                a.borrow_mut().tell_parked(waiting.collect());
+            }
+            within(LOOK_S, p.bell.1.recv()).await;
+        }
+    }
+
+    fn has_room(&self, p: &Parking) -> bool {
+        let room = p.running.get() < p.room.get() as usize;
+        let may = self.doors.healthy.get() && !self.doors.parting.get() && !p.keeper.is_released();
+        room && may && p.whole.get() && self.clock.now() >= p.not_before.get()
+    }
+
+    fn repeat(&self, p: &Parking, r: &Record) -> Option<Repeat> {
+        let route = self.door.models.iter().position(|m| m.name == r.model)?;
+        p.repeats.get(route).copied()
+    }
+
+    async fn run_parked(self: Rc<Self>, p: Rc<Parking>, write: Write) {
+        let ticket = write.0;
+        let record = p.core.borrow().record(ticket).cloned();
+        let running = record.filter(|r| r.state == State::Running);
+        let Some((record, repeat)) = running.and_then(|r| self.repeat(&p, &r).map(|x| (r, x))) else {
+            // It ended without a run.
+            p.write(write).await;
+            p.running.set(p.running.get() - 1);
+            return;
+        };
+        let after = match repeat {
+            // An earlier process that ran it changes nothing.
+            Repeat::Retriable => {
+                p.core.borrow_mut().written(ticket, true);
+                Some(())
+            }
+            _ => {
+                let kept =
+                    p.keeper.put_and_wait(Kind::Parked, &key(ticket), &write.1.unwrap_or_default()).await;
+                p.core.borrow_mut().written(ticket, kept);
+                kept.then_some(())
+            }
+        };
+        let ended = match after {
+            None => Err(false),
+            Some(()) => {
+                let left = record.until - unix_now();
+                // Dropped when its time passes, it is called off.
+                within(left, self.run_once(ticket, &record, left)).await.unwrap_or(Err(true))
+            }
+        };
+        let now = unix_now();
+        let write = match ended {
+            Ok(answer) => {
+                p.found_room();
+                p.core.borrow_mut().answered(now, ticket, answer)
+            }
+            Err(ran) => {
+                p.found_none(self.clock.now());
+                p.core.borrow_mut().back(now, ticket, ran, repeat)
+            }
+        };
+        p.running.set(p.running.get() - 1);
+        p.write(write).await;
+        let _ = p.bell.0.try_send(());
+    }
+
+    /// Its answer; else whether it may have run.
+    async fn run_once(&self, ticket: Ticket, r: &Record, left_s: f64) -> Result<Kept, bool> {
+        let gone = |status, word: &str| Kept {
+            status,
+            body: ApiError::new(status, "server_error", "gone", word).body().to_vec(),
+        };
+        let Ok(chat) = ChatRequest::parse(&r.body) else {
+            return Ok(gone(400, "it cannot be read any more"));
+        };
+        let key = self.door.tenants.iter().find(|t| t.name == r.tenant).map(|t| t.key.as_str());
+        let Ok(mut ask) = self.door.enter(&chat, key, None) else {
+            return Ok(gone(410, "it is not served any more"));
+        };
+        ask.spare = true;
+        ask.timeout_s = ask.timeout_s.min(left_s);
+        ask.whole_within_s = ask.whole_within_s.map(|s| s.min(left_s));
+        // The same name at engines each time: by it they know a repeat.
+        let id: Rc<str> = format!("parked-{ticket:032x}").into();
+        let digest = *blake3::hash(&r.body).as_bytes();
+        let asked = Asked { ask, id, chat: Rc::new(chat), since: Instant::now(), digest, marked: None };
+        match self.run(asked).await {
+            Err(_) => Err(false),
+            Ok((Reply::Whole(body), mut gone)) => {
+                gone.ticket = None;
+                Ok(Kept { status: 200, body: body.to_vec() })
+            }
+            Ok((Reply::Error(e), mut gone)) => {
+                gone.ticket = None;
+                // What is shed has not run, or may run again.
+                Err(!matches!(
+                    e.code,
+                    "shed" | "node_full" | "node_draining" | "too_many_open" | "fair_share"
+                ))
+            }
+            Ok((Reply::Stream(_), _)) => Err(true),
+        }
+    }
+}
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -46,6 +46,7 @@
     pub budget: RefCell<Budget>,
     pub repeats: Relays,
     pub keeper: Rc<Keeper>,
+    pub parked: Option<Rc<crate::parked::Parking>>,
 }
 
 pub type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = Infallible>>>;
@@ -347,6 +348,11 @@
                     }
                 }
             }
+            (&Method::GET, path) if path.starts_with(crate::parked::PATH) => {
+                let bearer = request.headers().get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+                let bearer = bearer.and_then(|v| v.strip_prefix("Bearer ")).map(str::trim);
+                self.parked(bearer, &path[crate::parked::PATH.len()..]).unwrap_or_else(|e| error(&e))
+            }
             // Before a list is heard there is no engine to send to: a front layer does better to wait.
             (&Method::GET, "/healthz") if !self.doors.healthy.get() => {
                 let why = if self.doors.parting.get() { "leaving" } else { "no list yet" };
@@ -377,6 +383,9 @@
         let body = self.body(body).await?;
         let chat = ChatRequest::parse(&body).map_err(|m| ApiError::invalid(&m))?;
         let ask = self.door.enter(&chat, bearer, timeout).map_err(|r| r.error(self.limits.come_back_s))?;
+        if chat.fields.contains_key(crate::parked::FIELD) {
+            return self.park(chat, &ask).await;
+        }
         let digest = *blake3::hash(&body).as_bytes();
         let marked = RETRY_COUNTS.iter().find_map(|n| header(n)).and_then(|v| v.parse::<u32>().ok());
         let asked = Asked { ask, id, chat: Rc::new(chat), since, digest, marked };
--- a/crates/nickelgw-node/src/together.rs
+++ b/crates/nickelgw-node/src/together.rs
@@ -6,7 +6,7 @@
 use nickelgw_accord::core::{Accord, Known};
 use smol::net::UdpSocket;
 use smol::Timer;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// How a node is one of a fleet.
@@ -35,6 +35,7 @@
     clock: Clock,
     closing: Receiver<()>,
     (new, heard): (Sender<()>, Receiver<()>),
+    whole: Rc<Cell<bool>>,
 ) {
     let mut socket = sockets.socket;
     while socket.is_none() {
@@ -59,6 +60,7 @@
                 return;
             }
             if let Ok(round) = told.recv().await {
+                whole.set(round.whole);
                 accord.borrow_mut().tell(clock.now(), round.tell, round.news);
                 if round.news {
                     let _ = tell.try_send(());
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -154,6 +154,7 @@
         life: nickelgw_node::core::life::Figures { notice_s: 0.1, grace_s: 5.0, end_s: 1.0 },
         orders: async_channel::bounded(1).1,
         together: None,
+        parked: None,
         on_serving: None,
         patient: false,
     }
--- a/crates/nickelgw-platform/src/core/request.rs
+++ b/crates/nickelgw-platform/src/core/request.rs
@@ -121,6 +121,7 @@
             prefix_tokens: 0.0,
             session: self.session.clone().unwrap_or_default(),
             prefix: None,
+            spare: false,
         };
         let most = body.len() as f64;
         let tokens = |v: &str| {
--- a/crates/nickelgw-settings/src/check.rs
+++ b/crates/nickelgw-settings/src/check.rs
@@ -100,6 +100,7 @@
         self.repeats(n);
         self.grants(&n.state_grants);
         self.accord(n);
+        self.parked(n);
         let l = n.leaving.unwrap_or_default();
         let at = ("leaving", 0);
         self.not_negative(&[at, ("notice_ms", 0)], l.notice_ms());
@@ -108,6 +109,30 @@
         self.done()
     }
 
+    fn parked(&mut self, n: &Node) {
+        let Some(p) = &n.parked else { return };
+        let at = ("parked", 0);
+        self.named(&[at, ("file", 0)], &p.file);
+        if Some(&p.file) == n.store.as_ref() {
+            self.wrong(&[at, ("file", 0)], "is the store's too", "a file of its own");
+        }
+        // As much as a file of records holds.
+        for (name, value, most) in [
+            ("most_records", p.most_records() as f64, 65_536.0),
+            ("most_bytes", p.most_bytes() as f64, 48.0 * 1024.0 * 1024.0),
+            ("most_records_tenant", p.most_records_tenant() as f64, 65_536.0),
+            ("longest_wait_ms", p.longest_wait_ms(), 14.0 * 86_400e3),
+            ("keep_ms", p.keep_ms(), 14.0 * 86_400e3),
+            ("most_answer_bytes", p.most_answer_bytes() as f64, p.most_bytes() as f64),
+            ("most_running", p.most_running() as f64, 1024.0),
+        ] {
+            self.above_zero(&[at, (name, 0)], value);
+            if value > most {
+                self.wrong(&[at, (name, 0)], format!("is {value}"), &format!("{most} or less"));
+            }
+        }
+    }
+
     fn accord(&mut self, n: &Node) {
         let Some(a) = &n.accord else { return };
         let at = ("accord", 0);
--- a/crates/nickelgw-store/src/core/belief.rs
+++ b/crates/nickelgw-store/src/core/belief.rs
@@ -11,6 +11,8 @@
         Kind::Repeat => 600.0,
         // An old list is better than none: engines that are gone are found out at once.
         Kind::List => 86_400.0,
+        // It has a time of its own, which no clock may cut short; this only frees what was forgotten.
+        Kind::Parked => 30.0 * 86_400.0,
     }
 }
 
@@ -38,7 +40,7 @@
 pub fn used(kind: Kind, age: Option<f64>) -> bool {
     match age {
         Some(age) => age <= limit_s(kind),
-        None => kind == Kind::Repeat,
+        None => matches!(kind, Kind::Repeat | Kind::Parked),
     }
 }
 
--- a/crates/nickelgw-store/src/core/mod.rs
+++ b/crates/nickelgw-store/src/core/mod.rs
@@ -14,10 +14,12 @@
     Repeat = 2,
     /// The last list of engines.
     List = 3,
+    /// An offline inference, until its answer is kept no longer.
+    Parked = 4,
 }
 
 impl Kind {
-    pub const ALL: [Kind; 3] = [Kind::Learnt, Kind::Repeat, Kind::List];
+    pub const ALL: [Kind; 4] = [Kind::Learnt, Kind::Repeat, Kind::List, Kind::Parked];
 
     pub fn of(number: u8) -> Option<Kind> {
         Kind::ALL.into_iter().find(|k| *k as u8 == number)
--- a/crates/nickelgw-store/src/lib.rs
+++ b/crates/nickelgw-store/src/lib.rs
@@ -7,6 +7,7 @@
 use redb::{
     Database, DatabaseError, ReadableDatabase, ReadableTable, StorageBackend, StorageError, TableDefinition,
 };
+use std::io::ErrorKind;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 
@@ -41,7 +42,10 @@
 fn problem(e: impl Into<redb::Error>) -> Problem {
     match e.into() {
         redb::Error::DatabaseAlreadyOpen => Problem::Locked,
-        redb::Error::Io(e) if e.kind() != std::io::ErrorKind::InvalidData => Problem::Unusable(e.to_string()),
+        // A file cut short ends where it should go on: that is the file's.
+        redb::Error::Io(e) if !matches!(e.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof) => {
+            Problem::Unusable(e.to_string())
+        }
         e => damaged(e),
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -120,12 +120,14 @@
         self.prompt += few * (a.prompt_tokens - self.prompt);
         let r = &self.routes[a.route];
         let target = now + r.first_token_target_s + r.target_per_token_s * a.prompt_tokens;
-        let over_share = a.tenant.is_some_and(|t| {
-            let b = &mut self.shares[t].bucket;
-            b.fill(now, 2.0 + 2.0 * b.rate);
-            b.left = b.left.max(-b.rate) - 1.0;
-            b.left < 0.0
-        });
+        // What takes spare room alone waits behind the rest as a tenant's surplus does, and counts against no share.
+        let over_share = a.spare
+            || a.tenant.is_some_and(|t| {
+                let b = &mut self.shares[t].bucket;
+                b.fill(now, 2.0 + 2.0 * b.rate);
+                b.left = b.left.max(-b.rate) - 1.0;
+                b.left < 0.0
+            });
         let mut inf = Inference {
             route: a.route,
             arrived: now,
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -80,6 +80,7 @@
         prefix_tokens: 0.0,
         session: "s".into(),
         prefix: None,
+        spare: false,
     }
 }
 
@@ -794,3 +795,15 @@
     r.knock(NOW, 0);
     assert_eq!(r.todo.probes, [Eng(2)]);
 }
+
+/// Offline work is run in room that live work leaves.
+#[test]
+fn what_takes_spare_room_alone_waits_behind_the_rest_and_counts_against_no_share() {
+    let mut r = router(Repeat::Retriable);
+    let spare = r.take(NOW, &Arrival { tenant: Some(0), spare: true, ..arrival() });
+    let left = r.shares[0].bucket.left;
+    assert!(r.infs[spare.0 as usize].over_share && left >= 2.0, "{left}");
+    let live = r.take(NOW, &Arrival { tenant: Some(0), ..arrival() });
+    let order: Vec<u32> = r.decide(NOW).sends.iter().map(|s| s.inf.0).collect();
+    assert_eq!(order.first(), Some(&live.0));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -130,6 +130,8 @@
     pub prefix_tokens: f64,
     pub session: String,
     pub prefix: Option<String>,
+    /// It takes only room that others leave.
+    pub spare: bool,
 }
 
 /// The handle of an inference taken; good until [`Decisions::closed`] names it.
