--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -225,10 +225,8 @@
         address: &str,
         most: usize,
     ) -> Result<(Answer, Bytes), Cause> {
-        // What never comes up is told apart from what is not answered: no queue explains it.
-        let begun = Instant::now();
-        let mut c = within(s, self.connection(address)).await.unwrap_or(Err(Cause::NoConnection))?;
         let call = async {
+            let mut c = self.connection(address).await?;
             c.write(&engine::short(method, target, address), &Cell::new(false)).await?;
             let answer = c.answer().await?;
             let (body, again) = c.body(&answer, most).await?;
@@ -237,6 +235,6 @@
             }
             Ok((answer, body))
         };
-        within(s - begun.elapsed().as_secs_f64(), call).await.unwrap_or(Err(Cause::NoAnswer))
+        within(s, call).await.unwrap_or(Err(Cause::NoAnswer))
     }
 }
--- a/crates/nickelgw-settings/src/tests.rs
+++ b/crates/nickelgw-settings/src/tests.rs
@@ -8,6 +8,8 @@
 fn the_examples_pass() {
     let n = node_text("node.txtpb", NODE).unwrap();
     assert!(check::deployment(&n).routes.len() >= 2);
+    let fleet = node_text("fleet-node.txtpb", include_str!("../../../examples/fleet-node.txtpb")).unwrap();
+    assert_eq!(fleet.accord.map(|a| a.peer.len()), Some(2));
     let d = day_text("bad-day.txtpb", DAY).unwrap();
     assert!(d.length_s < 60.0 && d.nodes() == 3 && check::engine_names(&d).len() >= 12);
 }
@@ -31,6 +33,12 @@
 #[test_case("hold_limit_ms: 500", "hold_limit_ms: 9000", "rules.hold_limit_ms", "shortest route timeout"; "hold beyond timeout")]
 #[test_case("list: \"127.0.0.1:8090\"", "list: \"here\"", "list", "host:port"; "no address")]
 #[test_case("limits {", "engine_tls { trust: 'r.pem' key: 'k' }\nlimits {", "engine_tls.chain", "both"; "a key without its chain")]
+#[test_case("limits {", "accord { listen: '10.0.0.4' key: 'a secret of 16 bytes' }\nlimits {", "accord.listen", "host:port"; "no port for datagrams")]
+#[test_case("limits {", "accord { listen: 'h:1' key: 'short' }\nlimits {", "accord.key", "16 bytes"; "a short key")]
+#[test_case("limits {", "accord { listen: 'h:1' peer: 'there' key: 'a secret of 16 bytes' }\nlimits {", "accord.peer", "host:port"; "a peer without a port")]
+#[test_case("limits {", "accord { listen: 'h:1' key: 'a secret of 16 bytes' wait_ms: 9 longest_wait_ms: 5 }\nlimits {", "accord.longest_wait_ms", "wait_ms or more"; "a longest wait below the first")]
+#[test_case("limits {", "parked { file: '' }\nlimits {", "parked.file", "a name"; "nowhere to park")]
+#[test_case("limits {", "parked { file: 'p' most_bytes: 999999999 }\nlimits {", "parked.most_bytes", "or less"; "more than a file holds")]
 fn a_bad_field_is_told_with_its_line(good: &str, bad: &str, field: &str, wanted: &str) {
     assert!(NODE.contains(good), "the example has no {good}");
     let text = NODE.replacen(good, bad, 1);
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -85,11 +85,9 @@
         // Turned away it is full, and gets room by a share of the target.
         let full = outcome == Outcome::TurnedAway;
         let waited = if full { self.target / 2.0 } else { now - self.engines[e].asked };
-        // A connection that never came up waits in no queue.
-        let there = outcome != Outcome::NoConnection;
         if outcome == Outcome::Completed {
             self.hear(now, e);
-        } else if full || there && self.engines[e].told_wait.max(self.usual[0]) > waited / 2.0 {
+        } else if full || self.engines[e].told_wait.max(self.usual[0]) > waited / 2.0 {
             // Where probes wait their turn like work, a queue explains it: the wait is at least so long.
             let eng = &mut self.engines[e];
             eng.told_wait = eng.told_wait.max(waited);
