Read over: one piece of code each for draws, records, errors and counts; parked work not rescanned

Nothing that is decided, refused or answered changes: - `Parked::due` went over all records twice, 20 times a second, to find none due: it keeps when the next is, and looks then. - `Accord::give` copied every known record to answer for a few; it copies those asked for. Records are fitted into a datagram, and told too long ago, in one place each. - The records of the own zone were picked by the shell, by the core again, and by the example: `Accord::near`. `Router::is_out` served an example alone, which keeps it itself now. One closure for both draws of `ration`. One `line` for engines in the fleet tests.

--- a/crates/nickelgw-accord/src/core/mod.rs
+++ b/crates/nickelgw-accord/src/core/mod.rs
@@ -5,6 +5,7 @@
 
 use nanorand::{Rng, WyRand};
 use record::{short, Datagram, Key, Record, Refused, Seen, Word, MOST_BYTES, MOST_TENANTS, MOST_ZONES};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug)]
@@ -112,6 +113,10 @@
         }
     }
 
+    pub fn round_s(&self) -> f64 {
+        self.figures.round_s
+    }
+
     pub fn own(&self) -> &Record {
         &self.own
     }
@@ -128,9 +133,19 @@
             .max(self.known.len() as f64 / self.figures.refresh_nodes * self.figures.round_s)
     }
 
+    /// What was told before then counts no more.
+    fn since(&self, now: f64) -> f64 {
+        now - MISSED * self.refresh_s()
+    }
+
+    /// Records of the own zone's other nodes: the ways from it are theirs too.
+    pub fn near(&self, now: f64) -> Vec<Known> {
+        self.alive(now).filter(|k| k.record.zone == self.own.zone).cloned().collect()
+    }
+
     /// Records of other nodes that still count, and when each was told.
     pub fn alive(&self, now: f64) -> impl Iterator<Item = &Known> {
-        let since = now - MISSED * self.refresh_s();
+        let since = self.since(now);
         self.known.values().filter(move |k| k.told_at >= since)
     }
 
@@ -223,11 +238,9 @@
         news.sort_by_key(|h| self.known.get(h).map(|k| (k.record.zone != *zone, std::cmp::Reverse(k.news))));
         for h in news {
             let Some(k) = self.known.get_mut(&h) else { continue };
-            let more = length(&k.record);
-            if size + more > MOST_BYTES {
+            if !fits(&mut size, &k.record) {
                 break;
             }
-            size += more;
             k.news -= 1;
             records.push((ms(now - k.told_at), k.record.clone()));
         }
@@ -292,10 +305,14 @@
                     Some(k) => Some(k.record.version()),
                     None => Some(own.1).filter(|_| *h == own.0),
                 };
-                let newer: Vec<u64> =
-                    theirs.iter().filter(|t| version(&t.0) > Some((t.1, t.2))).map(|t| t.0).collect();
-                let wanted: Vec<u64> =
-                    theirs.iter().filter(|t| version(&t.0) < Some((t.1, t.2))).map(|t| t.0).collect();
+                let (mut newer, mut wanted) = (Vec::new(), Vec::new());
+                for (h, incarnation, seq) in theirs {
+                    match version(&h).cmp(&Some((incarnation, seq))) {
+                        Ordering::Greater => newer.push(h),
+                        Ordering::Less => wanted.push(h),
+                        Ordering::Equal => {}
+                    }
+                }
                 self.give(now, unix_ms, &from, |h| newer.contains(&h));
                 if !wanted.is_empty() {
                     self.say(unix_ms, &from, Word::Want(wanted));
@@ -320,14 +337,14 @@
         }
         let h = short(&r.name);
         let news = self.spread();
-        let stale = now - MISSED * self.refresh_s();
+        let since = self.since(now);
         match self.known.get_mut(&h) {
             Some(k) if k.record.version() >= r.version() => return false,
             Some(k) => *k = Known { record: r, told_at, news },
             None => {
                 if self.known.len() >= self.figures.most_nodes {
                     let oldest = self.known.iter().min_by(|a, b| a.1.told_at.total_cmp(&b.1.told_at));
-                    let gone = oldest.filter(|o| o.1.told_at < stale).map(|o| *o.0);
+                    let gone = oldest.filter(|o| o.1.told_at < since).map(|o| *o.0);
                     let Some(gone) = gone else {
                         self.tally.full += 1;
                         return false;
@@ -342,17 +359,13 @@
 
     /// Records that are asked for, in as many datagrams as one question is worth.
     fn give(&mut self, now: f64, unix_ms: u64, to: &str, such: impl Fn(u64) -> bool) {
-        let own = Known { record: self.own.clone(), told_at: self.refreshed_at.max(0.0), news: 0 };
-        let own = std::iter::once((short(&self.own.name), own));
-        let mut wanted: Vec<(u32, Record)> = own
-            .chain(self.known.iter().map(|(h, k)| (*h, k.clone())))
-            .filter(|(h, _)| such(*h))
-            .map(|(_, k)| (ms(now - k.told_at), k.record))
-            .collect();
+        let own = (short(&self.own.name), self.refreshed_at.max(0.0), &self.own);
+        let all = std::iter::once(own).chain(self.known.iter().map(|(h, k)| (*h, k.told_at, &k.record)));
+        let wanted = all.filter(|a| such(a.0)).map(|(_, told_at, r)| (ms(now - told_at), r.clone()));
+        let mut wanted: Vec<(u32, Record)> = wanted.collect();
         for _ in 0..MOST_ANSWERS {
             let (mut size, mut some) = (AROUND, Vec::new());
-            while let Some(r) = wanted.pop_if(|r| size + length(&r.1) <= MOST_BYTES) {
-                size += length(&r.1);
+            while let Some(r) = wanted.pop_if(|r| fits(&mut size, &r.1)) {
                 some.push(r);
             }
             if some.is_empty() {
@@ -363,6 +376,14 @@
     }
 }
 
+/// Counts a record into a datagram, if there is room for it.
+fn fits(size: &mut usize, r: &Record) -> bool {
+    let with = *size + length(r);
+    let fits = with <= MOST_BYTES;
+    *size = if fits { with } else { *size };
+    fits
+}
+
 /// Bytes of a record in a datagram, at most.
 fn length(r: &Record) -> usize {
     let seen = |s: &Seen| s.zone.len() + 12 + 10 * s.silent.len();
--- a/crates/nickelgw-cli/src/start.rs
+++ b/crates/nickelgw-cli/src/start.rs
@@ -10,7 +10,7 @@
 use nickelgw_node::core::{Door, FairShares, Figures, Grants};
 use nickelgw_node::fleet::Registry;
 use nickelgw_node::{Limits, Lot, Meter, Sockets, Source, Start, TlsStart, Together};
-use nickelgw_parked::core::{Figures as ParkedFigures, Repeat};
+use nickelgw_parked::core::Figures as ParkedFigures;
 use nickelgw_registry::core::member::Figures as MemberFigures;
 use nickelgw_registry::core::view::Figures as ViewFigures;
 use nickelgw_settings::{check, Node, Problem};
@@ -150,22 +150,12 @@
             longest_wait_s: a.longest_wait_ms() / 1e3,
             ..Default::default()
         },
-        sockets: Sockets { socket: None, listen: a.listen.clone(), round_s },
+        sockets: Sockets { socket: None, listen: a.listen.clone() },
     })
 }
 
 fn parked(n: &Node) -> Option<Lot> {
     let p = n.parked.as_ref()?;
-    let repeat = |r: &nickelgw_settings::proto::ModelRoute| match r.repeat() {
-        nickelgw_settings::proto::Repeat::Retriable => Repeat::Retriable,
-        // Which engines heard of it is not known to a later process.
-        nickelgw_settings::proto::Repeat::Deduped
-            if r.dedupe_group() == nickelgw_settings::proto::Group::All =>
-        {
-            Repeat::Deduped(r.dedupe_memory_ms() / 1e3)
-        }
-        _ => Repeat::Never,
-    };
     Some(Lot {
         file: (&p.file).into(),
         figures: ParkedFigures {
@@ -178,7 +168,6 @@
             most_tries: nickelgw_node::MOST_TRIES,
         },
         most_running: p.most_running() as usize,
-        repeats: n.model_route.iter().map(repeat).collect(),
         weights: n.tenant.iter().map(|t| t.weight()).collect(),
     })
 }
--- a/crates/nickelgw-cli/tests/fleet/site.rs
+++ b/crates/nickelgw-cli/tests/fleet/site.rs
@@ -69,6 +69,21 @@
     (l, a)
 }
 
+/// An engine as the lists have it.
+fn line(f: &Figures, address: SocketAddr, started_at: Option<f64>) -> Line {
+    Line {
+        id: f.id.clone(),
+        address: address.to_string(),
+        zone: f.zone.clone(),
+        cell: 0,
+        role: if f.role == Role::Read { list::Role::Read } else { list::Role::Write },
+        memory_tokens: f.memory_tokens,
+        state: State::In,
+        started_at,
+        tls_name: None,
+    }
+}
+
 fn spawn<F: std::future::Future>(f: impl FnOnce() -> F + Send + 'static) {
     thread::spawn(move || drop(smol::block_on(f())));
 }
@@ -118,17 +133,7 @@
                         let w = way.clone();
                         spawn(move || relay::tcp(l, address, w));
                         ways.push(way);
-                        lines.push(Line {
-                            id: id.clone(),
-                            address: relayed.to_string(),
-                            zone: zone.into(),
-                            cell: 0,
-                            role: if role == Role::Read { list::Role::Read } else { list::Role::Write },
-                            memory_tokens: f.memory_tokens,
-                            state: State::In,
-                            started_at: None,
-                            tls_name: None,
-                        });
+                        lines.push(line(&f, relayed, None));
                     }
                     engines.push(Engine { id, zone, role, address, ways });
                 }
@@ -231,20 +236,9 @@
                 Figures { id: id.clone(), zone: zone.into(), role: e.role, cold: true, ..figures.clone() };
             let (l, address) = bind();
             let of = self.record.of(&id);
-            let memory_tokens = f.memory_tokens;
+            let line = line(&f, address, Some(unix_now()));
             spawn(move || nickelgw_standin::engine::run(l, f, of, 1));
             for list in &self.lists {
-                let line = Line {
-                    id: id.clone(),
-                    address: address.to_string(),
-                    zone: zone.into(),
-                    cell: 0,
-                    role: if e.role == Role::Read { list::Role::Read } else { list::Role::Write },
-                    memory_tokens,
-                    state: State::In,
-                    started_at: Some(unix_now()),
-                    tls_name: None,
-                };
                 tell(list, json!({"line": line}));
                 tell(list, json!({"remove": e.id}));
             }
--- a/crates/nickelgw-node/examples/fleet.rs
+++ b/crates/nickelgw-node/examples/fleet.rs
@@ -7,7 +7,7 @@
 use nickelgw::decide::Router;
 use nickelgw::interface::*;
 use nickelgw_accord::core::record::{Key, Record};
-use nickelgw_accord::core::{Accord, Figures as AccordFigures, Known};
+use nickelgw_accord::core::{Accord, Figures as AccordFigures};
 use nickelgw_node::core::together::Together;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -35,8 +35,8 @@
     router: Router,
     together: Together,
     accord: Accord,
-    /// Sends made for each handle.
-    sends: HashMap<u32, u32>,
+    /// Sends made for each handle, and whether each is out.
+    sends: HashMap<u32, Vec<bool>>,
     left_at: Option<f64>,
     wakes_at: f64,
     looked_at: f64,
@@ -94,9 +94,9 @@
         }
         for s in d.sends {
             let id = self.nodes[n].router.engine_id(s.eng).to_string();
-            let count = self.nodes[n].sends.entry(s.inf.0).or_insert(0);
-            let send = *count;
-            *count += 1;
+            let sends = self.nodes[n].sends.entry(s.inf.0).or_default();
+            let send = sends.len() as u32;
+            sends.push(true);
             let read = id.contains('r');
             let (outcome, after_s) = match self.silent(n, &id, now) {
                 true => (Outcome::NoConnection, 0.25),
@@ -146,8 +146,7 @@
     fn look(&mut self, n: usize, now: f64) {
         let x = &mut self.nodes[n];
         x.looked_at = now;
-        let zone = x.accord.own().zone.clone();
-        let others: Vec<Known> = x.accord.alive(now).filter(|k| k.record.zone == zone).cloned().collect();
+        let others = x.accord.near(now);
         let round = x.together.round(now, &mut x.router, &others);
         x.accord.tell(now, round.tell, round.news);
         if now >= LOST_AT && x.left_at.is_none() && x.together.ways()[1].1 == 0.0 {
@@ -179,9 +178,9 @@
                 self.at(now + gap, Event::Arrive(n));
             }
             Event::Settle { node, inf, send, outcome, after_s } => {
-                let Some(&made) = self.nodes[node].sends.get(&inf.0) else { return };
                 // Called off already: what it brings is not heard.
-                if send >= made || !self.nodes[node].router.is_out(inf, send) {
+                let out = self.nodes[node].sends.get_mut(&inf.0).and_then(|s| s.get_mut(send as usize));
+                if !out.is_some_and(std::mem::take) {
                     return;
                 }
                 if outcome == Outcome::Completed {
@@ -282,7 +281,7 @@
         let peers = if exchange { vec!["n0:1".into(), "n1:1".into(), "n2:1".into()] } else { vec![] };
         let key = Key::of("a key for the fleet in one process");
         let accord = Accord::new(AccordFigures::default(), key, own, peers, n as u64);
-        let together = Together::new(zones, n % 3, &name, Default::default(), 0.1, n as u64);
+        let together = Together::new(zones, &name, Default::default(), 0.1, n as u64);
         nodes.push(Node {
             router,
             together,
--- a/crates/nickelgw-node/src/admin.rs
+++ b/crates/nickelgw-node/src/admin.rs
@@ -59,6 +59,20 @@
     pub clock: Clock,
 }
 
+fn whole(r: &mut Registry, name: &str, help: &str, n: usize) {
+    let g = Gauge::<i64>::default();
+    g.set(n as i64);
+    r.register(name, help, g);
+}
+
+fn by_how(r: &mut Registry, name: &str, help: &str, all: impl IntoIterator<Item = (&'static str, u64)>) {
+    let counts = Family::<How, Counter>::default();
+    for (how, n) in all {
+        counts.get_or_create(&How { how }).inc_by(n);
+    }
+    r.register(name, help, counts);
+}
+
 impl Admin {
     async fn counted(&self) -> Option<Counted> {
         let (to, from) = bounded(1);
@@ -70,35 +84,24 @@
     async fn metrics(&self) -> Option<String> {
         let c = self.counted().await?;
         let mut r = Registry::with_prefix("nickelgw");
-        let answers = Family::<How, Counter>::default();
         let t = c.tally;
-        for (how, n) in [
+        let all = [
             ("completed", t.completed),
             ("shed", t.shed),
             ("errored", t.errored),
             ("left", t.left),
             ("refused", t.refused),
-        ] {
-            answers.get_or_create(&How { how }).inc_by(n);
-        }
-        r.register("inferences", "Inferences by how they ended; refused ones were never taken", answers);
-        let states = Family::<How, Counter>::default();
+        ];
+        by_how(&mut r, "inferences", "Inferences by how they ended; refused ones were never taken", all);
         let a = c.account;
-        for (how, n) in [
+        let all = [
             ("fetched", a.fetched),
             ("let_go", a.let_go),
             ("lost", a.lost),
             ("given_up", a.given_up),
             ("overdue", a.overdue),
-        ] {
-            states.get_or_create(&How { how }).inc_by(n);
-        }
-        r.register("states", "Held states by what became of them", states);
-        let whole = |r: &mut Registry, name: &str, help: &str, n: usize| {
-            let g = Gauge::<i64>::default();
-            g.set(n as i64);
-            r.register(name, help, g);
-        };
+        ];
+        by_how(&mut r, "states", "Held states by what became of them", all);
         whole(&mut r, "open", "Inferences open", c.open);
         whole(&mut r, "held", "States held at readers, as the ledger has it", c.states);
         whole(&mut r, "connections", "Client connections", self.doors.connections.get());
@@ -128,10 +131,8 @@
             Unit::Seconds,
             overdue,
         );
-        let commits = Family::<How, Counter>::default();
-        commits.get_or_create(&How { how: "done" }).inc_by(kept.commits);
-        commits.get_or_create(&How { how: "failed" }).inc_by(kept.failed);
-        r.register("store_commits", "Commits to the store", commits);
+        let all = [("done", kept.commits), ("failed", kept.failed)];
+        by_how(&mut r, "store_commits", "Commits to the store", all);
         real(&mut r, "store_written", "Bytes committed to the store", Unit::Bytes, kept.written_bytes as f64);
         let mut text = String::new();
         encode(&mut text, &r).ok()?;
@@ -147,17 +148,11 @@
         }
         r.register("zone_part", "Part of the traffic that a zone is given", parts);
         let (a, now) = (accord.borrow(), self.clock.now());
-        let nodes = Gauge::<i64>::default();
-        nodes.set(a.count(now) as i64);
-        r.register("nodes", "Nodes heard lately, this one too", nodes);
-        let datagrams = Family::<How, Counter>::default();
+        whole(r, "nodes", "Nodes heard lately, this one too", a.count(now));
         let t = a.tally;
         let refused = Refused::ALL.iter().map(|w| (w.name(), t.refused[*w as usize]));
-        for (how, n) in [("sent", t.sent), ("heard", t.heard), ("no_room", t.full)].into_iter().chain(refused)
-        {
-            datagrams.get_or_create(&How { how }).inc_by(n);
-        }
-        r.register("datagrams", "Datagrams between nodes; refused ones by why", datagrams);
+        let all = [("sent", t.sent), ("heard", t.heard), ("no_room", t.full)].into_iter().chain(refused);
+        by_how(r, "datagrams", "Datagrams between nodes; refused ones by why", all);
         let bytes = Counter::<u64>::default();
         bytes.inc_by(t.sent_bytes);
         r.register_with_unit("datagrams_sent", "What was sent in them", Unit::Bytes, bytes);
@@ -166,25 +161,16 @@
     fn parked(&self, r: &mut Registry) {
         let Some(p) = &self.parked else { return };
         let (waiting, running, t) = p.tally();
-        for (name, help, n) in [
-            ("parked", "Offline inferences that wait to be run", waiting),
-            ("parked_running", "Offline inferences being run", running),
-        ] {
-            let g = Gauge::<i64>::default();
-            g.set(n as i64);
-            r.register(name, help, g);
-        }
-        let ended = Family::<How, Counter>::default();
-        for (how, n) in [
+        whole(r, "parked", "Offline inferences that wait to be run", waiting);
+        whole(r, "parked_running", "Offline inferences being run", running);
+        let all = [
             ("taken", t.parked),
             ("refused", t.refused),
             ("answered", t.answered),
             ("given_up", t.given_up),
             ("errored", t.errored),
-        ] {
-            ended.get_or_create(&How { how }).inc_by(n);
-        }
-        r.register("parked_inferences", "Offline inferences by what became of them", ended);
+        ];
+        by_how(r, "parked_inferences", "Offline inferences by what became of them", all);
     }
 
     async fn why(&self, id: &str) -> Option<String> {
--- a/crates/nickelgw-node/src/core/door.rs
+++ b/crates/nickelgw-node/src/core/door.rs
@@ -60,28 +60,20 @@
             Refusal::Unknown(e) => return e,
             Refusal::TenantFull => {
                 let word = "as many requests of this tenant are open as it may have";
-                let mut e = ApiError::new(429, "rate_limit_error", "too_many_open", word);
-                e.retry_after_s = Some(come_back_s);
-                return e;
+                return ApiError::new(429, "rate_limit_error", "too_many_open", word).after(come_back_s);
             }
             Refusal::OverPart => {
                 let word = "there is not enough for all now, and this tenant has its part";
-                let mut e = ApiError::new(429, "rate_limit_error", "fair_share", word);
-                e.retry_after_s = Some(come_back_s);
-                return e;
+                return ApiError::new(429, "rate_limit_error", "fair_share", word).after(come_back_s);
             }
             Refusal::Leaving => {
                 let word = "this node is stopping; another one takes it";
-                let mut e = ApiError::new(503, "server_error", "node_draining", word);
-                e.retry_after_s = Some(come_back_s);
-                return e;
+                return ApiError::new(503, "server_error", "node_draining", word).after(come_back_s);
             }
             Refusal::Full => "as many requests are open as this node takes",
             Refusal::Behind => "this node is behind with its work",
         };
-        let mut e = ApiError::new(503, "server_error", "node_full", word);
-        e.retry_after_s = Some(come_back_s);
-        e
+        ApiError::new(503, "server_error", "node_full", word).after(come_back_s)
     }
 }
 
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -85,8 +85,6 @@
     serial: u64,
     pub ledger: Ledger,
     sweep: Sweep,
-    /// Its own zone.
-    zone: usize,
     /// The node as one of a fleet, where nodes tell each other what they see.
     pub together: Option<Together>,
     pub ring: Ring,
@@ -116,7 +114,6 @@
         let ledger = Ledger::new(deployment.hold_limit_s, figures.let_go_within_s);
         Core {
             tick: deployment.tick_s,
-            zone: deployment.zone as usize,
             targets: deployment
                 .routes
                 .iter()
@@ -239,8 +236,7 @@
 
     /// From now on it is one of a fleet, under this name.
     pub fn join(&mut self, name: &str, figures: nickelgw_zones::core::Figures, round_s: f64, seed: u64) {
-        let (zones, own) = (self.figures.zones.clone(), self.zone);
-        self.together = Some(Together::new(zones, own, name, figures, round_s, seed));
+        self.together = Some(Together::new(self.figures.zones.clone(), name, figures, round_s, seed));
     }
 
     /// What other nodes of the fleet have told: turns the ways to zones. What is to be told to them comes back.
--- a/crates/nickelgw-node/src/core/together.rs
+++ b/crates/nickelgw-node/src/core/together.rs
@@ -17,7 +17,6 @@
     ways: Ways,
     figures: Figures,
     zones: Vec<String>,
-    own: usize,
     name: u64,
     chance: WyRand,
     knocked_at: f64,
@@ -47,20 +46,12 @@
 }
 
 impl Together {
-    pub fn new(
-        zones: Vec<String>,
-        own: usize,
-        name: &str,
-        figures: Figures,
-        round_s: f64,
-        seed: u64,
-    ) -> Together {
+    pub fn new(zones: Vec<String>, name: &str, figures: Figures, round_s: f64, seed: u64) -> Together {
         let n = zones.len();
         Together {
             ways: Ways::new(n, figures),
             figures,
             zones,
-            own,
             name: short(name),
             chance: WyRand::new_seed(seed),
             knocked_at: f64::NEG_INFINITY,
@@ -91,7 +82,8 @@
         }
     }
 
-    /// Looks at what the module and the others saw, and tells the module what follows.
+    /// Looks at what the module and the own zone's other nodes saw, and tells the module what follows. Ways are from a zone:
+    /// what nodes of other zones reach is their own.
     pub fn round(&mut self, now: f64, router: &mut Router, others: &[Known]) -> Round {
         let n = self.zones.len();
         let mut there = vec![There::default(); n];
@@ -113,11 +105,9 @@
             s.silent.sort_by(|a, b| b.1.total_cmp(&a.1));
             s.silent.truncate(MOST_SILENT);
         }
-        // Ways are from a zone: what nodes of others reach is their own.
-        let near: Vec<&Known> = others.iter().filter(|k| k.record.zone == self.zones[self.own]).collect();
-        seen.extend(near.iter().flat_map(|k| self.of(k)));
+        seen.extend(others.iter().flat_map(|k| self.of(k)));
         let turns = self.ways.look(now, &seen, &there);
-        let nodes = (near.len() + 1) as f64;
+        let nodes = (others.len() + 1) as f64;
         for zone in 0..n {
             router.give_part(zone as u32, self.ways.part(zone));
         }
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -179,12 +179,13 @@
     let seed = start.deployment.seed ^ u64::from(start.deployment.node);
     let boot = start.figures.boot.clone();
     let (keeper, found) = keep::Keeper::open(start.store, clock);
+    let repeats = start.deployment.routes.iter().map(parked::repeat).collect();
     let mut core = Core::new(start.deployment, start.figures);
     let doors = driver::Doors::new();
     let met = bounded(1);
     let whole = Rc::new(std::cell::Cell::new(true));
     let fleet_of_nodes = start.together.map(|t| {
-        core.join(&t.accord.own().name, t.zones, t.sockets.round_s, seed);
+        core.join(&t.accord.own().name, t.zones, t.accord.round_s(), seed);
         let accord = Rc::new(RefCell::new(t.accord));
         let (words, closing) = (to_core.clone(), doors.listening.1.clone());
         (
@@ -193,8 +194,9 @@
         )
     });
     let accord = fleet_of_nodes.as_ref().map(|f| f.0.clone());
-    let parked =
-        start.parked.map(|lot| parked::Parking::open(lot, clock, &start.door, accord.clone(), whole));
+    let parked = start
+        .parked
+        .map(|lot| parked::Parking::open(lot, repeats, clock, &start.door, accord.clone(), whole));
     let keepers: Vec<_> = std::iter::once(&keeper).chain(parked.iter().map(|p| &p.keeper)).cloned().collect();
     let relays = repeat::Relays::new(start.repeats);
     for f in found {
--- a/crates/nickelgw-node/src/parked.rs
+++ b/crates/nickelgw-node/src/parked.rs
@@ -7,6 +7,7 @@
 use crate::{seconds, unix_now, within};
 use async_channel::{bounded, Receiver, Sender};
 use bytes::Bytes;
+use nickelgw::interface::{self as route, Group, ModelRoute};
 use nickelgw_accord::core::record::short;
 use nickelgw_accord::core::Accord;
 use nickelgw_parked::core::record::{Answer as Kept, Record, State};
@@ -33,8 +34,6 @@
     pub figures: Figures,
     /// Run at once, at most.
     pub most_running: usize,
-    /// For each model route, whether it may run again.
-    pub repeats: Vec<Repeat>,
     /// For each tenant, its part.
     pub weights: Vec<f64>,
 }
@@ -66,6 +65,16 @@
 /// Runs of one that failed, where it may run again.
 pub const MOST_TRIES: u32 = 8;
 
+/// Whether a parked one may run again, by its model route.
+pub fn repeat(r: &ModelRoute) -> Repeat {
+    match r.repeat {
+        route::Repeat::Retriable => Repeat::Retriable,
+        route::Repeat::Deduped { group: Group::All, memory_s } => Repeat::Deduped(memory_s),
+        // Which engines heard of it is not known to a later process.
+        _ => Repeat::Never,
+    }
+}
+
 fn key(t: Ticket) -> [u8; 16] {
     t.to_be_bytes()
 }
@@ -74,6 +83,7 @@
     /// Reads what an earlier process left; blocking, before anything is served.
     pub fn open(
         lot: Lot,
+        repeats: Vec<Repeat>,
         clock: crate::Clock,
         door: &crate::core::Door,
         accord: Option<Rc<RefCell<Accord>>>,
@@ -86,7 +96,7 @@
         let known = |r: &Record| {
             let tenant = door.tenants.is_empty() || door.tenants.iter().any(|t| t.name == r.tenant);
             let route = door.models.iter().position(|m| m.name == r.model)?;
-            lot.repeats.get(route).copied().filter(|_| tenant)
+            repeats.get(route).copied().filter(|_| tenant)
         };
         for (t, bytes) in core.restore(unix_now(), found, known) {
             match bytes {
@@ -100,7 +110,7 @@
         Rc::new(Parking {
             core: RefCell::new(core),
             keeper,
-            repeats: lot.repeats,
+            repeats,
             weights: lot.weights,
             most_running: lot.most_running.max(1) as f64,
             running: Cell::new(0),
@@ -170,12 +180,6 @@
     }
 }
 
-fn refused(status: u16, code: &'static str, word: &str, come_back_s: f64) -> ApiError {
-    let mut e = ApiError::new(status, "server_error", code, word);
-    e.retry_after_s = Some(come_back_s);
-    e
-}
-
 impl Server {
     /// Parks a request whose client can wait: its ticket, once its record is on disk.
     pub async fn park(self: Rc<Self>, mut chat: ChatRequest, ask: &Ask) -> Result<Answer, ApiError> {
@@ -200,14 +204,18 @@
             state: State::Parked,
         };
         let come_back = self.limits.come_back_s;
-        let full = || refused(503, "parked_full", "no place to keep more offline requests", come_back);
+        let full = || {
+            let word = "no place to keep more offline requests";
+            ApiError::new(503, "server_error", "parked_full", word).after(come_back)
+        };
         if p.keeper.is_released() {
             return Err(full());
         }
         let taken = p.core.borrow_mut().take(now, ticket, record);
         let write = taken.map_err(|why| match why {
             Refused::Tenant => {
-                refused(429, "parked_tenant_full", "this tenant has its part of what is kept", come_back)
+                let word = "this tenant has its part of what is kept";
+                ApiError::new(429, "server_error", "parked_tenant_full", word).after(come_back)
             }
             Refused::Wait => field("is longer than any may wait"),
             Refused::Records | Refused::Bytes => full(),
@@ -344,10 +352,7 @@
 
     /// Its answer; else whether it may have run.
     async fn run_once(&self, ticket: Ticket, r: &Record, left_s: f64) -> Result<Kept, bool> {
-        let gone = |status, word: &str| Kept {
-            status,
-            body: ApiError::new(status, "server_error", "gone", word).body().to_vec(),
-        };
+        let gone = |status, word: &str| Kept::error(status, "gone", word);
         let Ok(chat) = ChatRequest::parse(&r.body) else {
             return Ok(gone(400, "it cannot be read any more"));
         };
--- a/crates/nickelgw-node/src/repeat.rs
+++ b/crates/nickelgw-node/src/repeat.rs
@@ -198,6 +198,10 @@
 }
 
 impl Server {
+    fn full(&self, word: &str) -> ApiError {
+        ApiError::new(503, "server_error", "node_full", word).after(self.limits.come_back_s)
+    }
+
     /// A request that carries a key: it runs once, and each repeat hears that run.
     pub async fn keyed(self: Rc<Self>, a: Asked, key: &str) -> Result<Answer, ApiError> {
         let tenant = a.ask.tenant.map_or("", |t| &self.door.tenants[t].name);
@@ -219,9 +223,7 @@
                     if !kept {
                         self.repeats.table.borrow_mut().ended(now, s, Ended::Shed);
                         let word = "this request may not run twice, and cannot be remembered now";
-                        let mut e = ApiError::new(503, "server_error", "node_full", word);
-                        e.retry_after_s = Some(self.limits.come_back_s);
-                        return Err(e);
+                        return Err(self.full(word));
                     }
                 }
                 let relay = Relay::new();
@@ -245,9 +247,7 @@
             }
             Enter::Full => {
                 let word = "no place to remember this request, which may not run twice";
-                let mut e = ApiError::new(503, "server_error", "node_full", word);
-                e.retry_after_s = Some(self.limits.come_back_s);
-                return Err(e);
+                return Err(self.full(word));
             }
         };
         let relay = self.repeats.relays.borrow().get(&serial).cloned();
--- a/crates/nickelgw-node/src/server.rs
+++ b/crates/nickelgw-node/src/server.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use nickelgw_chat::core::budget::{Budget, Verdict};
 use nickelgw_protocol::chat::{ApiError, ChatRequest};
 use nickelgw_protocol::{Malformed, REQUEST_ID};
@@ -126,6 +126,10 @@
     json!({"id": name, "object": "model", "created": 0, "owned_by": "nickelgw"})
 }
 
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ").map(str::trim)
+}
+
 fn plain_id(id: &str) -> bool {
     (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
 }
@@ -349,9 +353,8 @@
                 }
             }
             (&Method::GET, path) if path.starts_with(crate::parked::PATH) => {
-                let bearer = request.headers().get(AUTHORIZATION).and_then(|v| v.to_str().ok());
-                let bearer = bearer.and_then(|v| v.strip_prefix("Bearer ")).map(str::trim);
-                self.parked(bearer, &path[crate::parked::PATH.len()..]).unwrap_or_else(|e| error(&e))
+                let ticket = &path[crate::parked::PATH.len()..];
+                self.parked(bearer(request.headers()), ticket).unwrap_or_else(|e| error(&e))
             }
             // Before a list is heard there is no engine to send to: a front layer does better to wait.
             (&Method::GET, "/healthz") if !self.doors.healthy.get() => {
@@ -378,7 +381,7 @@
         let since = Instant::now();
         let (head, body) = request.into_parts();
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        let bearer = header(AUTHORIZATION.as_str()).and_then(|v| v.strip_prefix("Bearer ")).map(str::trim);
+        let bearer = bearer(&head.headers);
         let timeout = header(TIMEOUT).and_then(|v| v.parse::<f64>().ok()).map(|ms| ms / 1e3);
         let body = self.body(body).await?;
         let chat = ChatRequest::parse(&body).map_err(|m| ApiError::invalid(&m))?;
@@ -416,9 +419,7 @@
             Verdict::FirstTry | Verdict::Retry => Ok(()),
             Verdict::Refused { come_back_s } => {
                 let word = "too many retries of late; come back later";
-                let mut e = ApiError::new(429, "rate_limit_error", "retry_budget", word);
-                e.retry_after_s = Some(come_back_s);
-                Err(e)
+                Err(ApiError::new(429, "rate_limit_error", "retry_budget", word).after(come_back_s))
             }
         }
     }
--- a/crates/nickelgw-node/src/together.rs
+++ b/crates/nickelgw-node/src/together.rs
@@ -3,7 +3,7 @@
 use crate::driver::{Said, Word};
 use crate::{seconds, Clock};
 use async_channel::{bounded, Receiver, Sender};
-use nickelgw_accord::core::{Accord, Known};
+use nickelgw_accord::core::Accord;
 use smol::net::UdpSocket;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
@@ -20,7 +20,6 @@
     /// Bound already, or later: the process before may have it still.
     pub socket: Option<std::net::UdpSocket>,
     pub listen: String,
-    pub round_s: f64,
 }
 
 /// The address is tried again after so long.
@@ -47,14 +46,11 @@
     let bound = socket.and_then(|s| smol::Async::<std::net::UdpSocket>::try_from(s).ok());
     let Some(socket) = bound.map(UdpSocket::from) else { return };
     let (tell, told) = bounded(1);
+    let round_s = accord.borrow().round_s();
     let carry = nickelgw_accord::run(socket, accord.clone(), clock.0, told, new);
     let rounds = async {
         loop {
-            let others: Vec<Known> = {
-                let a = accord.borrow();
-                let near = |k: &&Known| k.record.zone == a.own().zone;
-                a.alive(clock.now()).filter(near).cloned().collect()
-            };
+            let others = accord.borrow().near(clock.now());
             let (to, told) = bounded(1);
             if to_core.send(Word::new(Said::Round { others, to })).await.is_err() {
                 return;
@@ -67,9 +63,9 @@
                 }
             }
             // What others have just met is looked at without waiting for the round, but not at every datagram.
-            Timer::after(seconds(sockets.round_s / 4.0)).await;
+            Timer::after(seconds(round_s / 4.0)).await;
             let next = async {
-                Timer::after(seconds(sockets.round_s * 0.75)).await;
+                Timer::after(seconds(round_s * 0.75)).await;
             };
             let news = async {
                 let _ = heard.recv().await;
--- a/crates/nickelgw-parked/src/core/mod.rs
+++ b/crates/nickelgw-parked/src/core/mod.rs
@@ -78,15 +78,11 @@
     queues: BTreeMap<String, BTreeSet<(u64, Ticket)>>,
     /// How far each tenant has been served, by its weight; the least goes next.
     served: BTreeMap<String, f64>,
+    /// Nothing has had its time before.
+    due_at: f64,
     pub tally: Tally,
 }
 
-fn error(status: u16, code: &str, word: &str) -> Answer {
-    let kind = "server_error";
-    let body = format!(r#"{{"error":{{"message":"{word}","type":"{kind}","param":null,"code":"{code}"}}}}"#);
-    Answer { status, body: body.into_bytes() }
-}
-
 /// A tenant's part of what is run at a node: its weight, by how much of all that waits for it waits here. Parked at five nodes it
 /// has no more than parked at one.
 pub fn part(weight: f64, here: usize, elsewhere: u64) -> f64 {
@@ -102,6 +98,7 @@
             bytes: 0,
             queues: BTreeMap::new(),
             served: BTreeMap::new(),
+            due_at: f64::INFINITY,
             tally: Tally::default(),
         }
     }
@@ -135,12 +132,16 @@
             self.bytes += bytes.len();
             let (running, repeat) = (record.state == State::Running, repeat(&record));
             let waits = !matches!(record.state, State::Ended { .. });
+            // Looked over once; from then on it is known when the next is due.
+            self.due_at = now;
             self.all.insert(ticket, Entry { record, bytes: bytes.len(), on_disk: true });
             match repeat {
                 // Its tenant or model is no more: nobody may ask for it.
-                None if waits => {
-                    writes.push(self.end(now, ticket, error(410, "gone", "its tenant or model is no more")))
-                }
+                None if waits => writes.push(self.end(
+                    now,
+                    ticket,
+                    Answer::error(410, "gone", "its tenant or model is no more"),
+                )),
                 Some(r) if running && !self.may_run(now, ticket, r) => writes.push(self.lost(now, ticket)),
                 _ if running => writes.push(self.put_back(ticket)),
                 _ if waits => self.queue(ticket),
@@ -152,7 +153,7 @@
 
     fn lost(&mut self, now: f64, ticket: Ticket) -> Write {
         self.tally.errored += 1;
-        self.end(now, ticket, error(502, "may_have_run", "it may have run, and does not run again"))
+        self.end(now, ticket, Answer::error(502, "may_have_run", "it may have run, and does not run again"))
     }
 
     fn may_run(&self, now: f64, ticket: Ticket, repeat: Repeat) -> bool {
@@ -207,6 +208,7 @@
     fn queue(&mut self, ticket: Ticket) {
         let Some(e) = self.all.get(&ticket) else { return };
         let (tenant, at) = (e.record.tenant.clone(), e.record.parked_at.max(0.0).to_bits());
+        self.due_at = self.due_at.min(e.record.until);
         if self.queues.get(&tenant).is_none_or(|q| q.is_empty()) {
             // One that comes new, or again, begins where the others are.
             let others = self.queues.iter().filter(|q| !q.1.is_empty()).filter_map(|q| self.served.get(q.0));
@@ -308,7 +310,7 @@
         self.tally.answered += 1;
         let long = answer.body.len() > self.figures.most_answer;
         let word = "the answer is longer than is kept";
-        self.end(now, ticket, if long { error(507, "answer_too_long", word) } else { answer })
+        self.end(now, ticket, if long { Answer::error(507, "answer_too_long", word) } else { answer })
     }
 
     fn end(&mut self, now: f64, ticket: Ticket, answer: Answer) -> Write {
@@ -317,6 +319,7 @@
         if matches!(e.record.state, State::Ended { .. }) {
             return (ticket, Some(e.record.bytes()));
         }
+        self.due_at = self.due_at.min(now + self.figures.keep_s);
         e.record.state = State::Ended { at: now, answer };
         // The question is not asked any more.
         e.record.body = Vec::new();
@@ -325,16 +328,34 @@
 
     /// What has had its time: parked ones are given up, answers kept long enough go.
     pub fn due(&mut self, now: f64) -> Vec<Write> {
-        let keep_s = self.figures.keep_s;
-        let late = |e: &Entry| e.record.state == State::Parked && now >= e.record.until && e.on_disk;
-        let old = |e: &Entry| matches!(e.record.state, State::Ended { at, .. } if now >= at + keep_s);
-        let given_up: Vec<Ticket> = self.all.iter().filter(|x| late(x.1)).map(|x| *x.0).collect();
-        let gone: Vec<Ticket> = self.all.iter().filter(|x| old(x.1)).map(|x| *x.0).collect();
+        // All are looked over only when one has had its time.
+        if now < self.due_at {
+            return Vec::new();
+        }
+        let (mut given_up, mut gone) = (Vec::new(), Vec::new());
+        self.due_at = f64::INFINITY;
+        for (&ticket, e) in &self.all {
+            let (at, of) = match e.record.state {
+                // Not on disk yet it waits for that first; then it is queued, and looked at again.
+                State::Parked if e.on_disk => (e.record.until, &mut given_up),
+                State::Ended { at, .. } => (at + self.figures.keep_s, &mut gone),
+                _ => continue,
+            };
+            if now >= at {
+                of.push(ticket);
+            } else {
+                self.due_at = self.due_at.min(at);
+            }
+        }
         gone.iter().for_each(|t| self.forget(*t));
         let mut writes: Vec<Write> = gone.into_iter().map(|t| (t, None)).collect();
         for t in given_up {
             self.tally.given_up += 1;
-            writes.push(self.end(now, t, error(504, "timeout", "its time passed before there was room")));
+            writes.push(self.end(
+                now,
+                t,
+                Answer::error(504, "timeout", "its time passed before there was room"),
+            ));
         }
         writes
     }
--- a/crates/nickelgw-parked/src/core/record.rs
+++ b/crates/nickelgw-parked/src/core/record.rs
@@ -1,5 +1,6 @@
 //! A parked inference as it stands on disk.
 
+use nickelgw_protocol::chat::ApiError;
 use serde::{Deserialize, Serialize};
 
 /// What the client is told, once.
@@ -9,6 +10,12 @@
     pub body: Vec<u8>,
 }
 
+impl Answer {
+    pub fn error(status: u16, code: &'static str, word: &str) -> Answer {
+        Answer { status, body: ApiError::new(status, "server_error", code, word).body().to_vec() }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum State {
     Parked,
--- a/crates/nickelgw-protocol/src/chat.rs
+++ b/crates/nickelgw-protocol/src/chat.rs
@@ -183,6 +183,12 @@
         ApiError { status, kind, code, param: None, message: message.into(), retry_after_s: None }
     }
 
+    /// With the time after which its client may come back.
+    pub fn after(mut self, come_back_s: f64) -> Self {
+        self.retry_after_s = Some(come_back_s);
+        self
+    }
+
     pub fn invalid(m: &Malformed) -> Self {
         let mut e = ApiError::new(400, "invalid_request_error", "invalid_request", m.to_string());
         if let Malformed::Field { field, .. } = m {
--- a/src/decide/ration.rs
+++ b/src/decide/ration.rs
@@ -13,9 +13,12 @@
     pub(super) fn ration(&self, now: f64, i: usize, e: usize) -> bool {
         let eng = &self.engines[e];
         // A zone returned to in steps bears a part of all, each zone's drawn on its own.
+        let drawn = |name: &str, salt: u64, part: f64| {
+            let of = |d: u64| (hash(name, d ^ salt) as f64) < part * u64::MAX as f64;
+            self.infs[i].draw.is_some_and(of)
+        };
         let part = self.part(eng.zone);
-        let of_part = |d: u64| (hash("", d ^ u64::from(eng.zone + 1)) as f64) < part * u64::MAX as f64;
-        if part < 1.0 && !self.infs[i].draw.is_some_and(of_part) {
+        if part < 1.0 && !drawn("", u64::from(eng.zone + 1), part) {
             return false;
         }
         let age = now - eng.started;
@@ -25,8 +28,7 @@
         let grown = self.cold_share + (1.0 - self.cold_share) * (age / self.warm_within).max(0.0).powi(2);
         let home = self.infs[i].homes.first() == Some(&e);
         let part = if home { self.homely } else { 0.5 / self.peers[(eng.role != Role::Read) as usize] };
-        let drawn = |d: u64| (hash(&eng.id, d) as f64) < self.cold_multiple * grown * part * u64::MAX as f64;
-        !self.unplaced && self.infs[i].draw.is_some_and(drawn)
+        !self.unplaced && drawn(&eng.id, 0, self.cold_multiple * grown * part)
     }
 
     /// What an inference draws its part by; none beyond what this node usually starts, or its part of what
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -53,9 +53,4 @@
         let used = self.engines.iter().filter(|e| e.standing == Standing::In);
         used.map(|e| EngineSeen { id: &e.id, zone: e.zone, role: e.role, heard: e.heard, mute: e.mute })
     }
-
-    /// Whether a send of an inference that is not closed has no ending yet.
-    pub fn is_out(&self, inf: Inf, send: u32) -> bool {
-        self.infs[inf.0 as usize].sends.get(send as usize).is_some_and(|s| s.live)
-    }
 }
