Where no load is ever told, own streams are not multiplied by the nodes

M has no reports and no probes. At fault: src/decide/load.rs, load(): `None => tokens * nodes / memory`. One stream of 6,660 tokens times 300 nodes is a load of 13, writer_wait passes half the target, and neither admission nor the oldest below θ sends anything.

Changed: own sends alone. Deployments with reports never come to this line once one has been heard.

Test: where_nothing_is_told_one_own_stream_fills_no_writer fails without it.

--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -124,14 +124,14 @@
     }
 
     /// Load of a writer now: as told and own sends since, the more like the usual the older the news (an old
-    /// report of an over-full one drains with it); where nothing is ever told, own sends times the nodes.
+    /// report of an over-full one drains with it); never told: own sends, as they are.
     pub(super) fn load(&self, e: usize) -> f64 {
         let eng = &self.engines[e];
         let since = (eng.tokens - eng.tokens_at_report) / eng.memory;
         match self.told(e) {
             Some(told) => self.usual[1] + self.trust(e) * (told + since - self.usual[1]),
             None if self.usual[1] > 0.0 => self.usual[1],
-            None => eng.tokens * self.nodes / eng.memory,
+            None => eng.tokens / eng.memory,
         }
         .max(eng.tokens / eng.memory)
     }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -637,6 +637,18 @@
     assert!((r.load(2) - share).abs() < 1e-4);
 }
 
+/// A deployment without reports or probes, 300 nodes: each held what came for a quarter of a second and more, on a calm
+/// day, since its one stream times the nodes filled every writer.
+#[test]
+fn where_nothing_is_told_one_own_stream_fills_no_writer() {
+    let mut r = Router::new(Deployment { nodes: 300, probes: false, ..deployment(Repeat::Retriable) });
+    r.list(NOW, &[line("r0", Role::Read, 0, 0), line("w1", Role::Write, 0, 0)], true);
+    r.engines[1].tokens = 2000.0;
+    r.engines[1].out = 1;
+    hold(&mut r, inference(Stage::Queued));
+    assert_eq!(engines_of(&r.decide(NOW)), [0]);
+}
+
 /// Other nodes' queues were fitted as read cost, and idle readers held back for them.
 #[test]
 fn long_timings_move_the_read_fit_little() {
