A connection has its place in the table before its task runs

Seen: the test of idle clients at 72 descriptors failed in two plays of eleven: the process held all 72, 60 of them sockets, where the clients' part is 31. At fault: clients.rs accept() spawned a connection's task and accepted on; the place was taken when the task first ran, so a crowd at the door was accepted whole, up to the process's limit (EMFILE), past the part kept back for discovery and engines.

Now accept() enters it.

--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -160,7 +160,9 @@
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let serving = self.clone().connection(stream);
+                    // It has its place before its task runs: of a crowd at the door all were accepted, past the table.
+                    let (entry, closing) = self.enter();
+                    let serving = self.clone().connection(stream, entry, closing);
                     self.node.ex.spawn(serving).detach();
                 }
                 Err(why) => {
@@ -210,13 +212,17 @@
         self.standing.borrow().len()
     }
 
-    async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
+    /// A place in the table, and the word that it is to be given up.
+    fn enter(self: &Rc<Self>) -> (Entry, Receiver<()>) {
         let (close, closing) = async_channel::bounded(1);
         let me =
             Rc::new(Standing { unused: Cell::new(Some(self.node.now())), asked: Cell::new(false), close });
         let number = self.next.replace(self.next.get() + 1);
         self.standing.borrow_mut().insert(number, me.clone());
-        let entry = Entry { of: self.clone(), number, me };
+        (Entry { of: self.clone(), number, me }, closing)
+    }
+
+    async fn connection(self: Rc<Self>, stream: Async<TcpStream>, entry: Entry, closing: Receiver<()>) {
         let socket = Socket::new(stream, &self.memory);
         let mut buf = BytesMut::new();
         let mut idle_s = WHOLE_S;
