--- a/crates/nickelgw-cli/tests/life.rs
+++ b/crates/nickelgw-cli/tests/life.rs
@@ -7,10 +7,10 @@
 use nickelgw_standin::Record;
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -56,8 +56,11 @@
         let l = TcpListener::bind("127.0.0.1:0").unwrap();
         let listed = l.local_addr().unwrap().to_string();
         thread::spawn(move || smol::block_on(nickelgw_standin::list::run(l, lines, 0.0, Record::default())));
-        // A port that a node started anew can listen on again.
-        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+        // A port that a node started anew can listen on again, at an address of its own: at 127.0.0.1 a connection made
+        // meanwhile by another test may have been given it.
+        static SITES: AtomicU8 = AtomicU8::new(1);
+        let own = Ipv4Addr::new(127, 2, SITES.fetch_add(1, Ordering::Relaxed), 1);
+        let free = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap().to_string();
         let site = Site { dir, list: listed, engines, record, address: free };
         site.settings("");
         site
