Read over: one read for all sockets, one machine that comes back, one start of a process in tests

What the change had written twice: the read that does not wait stood in socket.rs (twice) and inside wire.rs (wire::read_now now serves read, Socket::off and Socket::take_now); the loop that takes all connections at a machine that is back stood in gone.rs and told.rs (CutOff::bytes_when_back); the configuration of a process stood in two tests of platform.rs (node_but). No assertion changed.

--- a/crates/nickelgw-cli/tests/platform.rs
+++ b/crates/nickelgw-cli/tests/platform.rs
@@ -49,9 +49,14 @@
 
 /// A node that was told it may have `told` descriptors, in a process that gets `real` of them.
 fn node(n: u8, discovery: &Peer, known: Value, told: usize, real: usize) -> Node {
+    node_but(n, discovery, known, real, |all| all["limits"]["sockets"] = json!(told))
+}
+
+/// A node with something else in its configuration.
+fn node_but(n: u8, discovery: &Peer, known: Value, real: usize, but: impl Fn(&mut Value)) -> Node {
     let address = address(n);
     let mut all = config(&address.to_string(), &discovery.address.to_string(), known);
-    all["limits"]["sockets"] = json!(told);
+    but(&mut all);
     let path = std::env::temp_dir().join(format!("nickelgw-platform-{n}-{}.json", std::process::id()));
     std::fs::write(&path, all.to_string()).unwrap();
     Node { child: start(&path, real), address, path }
@@ -321,13 +326,10 @@
     let (began, discovery) = (Instant::now(), silent());
     let nodes: Vec<Node> = (0..NODES)
         .map(|k| {
-            let address = address(40 + k);
-            let mut all = config(&address.to_string(), &discovery.address.to_string(), known.clone());
-            all["settings"]["balancers"] = NODES.into();
-            all["settings"]["limits"]["probes"] = true.into();
-            let path = std::env::temp_dir().join(format!("nickelgw-cold-{k}-{}.json", std::process::id()));
-            std::fs::write(&path, all.to_string()).unwrap();
-            Node { child: start(&path, 256), address, path }
+            node_but(40 + k, &discovery, known.clone(), 256, |all| {
+                all["settings"]["balancers"] = NODES.into();
+                all["settings"]["limits"]["probes"] = true.into();
+            })
         })
         .collect();
     for n in &nodes {
@@ -355,7 +357,8 @@
         .collect();
     let served: usize = load.into_iter().map(|l| l.join().unwrap()).sum();
     let mut most: f64 = 0.0;
-    for (_, at) in calls.iter().enumerate().filter(|(k, _)| k % 8 < 6) {
+    let fresh = || calls.iter().enumerate().filter(|(k, _)| k % 8 < 6).map(|(_, at)| at);
+    for at in fresh() {
         let at = at.lock().unwrap();
         for (n, t) in at.iter().enumerate() {
             let within = at[..=n].iter().filter(|x| **x + Duration::from_secs(2) > *t).count() as f64;
@@ -367,6 +370,6 @@
     println!("{served} served, at most {most:.2} of the bound");
     assert!(served as f64 > 0.8 * 4.0 * RATE, "{served}");
     assert!(most <= 1.0, "{most}");
-    let fresh: usize = (0..16).filter(|k| k % 8 < 6).map(|k| calls[k].lock().unwrap().len()).sum();
-    assert!(fresh > 20, "they are used: {fresh}");
+    let used: usize = fresh().map(|at| at.lock().unwrap().len()).sum();
+    assert!(used > 20, "they are used: {used}");
 }
--- a/crates/nickelgw-platform/src/socket.rs
+++ b/crates/nickelgw-platform/src/socket.rs
@@ -1,13 +1,13 @@
 //! A client's socket: whether it has gone, what it has sent ahead of its answer, and how it is closed.
 
 use crate::core::{MOST_BODY, MOST_HEAD};
-use crate::wire::read;
+use crate::wire::{read, read_now};
 use bytes::BytesMut;
 use nickelgw_node::within;
 use smol::Async;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::io::{ErrorKind, Read};
+use std::io::ErrorKind;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
@@ -16,8 +16,6 @@
 const MOST_AHEAD: usize = MOST_BODY + MOST_HEAD;
 /// Bytes that each connection may hold, whatever the others hold.
 const FREE: usize = 16 * 1024;
-/// Bytes read at once.
-const READ: usize = 8 * 1024;
 /// After its last answer a connection is read on for so long, and for so many bytes: closed over unread ones it would be
 /// reset, and the answer lost with it.
 const LINGER_S: f64 = 0.5;
@@ -25,7 +23,7 @@
 
 /// Bytes of requests that all connections together may hold.
 pub struct Memory {
-    pub most: usize,
+    most: usize,
     held: Cell<usize>,
 }
 
@@ -100,13 +98,11 @@
 
     /// Takes what is there without waiting: the end of the connection stands behind whatever was sent before it.
     pub fn off(&self) -> Option<Off> {
-        let mut some = [0; READ];
         while self.off.get().is_none() {
             let mut ahead = self.ahead.borrow_mut();
-            match self.stream.get_ref().read(&mut some) {
+            match read_now(self.stream.get_ref(), &mut ahead) {
                 Ok(0) => self.off.set(Some(Off::Gone)),
-                Ok(n) => {
-                    ahead.extend_from_slice(some.get(..n).unwrap_or_default());
+                Ok(_) => {
                     let room = self.part.holds(self.open.get() + ahead.len());
                     if ahead.len() > MOST_AHEAD || !room {
                         self.off.set(Some(Off::Floods));
@@ -137,14 +133,7 @@
 
     /// What came in the very moment in which the connection was to be closed: a request that counts as taken.
     pub fn take_now(&self, buf: &mut BytesMut) -> bool {
-        let mut some = [0; READ];
-        match self.stream.get_ref().read(&mut some) {
-            Ok(n) if n > 0 => {
-                buf.extend_from_slice(some.get(..n).unwrap_or_default());
-                true
-            }
-            _ => false,
-        }
+        matches!(read_now(self.stream.get_ref(), buf), Ok(n) if n > 0)
     }
 
     /// Closes so that the last answer arrives. What comes after this is read and left alone.
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -21,14 +21,19 @@
 /// Interim answers before the one that counts.
 const MOST_INTERIM: usize = 16;
 
-/// Reads what is there onto the buffer; 0 at the end. Dropped while it waits it has taken nothing.
-pub async fn read(stream: &Async<TcpStream>, buf: &mut BytesMut) -> io::Result<usize> {
+/// Reads what is there onto the buffer, without waiting; 0 at the end.
+pub fn read_now(mut stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
     let mut some = [0; READ];
-    let n = stream.read_with(|mut s| s.read(&mut some)).await?;
+    let n = stream.read(&mut some)?;
     buf.extend_from_slice(some.get(..n).unwrap_or_default());
     Ok(n)
 }
 
+/// Reads what is there onto the buffer; 0 at the end. Dropped while it waits it has taken nothing.
+pub async fn read(stream: &Async<TcpStream>, buf: &mut BytesMut) -> io::Result<usize> {
+    stream.read_with(|s| read_now(s, buf)).await
+}
+
 /// Why what a stream was to bring did not come.
 pub enum Broken {
     Ended,
--- a/crates/nickelgw-platform/tests/cases/gone.rs
+++ b/crates/nickelgw-platform/tests/cases/gone.rs
@@ -2,7 +2,7 @@
 
 use crate::common::*;
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::Shutdown;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -122,21 +122,7 @@
         told["settings"]["limits"]["most_tries"] = json!(2);
     });
     let _stays = go(&world, "ca05", how, 150);
-    // The machine is back: it takes all connections, and what is sent on them.
-    let mut bytes = 0;
-    cut.listener.set_nonblocking(true).unwrap();
-    let until = Instant::now() + Duration::from_millis(2500);
-    let mut all = Vec::new();
-    while Instant::now() < until {
-        if let Ok((c, _)) = cut.listener.accept() {
-            c.set_nonblocking(true).unwrap();
-            all.push(c);
-        }
-        for c in &mut all {
-            bytes += c.read(&mut [0; 512]).unwrap_or(0);
-        }
-        wait_ms(1);
-    }
+    let bytes = cut.bytes_when_back(Duration::from_millis(2500));
     assert_eq!(bytes, 0);
     assert!(w.seen("POST").is_empty());
 }
--- a/crates/nickelgw-platform/tests/cases/told.rs
+++ b/crates/nickelgw-platform/tests/cases/told.rs
@@ -5,7 +5,7 @@
 use nickelgw_platform::Order;
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -259,20 +259,7 @@
     shared.lock().unwrap().instances = after;
     shared.lock().unwrap().generation += 1;
     sleep(Duration::from_millis(600));
-    // The machine takes connections again; the one under way comes up.
-    cut.listener.set_nonblocking(true).unwrap();
-    let (mut all, mut bytes) = (Vec::new(), 0);
-    let until = Instant::now() + Duration::from_millis(2500);
-    while Instant::now() < until {
-        if let Ok((c, _)) = cut.listener.accept() {
-            c.set_nonblocking(true).unwrap();
-            all.push(c);
-        }
-        for c in &mut all {
-            bytes += c.read(&mut [0; 512]).unwrap_or(0);
-        }
-        sleep(Duration::from_millis(1));
-    }
+    let bytes = cut.bytes_when_back(Duration::from_millis(2500));
     assert_eq!(bytes, 0, "it drains");
     let got = answer(&mut c);
     assert!(got.ends_with("0\r\n\r\n") && second.seen("POST").len() == 1, "{got}");
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -25,10 +25,30 @@
 /// A machine that is cut off: connections to it never come up, as nobody takes those that wait at it.
 pub struct CutOff {
     pub address: SocketAddr,
-    pub listener: TcpListener,
+    listener: TcpListener,
     _held: Vec<TcpStream>,
 }
 
+impl CutOff {
+    /// The machine is back: it takes all connections for so long, and counts the bytes that are sent on them.
+    pub fn bytes_when_back(&self, within: Duration) -> usize {
+        self.listener.set_nonblocking(true).unwrap();
+        let (mut all, mut bytes) = (Vec::new(), 0);
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Ok((c, _)) = self.listener.accept() {
+                c.set_nonblocking(true).unwrap();
+                all.push(c);
+            }
+            for c in &mut all {
+                bytes += c.read(&mut [0; 512]).unwrap_or(0);
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        bytes
+    }
+}
+
 pub fn cut_off() -> CutOff {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
