--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients' connections: requests read within limits, one at a time, and answered as the core says.
 
-use crate::core::chunks::Piece;
 use crate::core::engine::Passed;
+use crate::core::events::Piece;
 use crate::core::request::{self, Head, Names, CHAT, READY};
 use crate::core::{Framing, Spoilt, MOST_BODY};
 use crate::node::{Node, Reply, Taken};
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod chunks;
 pub mod engine;
+pub mod events;
 pub mod list;
 pub mod request;
 pub mod seldom;
--- a/crates/nickelgw-platform/src/core/tests.rs
+++ b/crates/nickelgw-platform/src/core/tests.rs
@@ -1,5 +1,6 @@
-use super::chunks::{next, Piece};
+use super::chunks::{Chunked, Step};
 use super::engine::{answer, cause, comment, report};
+use super::events::{Events, Piece};
 use super::list::{News, Roll};
 use super::request::{head, Names};
 use super::*;
@@ -68,32 +69,98 @@
     assert_eq!(head(long.as_bytes()), Err(Spoilt::Long));
 }
 
-fn pieces(bytes: &[u8]) -> Result<Vec<Piece>, Spoilt> {
-    let mut buf = BytesMut::from(bytes);
-    let mut all = Vec::new();
-    while let Some(p) = next(&mut buf, MOST_BODY)? {
-        all.push(p);
+fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+fn data(text: &str) -> Piece {
+    Piece::Data(Bytes::from(text.to_string()))
+}
+
+/// What is taken of these bytes, each part as it comes.
+fn pieces_of(parts: &[&[u8]]) -> (Vec<Piece>, Result<(), Spoilt>) {
+    let (mut events, mut buf, mut all) = (Events::default(), BytesMut::new(), Vec::new());
+    for part in parts {
+        buf.extend_from_slice(part);
+        loop {
+            match events.next(&mut buf) {
+                Ok(None) => break,
+                Ok(Some(Piece::Last)) => {
+                    all.push(Piece::Last);
+                    return (all, Ok(()));
+                }
+                Ok(Some(p)) => all.push(p),
+                Err(why) => return (all, Err(why)),
+            }
+        }
     }
-    Ok(all)
+    (all, Ok(()))
+}
+
+fn pieces(bytes: &[u8]) -> (Vec<Piece>, Result<(), Spoilt>) {
+    pieces_of(&[bytes])
 }
 
+const ONE: &str = "data: 1\n\n";
+
 #[test]
-fn chunks_come_whole() {
-    let data = Piece::Data(Bytes::from_static(b"data: 1\n\n"));
-    assert_eq!(pieces(b"9\r\ndata: 1\n\n\r\n0\r\n\r\n").unwrap(), [data, Piece::Last]);
-    assert_eq!(pieces(b"9\r\ndata: 1\n\n").unwrap(), []);
-    assert_eq!(pieces(b"9\r\ndata: 1\n\n\r").unwrap(), []);
+fn events_come_whole_and_as_soon_as_they_are() {
+    let whole = format!("{}0\r\n\r\n", chunk(ONE));
+    assert_eq!(pieces(whole.as_bytes()), (vec![data(ONE), Piece::Last], Ok(())));
+    // Before its chunk is.
+    assert_eq!(pieces(b"9\r\ndata: 1\n\n").0, [data(ONE)]);
+    assert_eq!(pieces(b"20\r\ndata: 1\n\ndata: 2").0, [data(ONE)]);
+    // Not by its half, whole as that chunk may be.
+    let halves = [chunk("data: "), chunk("1\n"), chunk("\n")];
+    assert_eq!(pieces(halves[0].as_bytes()).0, []);
+    assert_eq!(pieces(halves[..2].concat().as_bytes()).0, []);
+    assert_eq!(pieces(halves.concat().as_bytes()).0, [data(ONE)]);
+    // Other ends of lines, several at once, and what the end of the stream ends.
+    assert_eq!(pieces(chunk("data: 1\r\n\r\n").as_bytes()).0, [data("data: 1\r\n\r\n")]);
+    assert_eq!(pieces(chunk("data: 1\n\ndata: 2\n\nda").as_bytes()).0, [data("data: 1\n\ndata: 2\n\n")]);
+    assert_eq!(pieces(chunk(ONE).repeat(2).as_bytes()).0, [data(ONE), data(ONE)], "chunk by chunk");
+    let comment = format!("{}0\r\n\r\n", chunk(": X-Load-Report: x0=1"));
+    assert_eq!(pieces(comment.as_bytes()).0, [data(": X-Load-Report: x0=1"), Piece::Last]);
 }
 
-// Streams that arrive spoilt: found before any of the chunk is passed on.
+// Streams that arrive spoilt: found before anything of the event is passed on.
 #[test_case(b"zz\r\nab\r\n", Spoilt::Chunk; "no size")]
 #[test_case(b"2\r\nabc\r\n", Spoilt::Chunk; "too small a size")]
 #[test_case(b"4\r\nab\r\n4\r\n", Spoilt::Chunk; "too large a size")]
 #[test_case(b"c0000000\r\nab", Spoilt::Long; "3 GB")]
 #[test_case(b"fffffffffffffffff\r\nab", Spoilt::Chunk; "past all numbers")]
 #[test_case(b"0\r\nno trailer\r\n\r\n", Spoilt::Chunk; "bad trailers")]
+#[test_case(b"9\r\nnoise: \n\n\r\n", Spoilt::Events; "no event")]
 fn spoilt_chunks_are_found(bytes: &[u8], why: Spoilt) {
-    assert_eq!(pieces(bytes), Err(why));
+    assert_eq!(pieces(bytes), (vec![], Err(why)));
+}
+
+/// The next chunk's line in the data: the first event is whole, and nothing behind it is passed on.
+#[test]
+fn a_size_that_takes_in_the_next_chunk_ends_the_stream() {
+    let bytes = format!("40\r\n{ONE}\r\n{}{}", chunk(ONE), chunk(&"data: 22\n\n".repeat(9)));
+    let (all, end) = pieces_of(&[&bytes.as_bytes()[..13], &bytes.as_bytes()[13..]]);
+    assert_eq!((all, end), (vec![data(ONE)], Err(Spoilt::Events)));
+}
+
+#[test]
+fn an_event_without_end_is_bounded() {
+    let line = chunk(&format!("data: {}", "x".repeat(MOST_BODY / 2)));
+    assert_eq!(pieces(line.repeat(3).as_bytes()), (vec![], Err(Spoilt::Long)));
+}
+
+#[test]
+fn a_chunked_body_longer_than_allowed_is_found() {
+    let (mut body, mut c) = (BytesMut::new(), Chunked::default());
+    let mut bytes = BytesMut::from(format!("{}0\r\n\r\n", chunk("abc").repeat(3)).as_bytes());
+    for step in [Step::Chunk, Step::Chunk, Step::Chunk, Step::Whole] {
+        assert_eq!(c.decode(&mut bytes, &mut body, 4), Ok(step));
+    }
+    assert_eq!(&body[..], b"abcabcabc", "the sum is the caller's to bound");
+    assert_eq!(
+        Chunked::default().decode(&mut BytesMut::from(&b"5\r\n"[..]), &mut body, 4),
+        Err(Spoilt::Long)
+    );
 }
 
 #[test_case("202 Accepted", true, Cause::Read; "read")]
@@ -167,11 +234,56 @@
         bytes.extend_from_slice(&data);
         bytes.extend_from_slice(b"\r\n0\r\n\r\n");
         let cut = cut.min(bytes.len());
+        let (mut chunked, mut body) = (Chunked::default(), BytesMut::new());
         let mut buf = BytesMut::from(&bytes[..cut]);
-        let mut all = Vec::new();
-        while let Some(p) = next(&mut buf, MOST_BODY).unwrap() { all.push(p); }
+        let mut all = |buf: &mut BytesMut| loop {
+            match chunked.decode(buf, &mut body, MOST_BODY).unwrap() {
+                Step::Chunk => {}
+                step => return step,
+            }
+        };
+        prop_assert_eq!(all(&mut buf) == Step::Whole, cut == bytes.len());
         buf.extend_from_slice(&bytes[cut..]);
-        while let Some(p) = next(&mut buf, MOST_BODY).unwrap() { all.push(p); }
-        prop_assert_eq!(all, [Piece::Data(Bytes::from(data)), Piece::Last]);
+        prop_assert_eq!(all(&mut buf), Step::Whole);
+        prop_assert_eq!(&body[..], &data[..]);
+        prop_assert!(buf.is_empty());
+    }
+
+    // Whatever the chunks, and however they come: all of it, unchanged, each part whole events.
+    #[test]
+    fn events_are_the_same_whatever_the_chunks(
+        texts in proptest::collection::vec("[a-z0-9 :]{0,12}", 1..12),
+        sizes in proptest::collection::vec(1usize..40, 1..30),
+        cuts in proptest::collection::vec(1usize..50, 1..30),
+    ) {
+        let all: String = texts.iter().map(|t| format!("data: {t}\n\n")).collect();
+        let (mut bytes, mut rest) = (String::new(), &all[..]);
+        for size in sizes.iter().cycle() {
+            let (one, more) = rest.split_at((*size).min(rest.len()));
+            bytes += &chunk(one);
+            rest = more;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        bytes += "0\r\n\r\n";
+        let (mut parts, mut rest) = (Vec::new(), bytes.as_bytes());
+        for cut in cuts.iter().cycle() {
+            let (one, more) = rest.split_at((*cut).min(rest.len()));
+            parts.push(one);
+            rest = more;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        let (mut got, end) = pieces_of(&parts);
+        prop_assert_eq!((got.pop(), end), (Some(Piece::Last), Ok(())));
+        let mut text = Vec::new();
+        for p in got {
+            let Piece::Data(d) = p else { panic!("one end") };
+            prop_assert!(d.ends_with(b"\n\n"));
+            text.extend_from_slice(&d);
+        }
+        prop_assert_eq!(text, all.into_bytes());
     }
 }
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -1,7 +1,7 @@
 //! The node's core on the platform's sockets: what it says is done, what happens is told to it. All on one thread.
 
-use crate::core::chunks::Piece;
 use crate::core::engine::{self, Passed};
+use crate::core::events::{Events, Piece};
 use crate::core::list::{News, Roll};
 use crate::core::seldom::Seldom;
 use crate::core::{names, Framing, MOST_BODY};
@@ -20,6 +20,8 @@
 
 /// Events that may wait for a slow client before its writer is slowed.
 const AHEAD: usize = 32;
+/// The first event waits so long for the rest of its chunk. Events are to be passed on within 0.3 s (the platform's page).
+const FIRST_HELD_S: f64 = 0.1;
 
 /// The client's side of a request.
 struct Job {
@@ -328,7 +330,7 @@
         End { cause, load: answer.report, kept }
     }
 
-    /// Up to the first piece of the stream, which is whole before anything of it is passed on.
+    /// Up to the first event of the stream, which is whole before anything of it is passed on.
     async fn begin(
         &self,
         order: &Order,
@@ -344,13 +346,18 @@
         if !answer.events || answer.framing != Framing::Chunked {
             return Err(garbled());
         }
-        match c.piece().await {
-            Ok(Piece::Data(first)) if first.starts_with(b"data:") || first.starts_with(b":") => {
-                Ok(Stream { c, first, again: !answer.close, report: answer.report })
+        let failed = |cause| End { cause, ..End::default() };
+        let mut events = Events::default();
+        let Piece::Data(first) = c.piece(&mut events).await.map_err(failed)? else { return Err(garbled()) };
+        let mut stream = Stream { c, events, first, next: None, again: !answer.close, report: answer.report };
+        // A chunk that breaks off or does not fit is found, mostly, before anything of it is passed on.
+        if stream.events.in_chunk() {
+            match within(FIRST_HELD_S, stream.c.piece(&mut stream.events)).await {
+                None => {}
+                Some(next) => stream.next = Some(next.map_err(failed)?),
             }
-            Ok(_) => Err(garbled()),
-            Err(cause) => Err(End { cause, ..End::default() }),
         }
+        Ok(stream)
     }
 
     /// Passes a begun stream on as it comes, and says how it ended.
@@ -389,7 +396,13 @@
                 }
                 Err(cause) => return ended(cause, None),
             }
-            next = within(idle_s, s.c.piece()).await.unwrap_or(Err(Cause::NoAnswer));
+            next = match s.next.take() {
+                Some(piece) => Ok(piece),
+                None => {
+                    let piece = s.c.piece(&mut s.events);
+                    within(idle_s, piece).await.unwrap_or(Err(Cause::NoAnswer))
+                }
+            };
         }
     }
 
@@ -453,7 +466,10 @@
 /// A stream that has begun.
 struct Stream {
     c: crate::wire::Connection,
+    events: Events,
     first: Bytes,
+    /// What came behind it while its chunk was awaited.
+    next: Option<Piece>,
     again: bool,
     report: Option<LoadReport>,
 }
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -1,9 +1,10 @@
 //! Connections towards engines and discovery, on plain sockets: hyper cannot tell when a request's last byte has gone,
 //! which is what settles whether it may have run.
 
-use crate::core::chunks::{self, Piece};
+use crate::core::chunks::{Chunked, Step};
 use crate::core::engine::{self, Answer};
-use crate::core::{Framing, Spoilt, MOST_BODY};
+use crate::core::events::{Events, Piece};
+use crate::core::{Framing, Spoilt};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::AsyncWriteExt;
 use nickelgw_node::core::Cause;
@@ -59,7 +60,7 @@
 pub async fn next<T>(
     stream: &Async<TcpStream>,
     buf: &mut BytesMut,
-    take: impl Fn(&mut BytesMut) -> Result<Option<T>, Spoilt>,
+    mut take: impl FnMut(&mut BytesMut) -> Result<Option<T>, Spoilt>,
 ) -> Result<T, Broken> {
     loop {
         if let Some(found) = take(buf)? {
@@ -83,14 +84,19 @@
         Framing::Length(n) if n > most => Err(Spoilt::Long.into()),
         Framing::Length(n) => next(stream, buf, |b| Ok((b.len() >= n).then(|| b.split_to(n).freeze()))).await,
         Framing::Chunked => {
-            let mut body = BytesMut::new();
-            loop {
-                match next(stream, buf, |b| chunks::next(b, most)).await? {
-                    Piece::Last => return Ok(body.freeze()),
-                    Piece::Data(d) if body.len() + d.len() > most => return Err(Spoilt::Long.into()),
-                    Piece::Data(d) => body.extend_from_slice(&d),
+            let (mut chunked, mut body) = (Chunked::default(), BytesMut::new());
+            next(stream, buf, |b| loop {
+                let step = chunked.decode(b, &mut body, most)?;
+                if body.len() > most {
+                    return Err(Spoilt::Long);
                 }
-            }
+                match step {
+                    Step::Wait => return Ok(None),
+                    Step::Chunk => {}
+                    Step::Whole => return Ok(Some(body.split().freeze())),
+                }
+            })
+            .await
         }
     }
 }
@@ -159,9 +165,9 @@
         Err(Cause::Garbled)
     }
 
-    /// The next piece of a chunked body.
-    pub async fn piece(&mut self) -> Result<Piece, Cause> {
-        Ok(next(&self.stream, &mut self.buf, |b| chunks::next(b, MOST_BODY)).await?)
+    /// What comes next of a stream of events. Dropped while it waits it has lost nothing.
+    pub async fn piece(&mut self, events: &mut Events) -> Result<Piece, Cause> {
+        Ok(next(&self.stream, &mut self.buf, |b| events.next(b)).await?)
     }
 
     /// A whole body, and whether the connection can carry a further request.
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -20,6 +20,8 @@
     Hold,
     /// Writes the first, then the second again and again until the far side closes.
     Endless(&'static str, &'static str),
+    /// Does this with its connection, which then stays.
+    Do(Box<dyn FnOnce(&mut TcpStream) + Send>),
 }
 
 /// A machine that is cut off: connections to it never come up, as nobody takes those that wait at it.
@@ -107,6 +109,7 @@
                         Then::Answer(bytes) if c.write_all(&bytes).is_ok() => {}
                         Then::Answer(_) => return,
                         Then::Break(bytes) => return drop(c.write_all(&bytes)),
+                        Then::Do(does) => does(&mut c),
                         Then::Endless(first, more) => {
                             let mut going = c.write_all(first.as_bytes()).is_ok();
                             while going {
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -5,6 +5,8 @@
 mod common;
 #[path = "cases/cut.rs"]
 mod cut;
+#[path = "cases/events.rs"]
+mod events;
 #[path = "cases/gone.rs"]
 mod gone;
 #[path = "cases/told.rs"]
