Clients' headers are passed on whole, but for those of their own connection

The lines at fault: `head` in core/request.rs kept the seven headers it knew (`_ => continue`). What each deployment calls that header is told nowhere in the configuration, so no name could be looked for.

Now all are passed on as they came (RFC 9110, 7.6.1): without those of the connection, those that `Connection` names, and those that a send has of its own. Test: core/tests.rs, with a key, a header twice, bytes beyond ASCII and a hop's own header; the old code passes on none of these.

--- a/crates/nickelgw-platform/src/core/engine.rs
+++ b/crates/nickelgw-platform/src/core/engine.rs
@@ -13,7 +13,7 @@
 pub struct Passed {
     pub id: String,
     line: String,
-    headers: String,
+    headers: Vec<u8>,
     pub body: Bytes,
 }
 
@@ -26,14 +26,14 @@
     /// The bytes of one send, for which so long is waited.
     pub fn bytes(&self, address: &str, patience_s: f64) -> Vec<u8> {
         let ms = (patience_s.clamp(0.001, 86_400.0) * 1e3).ceil() as u64;
-        let mut out = format!(
-            "{}host: {address}\r\n{}{}: {ms}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
-            self.line,
-            self.headers,
+        let mut out = format!("{}host: {address}\r\n", self.line).into_bytes();
+        out.extend_from_slice(&self.headers);
+        let own = format!(
+            "{}: {ms}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
             names::BUDGET,
             self.body.len()
-        )
-        .into_bytes();
+        );
+        out.extend_from_slice(own.as_bytes());
         out.extend_from_slice(&self.body);
         out
     }
--- a/crates/nickelgw-platform/src/core/request.rs
+++ b/crates/nickelgw-platform/src/core/request.rs
@@ -2,11 +2,26 @@
 
 use super::{closes, framing, head_length, names, Framing, Spoilt, MOST_HEADERS};
 use nickelgw_node::core::Ask;
-use std::fmt::Write;
 
 pub const CHAT: &str = "/v1/chat/completions";
 pub const READY: &str = "/healthz";
 const LONGEST_ID: usize = 64;
+/// Headers that are about one connection (RFC 9110, 7.6.1), or that a send has of its own.
+const NOT_PASSED: [&str; 13] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    "content-type",
+];
 
 /// A request's head, as far as it is read.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,8 +31,8 @@
     pub target: String,
     pub framing: Framing,
     pub close: bool,
-    /// Header lines that engines are passed as they came.
-    pub passed: String,
+    /// Header lines that engines are passed as they came, whether they mean anything here or not.
+    pub passed: Vec<u8>,
     id: Option<String>,
     class: Option<String>,
     tenant: Option<String>,
@@ -41,7 +56,7 @@
         target: target.to_string(),
         framing: framing(r.headers)?,
         close: version == 0 || closes(r.headers),
-        passed: String::new(),
+        passed: Vec::new(),
         id: None,
         class: None,
         tenant: None,
@@ -50,6 +65,11 @@
         info: None,
         again: None,
     };
+    let of_connection = |name: &str| {
+        let options = r.headers.iter().filter(|h| h.name.eq_ignore_ascii_case("connection"));
+        let mut options = options.flat_map(|h| h.value.split(|b| *b == b','));
+        options.any(|o| o.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
+    };
     for header in r.headers.iter() {
         let name = header.name.to_ascii_lowercase();
         let slot = match name.as_str() {
@@ -60,7 +80,13 @@
             names::BUDGET => &mut h.budget,
             names::INFO => &mut h.info,
             names::AGAIN => &mut h.again,
-            _ => continue,
+            // Where classes are deduped a request has its key in a header that the page of this deployment names.
+            _ => {
+                if !NOT_PASSED.contains(&name.as_str()) && !of_connection(&name) {
+                    pass(&mut h.passed, header);
+                }
+                continue;
+            }
         };
         let value = std::str::from_utf8(header.value).map_err(|_| Spoilt::Head)?.trim();
         // Twice told is not told.
@@ -68,12 +94,18 @@
             return Err(Spoilt::Head);
         }
         if name != names::BUDGET {
-            let _ = write!(h.passed, "{}: {value}\r\n", header.name);
+            pass(&mut h.passed, header);
         }
     }
     Ok(Some((h, n)))
 }
 
+fn pass(lines: &mut Vec<u8>, header: &httparse::Header) {
+    for part in [header.name.as_bytes(), b": ", header.value, b"\r\n"] {
+        lines.extend_from_slice(part);
+    }
+}
+
 /// Names that requests go by.
 pub struct Names {
     pub routes: Vec<String>,
--- a/crates/nickelgw-platform/src/core/tests.rs
+++ b/crates/nickelgw-platform/src/core/tests.rs
@@ -1,5 +1,5 @@
 use super::chunks::{Chunked, Step};
-use super::engine::{answer, cause, comment, report};
+use super::engine::{answer, cause, comment, report, Passed};
 use super::events::{Events, Piece};
 use super::list::{News, Roll};
 use super::request::{head, Names};
@@ -63,6 +63,28 @@
     assert!(asked(&GOOD.replacen(part, by, 1)).is_err());
 }
 
+/// Another deployment's key of a deduped class is a header that this one's page does not name.
+#[test]
+fn a_head_is_passed_on_whole_but_for_what_is_of_its_connection() {
+    let text = GOOD.replacen(
+        "Host: app.svc",
+        "Host: app.svc\r\nX-Dedupe: k 1\r\nX-Twice: a\r\nx-twice: b\r\nX-Raw: \u{e9}\r\nTE: trailers\r\n\
+         Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nExpect: 100-continue",
+        1,
+    );
+    let (h, _) = head(text.as_bytes()).unwrap().unwrap();
+    let wanted = "X-Dedupe: k 1\r\nX-Twice: a\r\nx-twice: b\r\nX-Raw: \u{e9}\r\nX-Call-Id: 9b1f03aa\r\n\
+                  X-Call-Class: chat\r\nX-Caller: acme\r\nX-Route-Hash: 7f3a\r\n\
+                  X-Call-Info: prefix=5c0f,prompt_len=12,prefix_len=4,max_out=800\r\n";
+    assert_eq!(std::str::from_utf8(&h.passed), Ok(wanted));
+    let sent = Passed::new(&h, "9b1f03aa", Bytes::from_static(b"{}")).bytes("e:1", 1.5);
+    let sent = String::from_utf8(sent).unwrap();
+    assert!(sent.starts_with("POST /v1/chat/completions?x=1 HTTP/1.1\r\nhost: e:1\r\nX-Dedupe: k 1\r\n"));
+    assert!(
+        sent.ends_with("x-budget-ms: 1500\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}")
+    );
+}
+
 #[test]
 fn a_head_without_end_is_refused() {
     let long = format!("GET / HTTP/1.1\r\nx: {}", "y".repeat(MOST_HEAD));
