An inference is refused only once what is out for it has ended

The lines at fault, three: - `Core::answer` gave the answer before the calls off, so the client was told first; - `Do::CallOff` in the platform's node.rs dropped a task, which the executor lets go of some time later; - `Core::end_open`, and `give_up` in the module, took a live read for none also where the settings allow no calls off. Now calls off come first, the connection is shut down at once, and where none may be called off a read that is out forbids the refusal.

--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -72,6 +72,8 @@
 pub struct Core {
     router: Router,
     figures: Figures,
+    /// Whether sends may be called off.
+    cancel: bool,
     tick: f64,
     /// First-token target of each route: a constant part, and one for each prompt token.
     targets: Vec<(f64, f64)>,
@@ -114,6 +116,7 @@
         let ledger = Ledger::new(deployment.hold_limit_s, figures.let_go_within_s);
         Core {
             tick: deployment.tick_s,
+            cancel: deployment.cancel,
             targets: deployment
                 .routes
                 .iter()
@@ -456,6 +459,7 @@
 
     fn end_open(&mut self, now: f64, streams: bool) {
         self.leaving = true;
+        let cancel = self.cancel;
         for inf in 0..self.taken.len() as u32 {
             let Some(t) = self.ticket(Inf(inf)) else { continue };
             let Some(taken) = self.get(t).filter(|x| x.stage != Stage::Over) else { continue };
@@ -463,7 +467,9 @@
             if begun && !streams {
                 continue;
             }
-            let harmless = !begun && taken.sends.iter().all(|s| !s.may_have_run);
+            // Where none may be called off a read that is out goes on.
+            let over = |s: &Sent| !s.may_have_run && (cancel || !s.live);
+            let harmless = !begun && taken.sends.iter().all(over);
             let come_back_s = Some(self.figures.come_back_s);
             let answer = if harmless { Answer::Shed { come_back_s } } else { Answer::Errored(Why::Stopping) };
             self.answer(now, t, answer);
@@ -536,8 +542,9 @@
             Answer::Shed { .. } => self.tally.shed += 1,
             Answer::Errored(_) => self.tally.errored += 1,
         }
-        self.ready.push(Do::Answer { ticket: t, answer });
+        // What is out ends before its client is told: refused over an attempt that is still out, it may yet run.
         self.call_off(t);
+        self.ready.push(Do::Answer { ticket: t, answer });
     }
 
     /// Whatever is still out for a request that is over is no longer waited for.
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -56,6 +56,10 @@
 }
 
 fn core(most_open: usize) -> Core {
+    core_of(most_open, deployment())
+}
+
+fn core_of(most_open: usize, deployment: Deployment) -> Core {
     let figures = Figures {
         boot: "n0".into(),
         epoch_unix_s: 0.0,
@@ -69,7 +73,7 @@
         fair: None,
         tenant_most_open: vec![None],
     };
-    let mut c = Core::new(deployment(), figures);
+    let mut c = Core::new(deployment, figures);
     c.list(0.0, &list(1, &[State::In; 8]));
     c
 }
@@ -102,12 +106,16 @@
     /// Writes that may have run: number, when sent, and the writer's zone.
     ran: Vec<(u32, f64, usize)>,
     live: BTreeSet<u32>,
+    /// One that was called off may yet go on.
+    goes_on: bool,
     begun: bool,
 }
 
 /// Plays engines and clients, and checks each action against the rules as it comes.
 struct World {
     core: Core,
+    /// Whether a send that is called off has ended.
+    cancel: bool,
     now: f64,
     seen: BTreeMap<Ticket, Seen>,
     out: Vec<Order>,
@@ -123,9 +131,10 @@
 }
 
 impl World {
-    fn new() -> Self {
+    fn new(cancel: bool) -> Self {
         World {
-            core: core(64),
+            core: core_of(64, Deployment { cancel, ..deployment() }),
+            cancel,
             now: 0.0,
             seen: BTreeMap::new(),
             out: Vec::new(),
@@ -146,6 +155,7 @@
                     let found = self.out.iter().position(|o| (o.ticket, o.send) == (ticket, send));
                     if let Some(n) = found {
                         let o = self.out.swap_remove(n);
+                        self.seen.get_mut(&ticket).unwrap().goes_on |= !self.cancel;
                         self.end(o, Cause::CalledOff);
                     }
                 }
@@ -154,7 +164,9 @@
                     assert!(s.answers.is_empty() && !s.left, "answered twice, or after the client left");
                     assert!(s.begun || self.now <= s.due + 1e-9, "answered after the client's time");
                     let shed = matches!(answer, Answer::Shed { .. });
-                    let harmless = s.ran.is_empty() || REPEATS[s.route] == Repeat::Retriable;
+                    // A read counts until it has ended.
+                    let over = s.ran.is_empty() && s.live.is_empty() && !s.goes_on;
+                    let harmless = over || REPEATS[s.route] == Repeat::Retriable;
                     assert!(!shed || harmless, "shed though it may have run");
                     s.answers.push((self.now, answer));
                 }
@@ -175,6 +187,7 @@
     fn sent(&mut self, o: Order) {
         let s = self.seen.get_mut(&o.ticket).unwrap();
         assert!(s.answers.is_empty() && !s.left, "sent after the final answer");
+        assert!(s.live.is_empty(), "sent beside one that is out");
         if let Work::Write { state, .. } = &o.what {
             match (REPEATS[s.route], s.ran.first().copied()) {
                 (Repeat::NonRetriable, Some(_)) => panic!("a non-retriable inference is sent again"),
@@ -314,8 +327,9 @@
     #[test]
     fn every_order_of_events_keeps_the_rules(
         steps in prop::collection::vec((0u8..15, any::<usize>(), 0.0..0.2f64), 1..160),
+        cancel in any::<bool>(),
     ) {
-        let mut w = World::new();
+        let mut w = World::new(cancel);
         steps.iter().for_each(|s| w.step(*s));
         w.finish();
         for (t, s) in &w.seen {
@@ -333,7 +347,7 @@
         steps in prop::collection::vec((0u8..14, any::<usize>(), 0.0..0.1f64), 1..60),
     ) {
         let run = || {
-            let mut w = World::new();
+            let mut w = World::new(true);
             steps.iter().for_each(|s| w.step(*s));
             let sends: Vec<String> = w.out.iter().map(|o| format!("{} {}", o.name, o.eng.id)).collect();
             (sends, w.core.tally, w.wake.map(f64::to_bits))
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -6,7 +6,7 @@
 use crate::core::seldom::Seldom;
 use crate::core::{names, Framing, MOST_BODY};
 use crate::socket::Socket;
-use crate::wire::{Pool, Use, Within};
+use crate::wire::{Closer, Pool, Use, Within};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use nickelgw_node::core::{Answer, Ask, Cause, Core, Do, End, Order, Place, Refusal, Ticket, Work};
@@ -38,8 +38,16 @@
     Errored,
 }
 
-/// A send's task, and whether all of it has gone out.
-type Out = (Task<()>, Rc<Cell<bool>>);
+/// How far a send has come, for the one that calls it off.
+#[derive(Default)]
+struct Progress {
+    /// All of it has gone out.
+    out: Cell<bool>,
+    /// What it goes out on.
+    on: RefCell<Option<Closer>>,
+}
+
+type Out = (Task<()>, Rc<Progress>);
 
 pub struct Node {
     pub core: RefCell<Core>,
@@ -183,11 +191,13 @@
                 match d {
                     Do::Send(order) => again |= !self.send(now, order),
                     Do::CallOff { ticket, send } => {
-                        let Some((task, out)) = self.sends.borrow_mut().remove(&(ticket, send)) else {
+                        let Some((task, progress)) = self.sends.borrow_mut().remove(&(ticket, send)) else {
                             continue;
                         };
+                        // The executor lets go of a task some time later; what follows may be out before that.
+                        progress.on.take().inspect(Closer::close);
                         drop(task);
-                        let cause = if out.get() { Cause::CalledOff } else { Cause::NoConnection };
+                        let cause = if progress.out.get() { Cause::CalledOff } else { Cause::NoConnection };
                         self.core.borrow_mut().ended(now, ticket, send, End { cause, ..End::default() });
                         again = true;
                     }
@@ -232,10 +242,10 @@
         };
         let read = matches!(order.what, Work::Read);
         tracing::debug!(at = now, request = %passed.id, send, engine = %order.eng.id, read, "sent");
-        let out = Rc::new(Cell::new(false));
-        let (node, gone) = (self.clone(), out.clone());
+        let progress = Rc::new(Progress::default());
+        let (node, made) = (self.clone(), progress.clone());
         let task = self.ex.spawn(async move {
-            let end = node.exchange(&order, &passed, &client, &gone).await;
+            let end = node.exchange(&order, &passed, &client, &made).await;
             // Not called off any more: it ends by itself.
             if let Some((task, _)) = node.sends.borrow_mut().remove(&(ticket, send)) {
                 task.detach();
@@ -251,7 +261,7 @@
             node.core.borrow_mut().ended(node.now(), ticket, send, end);
             node.look();
         });
-        self.sends.borrow_mut().insert((ticket, send), (task, out));
+        self.sends.borrow_mut().insert((ticket, send), (task, progress));
         true
     }
 
@@ -263,16 +273,16 @@
         client.off().is_none().then_some((passed, client))
     }
 
-    async fn exchange(&self, order: &Order, passed: &Passed, client: &Socket, out: &Cell<bool>) -> End {
+    async fn exchange(&self, order: &Order, passed: &Passed, client: &Socket, progress: &Progress) -> End {
         // From the order on, not from each step.
         let patience_s = order.patience_s;
         match order.what {
-            Work::Read => within(patience_s, self.read(order, passed, client, out))
+            Work::Read => within(patience_s, self.read(order, passed, client, progress))
                 .await
-                .unwrap_or_else(|| overdue(out)),
+                .unwrap_or_else(|| overdue(progress)),
             Work::Write { idle_s, .. } => {
-                match within(patience_s, self.begin(order, passed, client, out)).await {
-                    None => overdue(out),
+                match within(patience_s, self.begin(order, passed, client, progress)).await {
+                    None => overdue(progress),
                     Some(Err(end)) => end,
                     Some(Ok(stream)) => self.pass_on(order, stream, idle_s).await,
                 }
@@ -280,8 +290,8 @@
         }
     }
 
-    async fn read(&self, order: &Order, passed: &Passed, client: &Socket, out: &Cell<bool>) -> End {
-        match self.ask(order, passed, client, out).await {
+    async fn read(&self, order: &Order, passed: &Passed, client: &Socket, progress: &Progress) -> End {
+        match self.ask(order, passed, client, progress).await {
             Err(end) => end,
             Ok((_, answer)) if answer.events => End { cause: Cause::Garbled, ..End::default() },
             Ok((c, answer)) => self.rest(c, answer, true).await,
@@ -294,7 +304,7 @@
         order: &Order,
         passed: &Passed,
         client: &Socket,
-        out: &Cell<bool>,
+        progress: &Progress,
     ) -> Result<(crate::wire::Connection, engine::Answer), End> {
         let ask = async {
             let mut c = self.pool.connection(&order.eng.address, Use::Send).await?;
@@ -307,7 +317,8 @@
             if !self.roll.borrow().is_in(&order.eng.id) {
                 return Err(Cause::TurnedAway);
             }
-            c.write(&passed.bytes(&order.eng.address, order.patience_s), out).await?;
+            progress.on.replace(Some(c.closer()));
+            c.write(&passed.bytes(&order.eng.address, order.patience_s), &progress.out).await?;
             let answer = c.answer().await?;
             Ok((c, answer))
         };
@@ -336,9 +347,9 @@
         order: &Order,
         passed: &Passed,
         client: &Socket,
-        out: &Cell<bool>,
+        progress: &Progress,
     ) -> Result<Stream, End> {
-        let (mut c, answer) = self.ask(order, passed, client, out).await?;
+        let (mut c, answer) = self.ask(order, passed, client, progress).await?;
         if answer.status != 200 {
             return Err(self.rest(c, answer, false).await);
         }
@@ -458,8 +469,8 @@
     }
 }
 
-fn overdue(out: &Cell<bool>) -> End {
-    let cause = if out.get() { Cause::NoAnswer } else { Cause::NoConnection };
+fn overdue(progress: &Progress) -> End {
+    let cause = if progress.out.get() { Cause::NoAnswer } else { Cause::NoConnection };
     End { cause, ..End::default() }
 }
 
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -13,7 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -127,13 +127,26 @@
 /// A connection of ours; dropped it closes, by which the far side knows that nobody waits.
 pub struct Connection {
     address: String,
-    stream: Async<TcpStream>,
+    stream: Rc<Async<TcpStream>>,
     buf: BytesMut,
     since: Instant,
     _descriptor: Descriptor,
 }
 
+/// Ends a connection at once, whoever holds it.
+pub struct Closer(Rc<Async<TcpStream>>);
+
+impl Closer {
+    pub fn close(&self) {
+        let _ = self.0.get_ref().shutdown(Shutdown::Both);
+    }
+}
+
 impl Connection {
+    pub fn closer(&self) -> Closer {
+        Closer(self.stream.clone())
+    }
+
     /// Nothing came or ended while it stood unused.
     fn is_sound(&self) -> bool {
         let quiet = self.stream.get_ref().peek(&mut [0]);
@@ -143,7 +156,7 @@
     /// Writes a request. Until its last byte is handed over it is known not to have run.
     pub async fn write(&mut self, bytes: &[u8], out: &Cell<bool>) -> Result<(), Cause> {
         // An error tells that not all of it was taken over.
-        self.stream.write_all(bytes).await.map_err(|_| Cause::NoConnection)?;
+        (&*self.stream).write_all(bytes).await.map_err(|_| Cause::NoConnection)?;
         out.set(true);
         Ok(())
     }
@@ -232,7 +245,7 @@
         let address = address.to_string();
         Ok(Connection {
             address,
-            stream,
+            stream: Rc::new(stream),
             buf: BytesMut::new(),
             since: Instant::now(),
             _descriptor: descriptor,
--- a/src/decide/again.rs
+++ b/src/decide/again.rs
@@ -34,7 +34,9 @@
             return;
         }
         let inf = &self.infs[i];
-        let may_have_run = inf.ran.is_some() || inf.sends.iter().any(|s| s.write && s.live);
+        // A read is no effect once it has ended; where none may be called off it has not.
+        let out = |s: &Sent| s.live && (s.write || !self.cancel);
+        let may_have_run = inf.ran.is_some() || inf.sends.iter().any(out);
         let harmless = match self.routes[inf.route].repeat {
             Repeat::Retriable | Repeat::Deduped { group: Group::All, .. } => true,
             _ => !may_have_run,
