Orders are states that stay: a reload counts during a shutdown, and no shutdown is lost

`run` in the platform's lib.rs read orders up to the first `Leave`; a SIGHUP after it moved nothing, so what the new agent told of drains never reached what was still sent. And `platform.rs` put words into a queue of 16 by `try_send`: full of reloads it lost a shutdown. Orders are now two states (`orders.rs`), each kept until looked at; reloads are taken until the process ends. Signals are caught before the listener is bound: one that came between ended the process with what the system had accepted.

Tests: a_reload_during_a_shutdown_moves_discovery (a reader holds its answer until the new agent has told that the old writer drains; the old loop writes to it), a_shutdown_is_taken_however_many_reloads_stand_before_it. Renamed on the way: Leave is shutdown, Renew is reload.

--- a/crates/nickelgw-cli/src/platform.rs
+++ b/crates/nickelgw-cli/src/platform.rs
@@ -3,7 +3,6 @@
 use crate::signals::{Signal, Signals};
 use crate::Unusable;
 use nickelgw_platform::start::{Start, CONFIG};
-use nickelgw_platform::Order;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -12,21 +11,20 @@
     let env = |name: &str| std::env::var(name).ok();
     let path = PathBuf::from(env(CONFIG).ok_or_else(|| Unusable(format!("{CONFIG} is not set")))?);
     let start = Start::read(&path, env).map_err(Unusable)?;
+    // Before anybody can connect: a signal that came between the two would end the process with what it had accepted.
+    let mut signals = Signals::new()?;
     let listener = TcpListener::bind(&start.listen)
         .map_err(|e| Unusable(format!("{}: cannot listen: {e}", start.listen)))?;
-    let mut signals = Signals::new()?;
-    let (order, orders) = async_channel::bounded(16);
+    let (orders, ordered) = nickelgw_platform::orders();
     let told = async {
         loop {
-            let order_now = match signals.next().await? {
-                Signal::End => Order::Leave,
-                Signal::Renew => Order::Renew,
-            };
-            // A full channel holds the same orders already.
-            let _ = order.try_send(order_now);
+            match signals.next().await? {
+                Signal::End => orders.shut_down(),
+                Signal::Renew => orders.reload(),
+            }
         }
     };
-    let work = nickelgw_platform::run(listener, start, Some(path), orders);
+    let work = nickelgw_platform::run(listener, start, Some(path), ordered);
     smol::block_on(futures_lite::future::or(work, told))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod core;
 mod discovery;
 mod node;
+mod orders;
 mod socket;
 pub mod start;
 mod wire;
@@ -12,11 +13,11 @@
 use crate::core::list::Roll;
 use crate::core::request::Names;
 use crate::core::told::Times;
-use async_channel::Receiver;
 use clients::Clients;
 use nickelgw_node::core::{Core, Figures};
 use nickelgw_node::seconds;
 use node::Node;
+pub use orders::{orders, Ordered, Orders};
 use smol::{Async, LocalExecutor, Timer};
 use socket::Memory;
 use start::Start;
@@ -27,15 +28,6 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use wire::Pool;
 
-/// What the process is told to do, in service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// To go, without losing what is open.
-    Leave,
-    /// The configuration has changed.
-    Renew,
-}
-
 /// A stream silent for so long is lost: a client may not be left waiting 5 s after an engine's last event.
 const STREAM_IDLE_S: f64 = 4.0;
 /// A call that lets go is repeated for so long.
@@ -59,7 +51,7 @@
     listener: TcpListener,
     start: Start,
     config: Option<PathBuf>,
-    orders: Receiver<Order>,
+    ordered: Ordered,
 ) -> std::io::Result<()> {
     let began = Instant::now();
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
@@ -104,24 +96,28 @@
         ex.spawn(discovery::follow(node.clone(), towards_discovery, times, address.clone(), moves));
     let tending = ex.spawn(pool.tend());
     let driving = ex.spawn(node.clone().drive());
-    let mut accepting = Some(ex.spawn(clients.clone().accept(listener)));
-    let living = async {
-        while let Ok(order) = orders.recv().await {
-            if order == Order::Leave {
-                break;
-            }
-            tracing::debug!(at = node.now(), "a new configuration");
-            match config.as_deref().map(start::discovery) {
-                Some(Ok(now)) => {
-                    *address.borrow_mut() = now;
-                    let _ = moved.try_send(());
+    // Until the process ends: what is told during a shutdown counts for the sends that still go out.
+    let reloading = {
+        let (node, address, reload) = (node.clone(), address.clone(), ordered.reload);
+        ex.spawn(async move {
+            while reload.recv().await.is_ok() {
+                tracing::debug!(at = node.now(), "a new configuration");
+                match config.as_deref().map(start::discovery) {
+                    Some(Ok(now)) => {
+                        *address.borrow_mut() = now;
+                        let _ = moved.try_send(());
+                    }
+                    // The old one goes on counting: half a configuration is none.
+                    Some(Err(why)) => tracing::warn!(why, "the configuration was not taken"),
+                    None => {}
                 }
-                // The old one goes on counting: half a configuration is none.
-                Some(Err(why)) => tracing::warn!(why, "the configuration was not taken"),
-                None => {}
             }
-        }
-        tracing::debug!(at = node.now(), open = node.open(), "told to go");
+        })
+    };
+    let mut accepting = Some(ex.spawn(clients.clone().accept(listener)));
+    let living = async {
+        let _ = ordered.shutdown.recv().await;
+        tracing::debug!(at = node.now(), open = node.open(), "told to shut down");
         clients.part();
         Timer::after(seconds(STILL_COMING_S)).await;
         accepting.take();
@@ -148,6 +144,6 @@
         }
     };
     ex.run(living).await;
-    drop((following, tending, driving));
+    drop((reloading, following, tending, driving));
     Ok(())
 }
--- a/crates/nickelgw-platform/tests/cases/close.rs
+++ b/crates/nickelgw-platform/tests/cases/close.rs
@@ -1,7 +1,6 @@
 //! Bytes in the very moment of a close, and peers that are slow, endless or too many.
 
 use crate::common::*;
-use nickelgw_platform::Order;
 use std::io::{ErrorKind, Read, Write};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -44,7 +43,7 @@
         let mut rest = world.client();
         rest.write_all(ask("da01").as_bytes()).unwrap();
         assert!(answer(&mut rest).ends_with("0\r\n\r\n"));
-        world.orders.send_blocking(Order::Leave).unwrap();
+        world.orders.shut_down();
         // Resting connections are closed half a second after the order.
         sleep(Duration::from_micros(497_000 + 1_000 * k));
         let sent = rest.write_all(ask("da02").as_bytes()).is_ok();
--- /dev/null
+++ b/crates/nickelgw-platform/tests/cases/shutdown.rs
@@ -0,0 +1,107 @@
+//! What comes while a node shuts down: orders, connections that it has not looked at yet, requests without an answer.
+
+use crate::common::*;
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::path::PathBuf;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+fn config_file(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("nickelgw-shutdown-{name}-{}.json", std::process::id()))
+}
+
+/// A reader that answers when the gate is closed behind it.
+fn gated_reader() -> (async_channel::Sender<()>, Peer) {
+    let (gate, waits) = async_channel::bounded::<()>(1);
+    let r = peer(move |_, _| {
+        let _ = waits.recv_blocking();
+        Then::Answer(plain("202 Accepted", r#"{"cached_tokens":4}"#))
+    });
+    (gate, r)
+}
+
+fn ends_in(world: World, within: Duration) {
+    let until = Instant::now() + within;
+    while !world.ended.is_finished() {
+        assert!(Instant::now() < until, "it does not end");
+        sleep(Duration::from_millis(5));
+    }
+}
+
+/// Words in one queue: the shutdown did not fit behind reloads that nobody had read yet.
+#[test]
+fn a_shutdown_is_taken_however_many_reloads_stand_before_it() {
+    let (orders, ordered) = nickelgw_platform::orders();
+    for _ in 0..1000 {
+        orders.reload();
+    }
+    orders.shut_down();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let known = list(&[], &[]);
+    let told = config(&listener.local_addr().unwrap().to_string(), &silent().address.to_string(), known);
+    let start = nickelgw_platform::start::Start::parse(&told, |_| None).map_err(|e| e.0).unwrap();
+    let work = move || smol::block_on(nickelgw_platform::run(listener, start, None, ordered)).unwrap();
+    let began = Instant::now();
+    std::thread::spawn(work).join().unwrap();
+    assert!(began.elapsed() < Duration::from_secs(3));
+}
+
+/// After the order to shut down no other was read: what the new agent told of drains never reached what was still sent.
+#[test]
+fn a_reload_during_a_shutdown_moves_discovery() {
+    let (gate, r) = gated_reader();
+    let (w0, w1) = (peer(|_, _| Then::Answer(stream())), peer(|_, _| Then::Answer(stream())));
+    let mut told = list(&[&r], &[&w0, &w1]);
+    told["instances"][1]["lifecycle"] = "draining".into();
+    let told = told.to_string();
+    let new = peer(move |asked, _| match asked.contains("since=") {
+        true => Then::Hold,
+        false => Then::Answer(plain("200 OK", &told)),
+    });
+    let path = config_file("reload");
+    let old = silent();
+    let world = node(&old, &[&r], &[&w0], Some(path.clone()));
+    let mut c = world.open("ha01", &r);
+    world.orders.shut_down();
+    // It refuses readiness: the order has been taken.
+    while !world.say(b"GET /healthz HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503") {}
+    std::fs::write(&path, config("x", &new.address.to_string(), Value::Null).to_string()).unwrap();
+    world.orders.reload();
+    new.wait("GET /v1/servers?since=3");
+    gate.close();
+    let got = answer(&mut c);
+    std::fs::remove_file(path).unwrap();
+    assert!(got.ends_with("0\r\n\r\n"), "{got}");
+    assert_eq!((w0.seen("POST").len(), w1.seen("POST").len()), (0, 1), "the one drains");
+}
+
+/// The send is over before its client is told: a class that may run once was refused while a reader still had it.
+#[test]
+fn what_is_out_is_closed_before_its_client_is_refused() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut r = reader();
+    r.address = listener.local_addr().unwrap();
+    let w = peer(|_, _| Then::Answer(stream()));
+    let world = node_of(&silent(), list(&[&r], &[&w]), None, |told| {
+        told["settings"]["classes"][0]["deadline_s"] = 1.0.into();
+        told["settings"]["classes"][0]["idempotency"] = "side_effect".into();
+    });
+    let mut c = world.client();
+    c.write_all(ask("hd01").as_bytes()).unwrap();
+    let mut at = listener.accept().unwrap().0;
+    at.set_read_timeout(Some(LONG)).unwrap();
+    assert!(at.read(&mut [0; 4096]).unwrap() > 0);
+    world.orders.shut_down();
+    assert!(answer(&mut c).starts_with("HTTP/1.1 503"));
+    // Without waiting: the end is there.
+    at.set_nonblocking(true).unwrap();
+    let mut some = [0; 4096];
+    let end = loop {
+        match at.read(&mut some) {
+            Ok(n) if n > 0 => {}
+            end => break end.map_err(|e| e.kind()),
+        }
+    };
+    assert_eq!(end, Ok(0));
+}
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A node on loopback, and engines and a discovery that answer as each test says. Every wait ends by itself.
 
 use nickelgw_platform::start::Start;
-use nickelgw_platform::Order;
+use nickelgw_platform::Orders;
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -170,7 +170,7 @@
 
 pub struct World {
     pub node: SocketAddr,
-    pub orders: async_channel::Sender<Order>,
+    pub orders: Orders,
     pub ended: std::thread::JoinHandle<()>,
 }
 
@@ -227,7 +227,7 @@
     let mut told = config(&node.to_string(), &discovery.address.to_string(), known);
     but(&mut told);
     let start = Start::parse(&told, |_| None).map_err(|e| e.0).unwrap();
-    let (orders, told) = async_channel::bounded(4);
+    let (orders, told) = nickelgw_platform::orders();
     let work = move || smol::block_on(nickelgw_platform::run(listener, start, path, told)).unwrap();
     World { node, orders, ended: std::thread::spawn(work) }
 }
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -9,11 +9,12 @@
 mod events;
 #[path = "cases/gone.rs"]
 mod gone;
+#[path = "cases/shutdown.rs"]
+mod shutdown;
 #[path = "cases/told.rs"]
 mod told;
 
 use common::*;
-use nickelgw_platform::Order;
 use std::io::{Read, Write};
 use test_case::test_case;
 
@@ -171,7 +172,7 @@
     assert!(world.say(ask("aa12").as_bytes()).starts_with("HTTP/1.1 503"), "no engine is known yet");
     std::fs::write(&path, config("x", &other.address.to_string(), serde_json::Value::Null).to_string())
         .unwrap();
-    world.orders.send_blocking(Order::Renew).unwrap();
+    world.orders.reload();
     other.wait("GET /v1/servers?since=3&timeout_ms=");
     let got = world.say(ask("aa13").as_bytes());
     assert!(got.ends_with("0\r\n\r\n"), "{got}");
@@ -190,7 +191,7 @@
     );
     let world = node(&silent(), &[&r], &[&w], None);
     let mut c = world.open("aa14", &w);
-    world.orders.send_blocking(Order::Leave).unwrap();
+    world.orders.shut_down();
     // New connections still come for a while.
     let ready = b"GET /healthz HTTP/1.1\r\n\r\n";
     assert!(world.say(ready).starts_with("HTTP/1.1 "));
