At a shutdown what the system has accepted is answered before the listener closes

`accepting.take()` in the platform's lib.rs closed the listener while connections stood in its backlog: the system had accepted them and reset them, with requests on them that count as taken. Most of all while the table was full, as then nothing is taken out of the backlog at all.

`Clients::accept` is now told to stop, and ends when the backlog is empty; the process waits for it. A connection that comes in the microseconds between the last look and the close is still reset: no call of the system closes both at once (docs/design-platform.md).

Test: connections_that_wait_at_the_door_are_answered_before_it_closes: 27 held requests fill the table, six connections with requests wait behind them; with the old code all six are reset.

--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -16,6 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering::Equal;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
@@ -150,21 +151,34 @@
         })
     }
 
-    /// Accepts until dropped. While the table is full a new connection waits unaccepted: closed unserved, its first
-    /// request would have failed.
-    pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
+    /// Accepts until told to stop, and then what the system has accepted already: a request on such a connection counts as
+    /// taken, and the listener closed over it would reset it. While the table is full a new connection waits unaccepted:
+    /// closed unserved, its first request would have failed.
+    pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, stop: Receiver<()>) {
+        let mut stopping = false;
         loop {
             while self.standing.borrow().len() >= self.most {
                 self.make_room();
                 within(ROOM_S, self.freed.recv()).await;
             }
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            match listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+                Ok(stream) => {
                     // It has its place before its task runs: of a crowd at the door all were accepted, past the table.
                     let (entry, closing) = self.enter();
                     let serving = self.clone().connection(stream, entry, closing);
                     self.node.ex.spawn(serving).detach();
                 }
+                Err(e) if e.kind() == ErrorKind::WouldBlock && stopping => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    let stopped = async {
+                        let _ = stop.recv().await;
+                        stopping = true;
+                    };
+                    let ready = async {
+                        let _ = listener.readable().await;
+                    };
+                    or(ready, stopped).await;
+                }
                 Err(why) => {
                     // Out of descriptors, or the peer went while it waited. The listener stays readable meanwhile:
                     // asked again at once it would only turn.
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -114,19 +114,20 @@
             }
         })
     };
-    let mut accepting = Some(ex.spawn(clients.clone().accept(listener)));
+    let (stop_accepting, stop) = async_channel::bounded(1);
+    let accepting = ex.spawn(clients.clone().accept(listener, stop));
     let living = async {
         let _ = ordered.shutdown.recv().await;
         tracing::debug!(at = node.now(), open = node.open(), "told to shut down");
         clients.part();
         Timer::after(seconds(STILL_COMING_S)).await;
-        accepting.take();
+        stop_accepting.close();
         node.core.borrow_mut().refuse_work();
         let until = node.now() + LAST_BEGIN_S;
         let mut ended = false;
         loop {
             clients.close_unused();
-            if node.is_quiet() && clients.len() == 0 {
+            if accepting.is_finished() && node.is_quiet() && clients.len() == 0 {
                 tracing::debug!(at = node.now(), "gone");
                 return;
             }
--- a/crates/nickelgw-platform/tests/cases/shutdown.rs
+++ b/crates/nickelgw-platform/tests/cases/shutdown.rs
@@ -1,8 +1,9 @@
 //! What comes while a node shuts down: orders, connections that it has not looked at yet, requests without an answer.
 
 use crate::common::*;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -76,6 +77,40 @@
     assert_eq!((w0.seen("POST").len(), w1.seen("POST").len()), (0, 1), "the one drains");
 }
 
+/// The table is full of open requests, and more connections, with requests on them, wait at the door: the system has
+/// accepted those. The listener was closed over them, and all were reset.
+#[test]
+fn connections_that_wait_at_the_door_are_answered_before_it_closes() {
+    let (gate, r) = gated_reader();
+    let w = peer(|_, _| Then::Answer(stream()));
+    let world = node_of(&silent(), list(&[&r], &[&w]), None, |told| {
+        told["limits"]["sockets"] = json!(64);
+    });
+    let open = |k: usize| {
+        let mut c = world.client();
+        c.write_all(ask(&format!("hb{k:02}")).as_bytes()).unwrap();
+        c
+    };
+    // 57% of what is left of 64 descriptors are for clients.
+    let served: Vec<TcpStream> = (0..27).map(open).collect();
+    let until = Instant::now() + LONG;
+    while r.seen("POST").len() < 15 {
+        assert!(Instant::now() < until, "{} sent", r.seen("POST").len());
+        sleep(Duration::from_millis(5));
+    }
+    let waiting: Vec<TcpStream> = (27..33).map(open).collect();
+    world.orders.shut_down();
+    sleep(Duration::from_millis(900));
+    gate.close();
+    let all: Vec<_> =
+        served.into_iter().chain(waiting).map(|mut c| std::thread::spawn(move || answer(&mut c))).collect();
+    let got: Vec<String> = all.into_iter().map(|t| t.join().unwrap()).collect();
+    for (k, got) in got.iter().enumerate() {
+        assert!(got.starts_with("HTTP/1.1 "), "{k}: {got:?}");
+    }
+    ends_in(world, LONG);
+}
+
 /// The send is over before its client is told: a class that may run once was refused while a reader still had it.
 #[test]
 fn what_is_out_is_closed_before_its_client_is_refused() {
