A shutdown's times and its come-back time follow from the settings

`LAST_BEGIN_S` 2.8 in the platform's lib.rs was the protocol page's 3 s + 0.7 s less the half second before and 0.4 s of margin, which holds for a longest deadline of 3 s and more; with 1 s SIGKILL comes 1.7 s after SIGTERM, and what was unanswered at 3.3 s was lost. And `end_open` of the core told clients to come back after 1 s whatever the settings allow: `come_back_s: 1.0` went out as `Retry-After` where `limits.retry_after` is off.

Now `Start` takes `kill_after_s` from the classes' `deadline_s` (at most 3 s counts, as the page has it), and a come-back time is told only where the settings have one, and no longer than the longest of theirs. For deadlines of 3 s and more nothing changes.

Test: what_has_not_begun_is_answered_before_the_process_is_killed, a deadline of 1 s, with and without `retry_after`; with the old code the answer comes after 3.3 s and has `retry-after: 1.000`.

--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -74,6 +74,8 @@
     figures: Figures,
     /// Whether sends may be called off.
     cancel: bool,
+    /// Longest come-back time that clients are told; none: they are told none.
+    longest_come_back_s: Option<f64>,
     tick: f64,
     /// First-token target of each route: a constant part, and one for each prompt token.
     targets: Vec<(f64, f64)>,
@@ -116,6 +118,7 @@
         let ledger = Ledger::new(deployment.hold_limit_s, figures.let_go_within_s);
         Core {
             tick: deployment.tick_s,
+            longest_come_back_s: deployment.longest_come_back_s,
             cancel: deployment.cancel,
             targets: deployment
                 .routes
@@ -470,7 +473,8 @@
             // Where none may be called off a read that is out goes on.
             let over = |s: &Sent| !s.may_have_run && (cancel || !s.live);
             let harmless = !begun && taken.sends.iter().all(over);
-            let come_back_s = Some(self.figures.come_back_s);
+            // Where clients are told none, a shutdown tells none either.
+            let come_back_s = self.longest_come_back_s.map(|s| s.min(self.figures.come_back_s));
             let answer = if harmless { Answer::Shed { come_back_s } } else { Answer::Errored(Why::Stopping) };
             self.answer(now, t, answer);
             self.router.left(Inf(inf));
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -30,12 +30,15 @@
 
 /// A stream silent for so long is lost: a client may not be left waiting 5 s after an engine's last event.
 const STREAM_IDLE_S: f64 = 4.0;
+/// What is refused at a shutdown is told to come back after so long, where the settings allow it: another node takes it then.
+const COME_BACK_S: f64 = 1.0;
 /// A call that lets go is repeated for so long.
 const LET_GO_S: f64 = 3.0;
-/// After the word to go new requests still come for a while; those open are then given so long to begin. Streams go on
-/// to the end: broken on purpose, so that their clients ask elsewhere, they served less than half as often.
+/// After the order to shut down new connections still come for 0.2 to 0.4 s. Streams go on to the end: broken on purpose,
+/// so that their clients ask elsewhere, they served less than half as often.
 const STILL_COMING_S: f64 = 0.5;
-const LAST_BEGIN_S: f64 = 2.8;
+/// What has not begun is answered so long before the process is killed.
+const BEFORE_KILL_S: f64 = 0.4;
 /// Descriptors that the process has for itself: standard streams, poller and its wakers, signals, the listener, a
 /// configuration that is read anew; and one more that is accepted before it is counted.
 const OWN: usize = 14;
@@ -67,7 +70,7 @@
         let_go_within_s: LET_GO_S,
         // What an earlier process left is freed by the platform.
         sweep_s: (-1.0, -1.0),
-        come_back_s: 1.0,
+        come_back_s: COME_BACK_S,
         grants: None,
         fair: None,
         tenant_most_open: Vec::new(),
@@ -119,11 +122,11 @@
     let living = async {
         let _ = ordered.shutdown.recv().await;
         tracing::debug!(at = node.now(), open = node.open(), "told to shut down");
+        let until = node.now() + (start.kill_after_s - BEFORE_KILL_S).max(STILL_COMING_S);
         clients.part();
         Timer::after(seconds(STILL_COMING_S)).await;
         stop_accepting.close();
         node.core.borrow_mut().refuse_work();
-        let until = node.now() + LAST_BEGIN_S;
         let mut ended = false;
         loop {
             clients.close_unused();
--- a/crates/nickelgw-platform/src/start.rs
+++ b/crates/nickelgw-platform/src/start.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start: the environment and the configuration, which must agree.
 
 use crate::core::list::News;
-use nickelgw_options::fields::{num_or, text, Bad};
+use nickelgw_options::fields::{list, num_or, text, Bad};
 use nickelgw_options::{inner, Told};
 use serde_json::Value;
 use std::path::Path;
@@ -20,6 +20,8 @@
     pub connect_s: f64,
     /// Engines close what has stood unused for so long.
     pub idle_s: f64,
+    /// SIGKILL comes no sooner than so long after SIGTERM.
+    pub kill_after_s: f64,
     /// Whether a probe is answered with a load report.
     pub reports: bool,
 }
@@ -28,6 +30,9 @@
 pub const CONFIG: &str = "RELAY_CONFIG";
 /// On sockets what is held has so much more than the settings say (the platform's protocol).
 const HELD_MORE_S: f64 = 0.3;
+/// SIGKILL comes so long after the longest deadline, which counts as no longer than that (the platform's protocol).
+const KILL_MORE_S: f64 = 0.7;
+const LONGEST_DEADLINE_S: f64 = 3.0;
 const SAME: [(&str, &str); 3] =
     [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")];
 
@@ -65,6 +70,12 @@
             Some(k) => Some(serde_json::from_value(k.clone()).map_err(|e| Bad(format!("field known: {e}")))?),
         };
         let connect_s = num_or(allowed, "connect_timeout_s", 0.25)?.clamp(0.01, 10.0);
+        let mut longest_s: Option<f64> = None;
+        for class in list(settings, "classes")? {
+            let deadline_s = num_or(class, "deadline_s", LONGEST_DEADLINE_S)?;
+            longest_s = Some(longest_s.map_or(deadline_s, |s| s.max(deadline_s)));
+        }
+        let longest_s = longest_s.unwrap_or(LONGEST_DEADLINE_S).clamp(0.0, LONGEST_DEADLINE_S);
         let mut told = Told::read(settings, seed)?;
         told.deployment.hold_limit_s += HELD_MORE_S;
         told.deployment.connect_s = connect_s;
@@ -79,6 +90,7 @@
             most_open: num_or(allowed, "max_open", 20_000.0)?.max(1.0) as usize,
             connect_s,
             idle_s: num_or(allowed, "idle_close_s", 15.0)?.clamp(0.1, 3600.0),
+            kill_after_s: longest_s + KILL_MORE_S,
             reports: settings.pointer("/reporting/how").and_then(Value::as_str) != Some("silent"),
         })
     }
--- a/crates/nickelgw-platform/tests/cases/shutdown.rs
+++ b/crates/nickelgw-platform/tests/cases/shutdown.rs
@@ -111,6 +111,29 @@
     ends_in(world, LONG);
 }
 
+/// SIGKILL comes 0.7 s after the longest deadline of the settings. Nor is there a come-back time where they allow none.
+#[test]
+fn what_has_not_begun_is_answered_before_the_process_is_killed() {
+    for (retry_after, s) in [(false, 1.0), (true, 1.0)] {
+        let (_gate, r) = gated_reader();
+        let w = peer(|_, _| Then::Answer(stream()));
+        let world = node_of(&silent(), list(&[&r], &[&w]), None, |told| {
+            told["settings"]["classes"][0]["deadline_s"] = s.into();
+            told["settings"]["limits"]["retry_after"] = retry_after.into();
+            told["settings"]["limits"]["max_retry_after_s"] = 0.5.into();
+        });
+        let mut c = world.open("hc01", &r);
+        let began = Instant::now();
+        world.orders.shut_down();
+        let got = answer(&mut c);
+        assert!(began.elapsed().as_secs_f64() < s + 0.7, "{:?}", began.elapsed());
+        assert!(got.starts_with("HTTP/1.1 503"), "{got}");
+        assert_eq!(got.contains("retry-after: 0.500\r\n"), retry_after, "{got}");
+        assert_eq!(got.contains("retry-after"), retry_after, "{got}");
+        ends_in(world, LONG);
+    }
+}
+
 /// The send is over before its client is told: a class that may run once was refused while a reader still had it.
 #[test]
 fn what_is_out_is_closed_before_its_client_is_refused() {
