A configuration that is read while it is being written is read again

Half written it was refused ("the configuration was not taken") and discovery stayed at the old address until the next signal, while what the new one tells counts 4 s after this one. It is read again every 0.1 s for 2 s, or until the next signal; until it is sound the old one counts on.

Test: a_configuration_that_is_half_written_is_read_again; with the old code the new address is never asked.

--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -39,6 +39,9 @@
 const STILL_COMING_S: f64 = 0.5;
 /// What has not begun is answered so long before the process is killed.
 const BEFORE_KILL_S: f64 = 0.4;
+/// A configuration that cannot be read is read again so often, so long after: what discovery tells counts 4 s after SIGHUP.
+const HALF_WRITTEN: usize = 20;
+const AGAIN_S: f64 = 0.1;
 /// Descriptors that the process has for itself: standard streams, poller and its wakers, signals, the listener, a
 /// configuration that is read anew; and one more that is accepted before it is counted.
 const OWN: usize = 14;
@@ -105,14 +108,22 @@
         ex.spawn(async move {
             while reload.recv().await.is_ok() {
                 tracing::debug!(at = node.now(), "a new configuration");
-                match config.as_deref().map(start::discovery) {
-                    Some(Ok(now)) => {
+                let Some(path) = config.as_deref() else { continue };
+                let mut read = start::discovery(path);
+                // It may be in the middle of being written. Until it is sound the old one goes on counting.
+                for _ in 0..HALF_WRITTEN {
+                    if read.is_ok() || !reload.is_empty() {
+                        break;
+                    }
+                    Timer::after(seconds(AGAIN_S)).await;
+                    read = start::discovery(path);
+                }
+                match read {
+                    Ok(now) => {
                         *address.borrow_mut() = now;
                         let _ = moved.try_send(());
                     }
-                    // The old one goes on counting: half a configuration is none.
-                    Some(Err(why)) => tracing::warn!(why, "the configuration was not taken"),
-                    None => {}
+                    Err(why) => tracing::warn!(why, "the configuration was not taken"),
                 }
             }
         })
--- a/crates/nickelgw-platform/tests/cases/shutdown.rs
+++ b/crates/nickelgw-platform/tests/cases/shutdown.rs
@@ -77,6 +77,23 @@
     assert_eq!((w0.seen("POST").len(), w1.seen("POST").len()), (0, 1), "the one drains");
 }
 
+/// The file was being written when the signal came: read once, it was given up until the next signal.
+#[test]
+fn a_configuration_that_is_half_written_is_read_again() {
+    let path = config_file("half");
+    let (first, other) = (silent(), silent());
+    let all = config("x", &other.address.to_string(), Value::Null).to_string();
+    std::fs::write(&path, &all[..all.len() / 2]).unwrap();
+    let world = node(&first, &[], &[], Some(path.clone()));
+    first.wait("GET /v1/servers");
+    world.orders.reload();
+    sleep(Duration::from_millis(300));
+    assert!(other.seen("GET").is_empty());
+    std::fs::write(&path, &all).unwrap();
+    other.wait("GET /v1/servers");
+    std::fs::remove_file(path).unwrap();
+}
+
 /// The table is full of open requests, and more connections, with requests on them, wait at the door: the system has
 /// accepted those. The listener was closed over them, and all were reset.
 #[test]
