A slow client is not cut while it takes something

Events that waited for a slow client went out in one write of all of them, up to 32 and as long as they were, and the whole of that write had to be over within 5 s (`written` in clients.rs); a client that took 150 KB a second was cut in the middle of its stream. The 5 s now begin anew with each part that it takes, and events go out together up to 64 KiB and one event. Under back-pressure: what the system does not take waits in the channel (32 pieces), then the engine's connection is not read, and the engine waits.

Left: pieces that wait are bounded in number, each at most 256 KiB.

--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -31,6 +31,8 @@
 const ROOM_S: f64 = 0.02;
 /// A client that takes nothing for so long has left.
 const STALL_S: f64 = 5.0;
+/// Events that wait go out together, up to so many bytes and one event.
+const TOGETHER: usize = 64 * 1024;
 
 /// A connection as the table has it.
 struct Standing {
@@ -395,7 +397,7 @@
                         last = true;
                     }
                 }
-                next = from.try_recv().ok().filter(|_| !last);
+                next = if last || out.len() >= TOGETHER { None } else { from.try_recv().ok() };
             }
             if !written(socket, &out).await {
                 return Err(Then::Gone);
@@ -408,9 +410,17 @@
     }
 }
 
-async fn written(socket: &Socket, bytes: &[u8]) -> bool {
+/// Whether all of it was taken. A slow client is not one that has left: each part that it takes gives it time anew.
+async fn written(socket: &Socket, mut bytes: &[u8]) -> bool {
     let mut to = &socket.stream;
-    matches!(within(STALL_S, to.write_all(bytes)).await, Some(Ok(())))
+    while !bytes.is_empty() {
+        match within(STALL_S, to.write(bytes)).await {
+            Some(Ok(n)) if n > 0 => bytes = bytes.get(n..).unwrap_or_default(),
+            Some(Err(e)) if e.kind() == ErrorKind::Interrupted => {}
+            _ => return false,
+        }
+    }
+    true
 }
 
 /// Writes a whole answer.
--- a/crates/nickelgw-platform/tests/cases/events.rs
+++ b/crates/nickelgw-platform/tests/cases/events.rs
@@ -100,3 +100,34 @@
     let rest = answer(&mut c);
     assert_eq!(rest, "", "nothing more, and a close");
 }
+
+/// For 8 s it takes 150 KB a second: what waited for it went out in one write of megabytes that had to be over within 5 s.
+#[test]
+fn a_client_that_reads_slowly_gets_its_whole_stream() {
+    let event = format!("data: {}\n\n", "x".repeat(200_000));
+    let bytes = format!("{HEAD}{}0\r\n\r\n", chunk(&event).repeat(45)).into_bytes();
+    let (r, w) = (reader(), peer(move |_, _| Then::Answer(bytes.clone())));
+    let world = node(&silent(), &[&r], &[&w], None);
+    let s = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    s.set_recv_buffer_size(16 * 1024).unwrap();
+    s.connect(&world.node.into()).unwrap();
+    let mut c: TcpStream = s.into();
+    c.set_read_timeout(Some(LONG)).unwrap();
+    c.write_all(ask("eb01").as_bytes()).unwrap();
+    let (mut all, mut last, mut some) = (0, Vec::new(), vec![0; 50_000]);
+    let began = Instant::now();
+    loop {
+        let n = c.read(&mut some).unwrap_or(0);
+        if n == 0 {
+            break;
+        }
+        all += n;
+        last = [&last[last.len().saturating_sub(5)..], &some[..n]].concat();
+        if last.ends_with(b"0\r\n\r\n") {
+            break;
+        }
+        let at = Duration::from_secs_f64((all as f64 / 150_000.0).min(8.0));
+        std::thread::sleep(at.saturating_sub(began.elapsed()));
+    }
+    assert!(last.ends_with(b"0\r\n\r\n") && all > 9_000_000, "{all} bytes in {:?}", began.elapsed());
+}
