Discovery: an unwaited watch is not asked without end, an older list's changes ask for the whole

Changes with a lower generation than the one asked from, as of a discovery that began anew, were taken as news, and the rest of its list was never asked for; now the whole list is. And where nobody can move the address any more the loop no longer turns on a closed channel.

Tests: a_watch_that_does_not_wait_is_not_asked_without_end, changes_of_an_older_list_are_answered_by_asking_for_the_whole; both fail with the old code.

--- a/crates/nickelgw-platform/src/core/list.rs
+++ b/crates/nickelgw-platform/src/core/list.rs
@@ -37,6 +37,11 @@
         serde_json::from_slice(bytes).map_err(|e| e.to_string())
     }
 
+    /// Changes that lead to an older list than this one.
+    pub fn goes_back(&self, from: u64) -> bool {
+        !self.reset && self.generation < from
+    }
+
     /// A watch whose time passed brings none.
     pub fn is_none(&self) -> bool {
         !self.reset && self.instances.is_empty()
--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -11,10 +11,14 @@
 use smol::Timer;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Instant;
 
 const LIST: &str = "/v1/servers";
 /// A watch goes on with its next call; one that answers at once is not asked without end.
 const BETWEEN_S: f64 = 0.005;
+/// Gap behind a watch that was answered with nothing before its time: a watch goes on where the next call comes within
+/// 0.2 s (the platform's protocol).
+const UNWAITED_S: f64 = 0.1;
 /// Connections towards discovery: the one in use, and one that is about to close.
 pub const CONNECTIONS: usize = 2;
 
@@ -36,9 +40,10 @@
             Some(v) => format!("{LIST}?since={v}&timeout_ms={}", (times.wait_s * 1e3) as u64),
         };
         let (head, whole) = times.within(after.is_some());
+        let asked = Instant::now();
         let call = async { Some(pool.short(Within { head, whole }, "GET", &target, &at, MOST_LIST).await) };
         let other = async {
-            let _ = moved.recv().await;
+            told(&moved).await;
             None
         };
         let news = match futures_lite::future::or(call, other).await {
@@ -55,14 +60,22 @@
             Some(Ok((answer, _))) => Err(format!("status {}", answer.status)),
         };
         match news {
+            // Changes of an older list than was asked for: another agent's, or one that began anew. The whole tells.
+            Ok(news) if after.is_some_and(|v| news.goes_back(v)) => after = None,
             Ok(news) => {
+                let at_once =
+                    after.is_some() && news.is_none() && asked.elapsed().as_secs_f64() < times.wait_s / 2.0;
                 (after, failures) = (Some(news.generation), 0);
                 node.hear(news);
+                if at_once {
+                    // It brought nothing and did not wait: asked again at once it would only turn. Its address may move.
+                    within(UNWAITED_S, told(&moved)).await.into_iter().for_each(|_| after = None);
+                }
             }
             Err(why) => {
                 tracing::debug!(why, "the list was not had");
                 after = None;
-                within(times.gap(failures), moved.recv()).await;
+                within(times.gap(failures), told(&moved)).await;
                 failures += 1;
             }
         }
@@ -70,6 +83,13 @@
     }
 }
 
+/// Ready when the address has moved; never where nobody can move it any more.
+async fn told(moved: &Receiver<()>) {
+    if moved.recv().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 fn unusable(node: &Node, why: String) -> String {
     node.unusable("discovery", &why);
     why
--- a/crates/nickelgw-platform/tests/cases/told.rs
+++ b/crates/nickelgw-platform/tests/cases/told.rs
@@ -263,3 +263,49 @@
     let got = answer(&mut c);
     assert!(got.ends_with("0\r\n\r\n") && second.seen("POST").len() == 1, "{got}");
 }
+
+/// An agent that answers each watch at once, and with nothing, is not asked without end.
+#[test]
+fn a_watch_that_does_not_wait_is_not_asked_without_end() {
+    let d = drain();
+    let shared = agent(d.before.clone());
+    let unwaited = shared.clone();
+    let p = peer(move |asked, _| match asked.contains("since=") {
+        true => Then::Answer(plain("200 OK", r#"{"generation":3,"reset":false,"instances":[]}"#)),
+        false => says(&unwaited, asked),
+    });
+    let _world = d.world(&p, None);
+    p.wait("GET /v1/servers?since=");
+    let before = p.seen("GET").len();
+    sleep(Duration::from_secs(1));
+    let asked = p.seen("GET").len() - before;
+    assert!((4..=12).contains(&asked), "{asked} calls in a second");
+}
+
+/// Discovery began anew and counts from the beginning: changes of its new list mean nothing to the old one.
+#[test]
+fn changes_of_an_older_list_are_answered_by_asking_for_the_whole() {
+    let d = drain();
+    let (before, after) = (d.before.clone(), d.after.clone());
+    let lists = std::sync::atomic::AtomicUsize::new(0);
+    let p = peer(move |asked, _| {
+        let list = |generation: u64, instances: &Value| {
+            let all = json!({"generation": generation, "reset": true, "instances": instances}).to_string();
+            Then::Answer(plain("200 OK", &all))
+        };
+        if asked.contains("since=41") {
+            return Then::Answer(plain("200 OK", r#"{"generation":2,"reset":false,"instances":[]}"#));
+        }
+        if asked.contains("since=") {
+            // Nothing is newer than that.
+            sleep(Duration::from_millis(400));
+            return Then::Answer(plain("200 OK", r#"{"generation":2,"reset":false,"instances":[]}"#));
+        }
+        match lists.fetch_add(1, std::sync::atomic::Ordering::Relaxed) {
+            0 => list(41, &before),
+            _ => list(2, &after),
+        }
+    });
+    let world = d.world(&p, None);
+    assert!(d.told_in_s(&world) < 1.0);
+}
