--- a/crates/nickelgw-cli/tests/platform.rs
+++ b/crates/nickelgw-cli/tests/platform.rs
@@ -373,3 +373,78 @@
     let used: usize = fresh().map(|at| at.lock().unwrap().len()).sum();
     assert!(used > 20, "they are used: {used}");
 }
+
+impl Node {
+    /// The process does nothing from now on, whatever comes; as if its loop were late by all that time.
+    fn freeze(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::STOP).unwrap();
+        let until = Instant::now() + LONG;
+        let stat = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        while !stat().rsplit(')').next().unwrap().trim_start().starts_with('T') {
+            assert!(Instant::now() < until, "it goes on");
+            sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn thaw(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::CONT).unwrap();
+    }
+}
+
+/// The client's end and what would have it sent on are there at once when the loop looks again: queued with no reader, and
+/// then the list brings one; read, and then the reader answers; not taken yet.
+#[test]
+fn what_left_while_the_loop_was_late_is_not_sent_on() {
+    let (open, opened) = async_channel::bounded::<()>(1);
+    let at_reader = opened.clone();
+    let r = peer(move |_, _| {
+        let _ = at_reader.recv_blocking();
+        Then::Answer(plain("202 Accepted", r#"{"cached_tokens":4}"#))
+    });
+    let w = peer(|_, _| Then::Answer(stream()));
+    let told = list(&[&r], &[&w]).to_string();
+    let agent = peer(move |asked, _| {
+        if asked.contains("since=") {
+            return Then::Hold;
+        }
+        let _ = opened.recv_blocking();
+        Then::Answer(plain("200 OK", &told))
+    });
+    // One knows no reader until the agent tells it, the other has one from the start.
+    let (queues, reads) =
+        (node(60, &agent, list(&[], &[&w]), 128, 128), node(61, &silent(), list(&[&r], &[&w]), 128, 128));
+    let begin = |n: &Node, id: &str| {
+        n.ready_in();
+        let mut c = client(n.address);
+        c.write_all(ask(id).as_bytes()).unwrap();
+        c
+    };
+    let queued: Vec<TcpStream> = (0..5).map(|k| begin(&queues, &format!("fa0{k}"))).collect();
+    let read = begin(&reads, "fb01");
+    r.wait("POST");
+    agent.wait("GET /v1/servers HTTP");
+    sleep(Duration::from_millis(50));
+    [&queues, &reads].into_iter().for_each(Node::freeze);
+    drop((queued, read));
+    for (n, id) in [(&queues, "fa09"), (&reads, "fb09")] {
+        let mut c = client(n.address);
+        c.write_all(ask(id).as_bytes()).unwrap();
+    }
+    // The agent tells of the reader, and the reader has read.
+    open.close();
+    sleep(Duration::from_millis(100));
+    [&queues, &reads].into_iter().for_each(Node::thaw);
+    // Both go on and serve who stays.
+    for (n, id) in [(&queues, "fa10"), (&reads, "fb10")] {
+        assert!(say(n.address, ask(id).as_bytes()).ends_with("0\r\n\r\n"));
+    }
+    sleep(Duration::from_millis(500));
+    let ids = |p: &Peer| {
+        let id = |r: &String| r.split("X-Call-Id: ").nth(1).unwrap()[..4].to_string();
+        let mut all: Vec<String> = p.seen("POST").iter().map(id).collect();
+        all.sort();
+        all
+    };
+    assert_eq!(ids(&r), ["fa10", "fb01", "fb10"]);
+    assert_eq!(ids(&w), ["fa10", "fb10"]);
+}
