What may run once goes out on a connection younger than its engine was seen to keep them

The pool now remembers for each engine how long its connections stood when they ended (seen each second, when one is taken, and by a call that broke), and a send that may not be made again goes on one that has stood for no more than half of that, else on a new one. An answer on one that stood longer moves the figure up again. Other sends, and engines of which nothing ended, go as before. `Order` says which sends those are; what is remembered is bounded (2,048 engines).

--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -16,7 +16,7 @@
 use ledger::{Held, Ledger};
 use nickelgw::decide::Router;
 use nickelgw::interface::{
-    Arrival, Deployment, Ending, Eng, EngineLine, Inf, Learnt, Load, Outcome, Role, Standing,
+    Arrival, Deployment, Ending, Eng, EngineLine, Inf, Learnt, Load, Outcome, Repeat, Role, Standing,
 };
 use nickelgw_accord::core::Known;
 use nickelgw_chat::core::grant::{grant, Granted};
@@ -58,6 +58,7 @@
 
 struct Taken {
     serial: u64,
+    route: usize,
     name: Option<String>,
     story: Option<Story>,
     tenant: Option<usize>,
@@ -77,6 +78,8 @@
     /// Longest come-back time that clients are told; none: they are told none.
     longest_come_back_s: Option<f64>,
     tick: f64,
+    /// Routes of which a send that may have run is not made again.
+    once: Vec<bool>,
     /// First-token target of each route: a constant part, and one for each prompt token.
     targets: Vec<(f64, f64)>,
     places: HashMap<String, (Rc<Place>, Role)>,
@@ -120,6 +123,7 @@
             tick: deployment.tick_s,
             longest_come_back_s: deployment.longest_come_back_s,
             cancel: deployment.cancel,
+            once: deployment.routes.iter().map(|r| r.repeat == Repeat::NonRetriable).collect(),
             targets: deployment
                 .routes
                 .iter()
@@ -309,6 +313,7 @@
         let whole_at = ask.whole_within_s.map_or(f64::INFINITY, |s| now + s);
         self.taken[slot] = Some(Taken {
             serial: self.serial,
+            route: ask.route,
             name: ask.name.clone(),
             story: None,
             tenant: ask.tenant,
@@ -653,6 +658,7 @@
         let taken = self.get(ticket)?;
         let send = taken.sends.len() as u32;
         let read = role == Role::Read;
+        let route = taken.route;
         taken.sends.push(Sent { read, live: true, may_have_run: !read });
         let shared = taken.name.is_some();
         let name = taken.name.clone();
@@ -669,7 +675,8 @@
         };
         let from_state = matches!(what, Work::Write { state: Some(_), .. });
         self.note(now, ticket, Step::Sent { send, eng: eng.clone(), read, there, expected_s, from_state });
-        Some(Order { ticket, send, name, eng, patience_s, what })
+        let once = !read && self.once.get(route).copied().unwrap_or(true);
+        Some(Order { ticket, send, name, eng, patience_s, once, what })
     }
 
     /// What lets this writer fetch this state, once and for a time.
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use nickelgw::interface::{Group, ModelRoute, Repeat};
+use nickelgw::interface::{Group, ModelRoute};
 use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_protocol::list::{Line, State};
 use proptest::prelude::*;
--- a/crates/nickelgw-node/src/core/words.rs
+++ b/crates/nickelgw-node/src/core/words.rs
@@ -41,6 +41,8 @@
     pub eng: Rc<Place>,
     /// Time for a read to end, for a write to begin.
     pub patience_s: f64,
+    /// It may not be made again once it may have run.
+    pub once: bool,
     pub what: Work,
 }
 
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -307,7 +307,8 @@
         progress: &Progress,
     ) -> Result<(crate::wire::Connection, engine::Answer), End> {
         let ask = async {
-            let mut c = self.pool.connection(&order.eng.address, Use::Send).await?;
+            let what = if order.once { Use::Once } else { Use::Send };
+            let mut c = self.pool.connection(&order.eng.address, what).await?;
             // The connection may have come up late: the attempt begins only now.
             if client.off().is_some() {
                 self.pool.give_back(c);
@@ -319,8 +320,11 @@
             }
             progress.on.replace(Some(c.closer()));
             c.write(&passed.bytes(&order.eng.address, order.patience_s), &progress.out).await?;
-            let answer = c.answer().await?;
-            Ok((c, answer))
+            let answer = c.answer().await;
+            if answer.is_ok() || answer == Err(Cause::Lost) {
+                self.pool.told(&c, answer.is_ok());
+            }
+            Ok((c, answer?))
         };
         ask.await.map_err(|cause| End { cause, ..End::default() })
     }
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -19,6 +19,10 @@
 
 /// Bytes read at once.
 const READ: usize = 8 * 1024;
+/// For a send that may not be made again a connection has stood no longer than this part of what its engine was seen to keep.
+const YOUNG: f64 = 0.5;
+/// Engines of which it is known.
+const MOST_KEPT: usize = 2048;
 /// Interim answers before the one that counts.
 const MOST_INTERIM: usize = 16;
 
@@ -121,6 +125,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Use {
     Send,
+    /// One that may not be made again: a request that crosses the far side's close is a reset after which it may have run.
+    Once,
     Short,
 }
 
@@ -130,6 +136,10 @@
     stream: Rc<Async<TcpStream>>,
     buf: BytesMut,
     since: Instant,
+    /// How long it had stood unused when it was last seen open.
+    open_s: f64,
+    /// How long it had stood unused when its call was made; none: it is new.
+    stood_s: Option<f64>,
     _descriptor: Descriptor,
 }
 
@@ -209,6 +219,8 @@
 /// Connections that stand unused, most lately used last.
 pub struct Pool {
     idle: RefCell<BTreeMap<String, Vec<Connection>>>,
+    /// How long an engine was seen to keep what stands unused, where one of its connections ended.
+    kept_s: RefCell<BTreeMap<String, f64>>,
     open: Rc<Cell<usize>>,
     connect_s: f64,
     /// Longest that one is kept unused: engines close theirs at a time of their own.
@@ -220,17 +232,34 @@
 
 impl Pool {
     pub fn new(connect_s: f64, idle_s: f64, most: usize, kept_back: usize) -> Rc<Pool> {
-        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), connect_s, idle_s, most, kept_back })
+        Rc::new(Pool {
+            idle: RefCell::default(),
+            kept_s: RefCell::default(),
+            open: Rc::default(),
+            connect_s,
+            idle_s,
+            most,
+            kept_back,
+        })
     }
 
     /// A connection that stands, or a new one.
     pub async fn connection(&self, address: &str, what: Use) -> Result<Connection, Cause> {
-        while let Some(c) = self.idle.borrow_mut().get_mut(address).and_then(Vec::pop) {
-            if c.since.elapsed().as_secs_f64() < self.idle_s && c.is_sound() {
+        let idle_s = match what {
+            Use::Once => self.idle_s.min(YOUNG * self.kept_s.borrow().get(address).unwrap_or(&f64::INFINITY)),
+            Use::Send | Use::Short => self.idle_s,
+        };
+        loop {
+            let Some(mut c) = self.idle.borrow_mut().get_mut(address).and_then(Vec::pop) else { break };
+            let stood_s = c.since.elapsed().as_secs_f64();
+            if !c.is_sound() {
+                self.closed(&c, stood_s);
+            } else if stood_s < idle_s {
+                c.stood_s = Some(stood_s);
                 return Ok(c);
             }
         }
-        let most = if what == Use::Send { self.most.saturating_sub(self.kept_back) } else { self.most };
+        let most = if what == Use::Short { self.most } else { self.most.saturating_sub(self.kept_back) };
         if self.open.get() >= most {
             self.close_idle(|_| true);
         }
@@ -248,10 +277,38 @@
             stream: Rc::new(stream),
             buf: BytesMut::new(),
             since: Instant::now(),
+            open_s: 0.0,
+            stood_s: None,
             _descriptor: descriptor,
         })
     }
 
+    /// What a call on it tells of how long its engine keeps what stands unused: it was answered, or the connection broke.
+    pub fn told(&self, c: &Connection, answered: bool) {
+        let Some(stood_s) = c.stood_s else { return };
+        if !answered {
+            return self.keeps(&c.address, stood_s);
+        }
+        if let Some(kept_s) = self.kept_s.borrow_mut().get_mut(&c.address) {
+            *kept_s = kept_s.max(stood_s);
+        }
+    }
+
+    /// It has ended while it stood unused: since it was last seen open, at a time that is not known.
+    fn closed(&self, c: &Connection, stood_s: f64) {
+        self.keeps(&c.address, c.open_s.max(stood_s / 2.0));
+    }
+
+    fn keeps(&self, address: &str, s: f64) {
+        let mut all = self.kept_s.borrow_mut();
+        // Engines come and go; what is forgotten is seen again.
+        if all.len() >= MOST_KEPT && !all.contains_key(address) {
+            all.clear();
+        }
+        let kept_s = all.entry(address.to_string()).or_insert(f64::INFINITY);
+        *kept_s = kept_s.min(s);
+    }
+
     /// A connection whose last answer was read to its end waits for the next call.
     pub fn give_back(&self, mut c: Connection) {
         // What stands after an answer would be taken for the next one.
@@ -260,6 +317,7 @@
         }
         c.buf = BytesMut::new();
         c.since = Instant::now();
+        (c.open_s, c.stood_s) = (0.0, None);
         self.idle.borrow_mut().entry(c.address.clone()).or_default().push(c);
     }
 
@@ -270,11 +328,26 @@
         });
     }
 
-    /// Closes what has stood too long, until dropped.
+    /// Closes what has stood too long, or has ended, until dropped.
     pub async fn tend(self: Rc<Self>) {
         loop {
             Timer::after(seconds(1.0)).await;
-            self.close_idle(|c| c.since.elapsed().as_secs_f64() >= self.idle_s);
+            self.idle.borrow_mut().retain(|_, all| {
+                all.retain_mut(|c| {
+                    let stood_s = c.since.elapsed().as_secs_f64();
+                    if stood_s >= self.idle_s {
+                        return false;
+                    }
+                    let sound = c.is_sound();
+                    if sound {
+                        c.open_s = stood_s;
+                    } else {
+                        self.closed(c, stood_s);
+                    }
+                    sound
+                });
+                !all.is_empty()
+            });
         }
     }
 
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -9,6 +9,8 @@
 mod events;
 #[path = "cases/gone.rs"]
 mod gone;
+#[path = "cases/idle.rs"]
+mod idle;
 #[path = "cases/shutdown.rs"]
 mod shutdown;
 #[path = "cases/told.rs"]
