--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -277,7 +277,9 @@
                 r.queued += 1;
                 r.tokens += a.prompt;
                 r.keeps.insert(a.session, a.prompt);
-                a.text.into_iter().for_each(|t| drop(r.keeps.insert(t, 1500.0)));
+                if let Some(t) = a.text {
+                    r.keeps.insert(t, 1500.0);
+                }
                 let at = r.free_at;
                 self.at(at, n, What::Read(Send { kept, ..of }));
             } else if self.writers[eng - READERS] >= SLOTS {
