--- /dev/null
+++ b/crates/nickelgw-node/src/core/act.rs
@@ -0,0 +1,132 @@
+//! What is to be done after a batch of calls: the module's decisions as orders to the shell.
+
+use super::*;
+
+/// Engines that a call to let go is tried at before it is repeated.
+const TRIED: usize = 3;
+
+impl Core {
+    /// What to do after a batch of calls.
+    pub fn act(&mut self, now: f64) -> Actions {
+        while let Some(&(at, t)) = self.unseen.first().filter(|u| f64::from_bits(u.0) <= now) {
+            self.unseen.remove(&(at, t));
+            self.answer(now, t, Answer::Errored(Why::TimeUp));
+        }
+        let d = self.router.decide(now);
+        let mut todo = std::mem::take(&mut self.ready);
+        for &(inf, send) in &d.cancelled {
+            if let Some(ticket) = self.ticket(inf) {
+                todo.push(Do::CallOff { ticket, send });
+            }
+        }
+        for s in &d.sends {
+            todo.extend(self.order(now, s.inf, s.eng, s.patience_s).map(Do::Send));
+        }
+        for &(inf, come_back_s) in &d.shed {
+            if let Some(t) = self.ticket(inf) {
+                self.answer(now, t, Answer::Shed { come_back_s });
+            }
+        }
+        for &inf in &d.errored {
+            if let Some(t) = self.ticket(inf) {
+                let due = self.get(t).map_or(f64::INFINITY, |x| x.due_at);
+                let why = if now + 2.0 * self.tick >= due { Why::TimeUp } else { Why::SendsFailed };
+                self.answer(now, t, Answer::Errored(why));
+            }
+        }
+        for &inf in &d.released {
+            if let Some(t) = self.ticket(inf) {
+                self.ledger.let_go(now, t.serial);
+            }
+        }
+        for &eng in &d.probes {
+            let id = self.router.engine_id(eng);
+            match self.places.get(id) {
+                Some((place, _)) => todo.push(Do::Probe(place.clone())),
+                // The list took it out in this very batch.
+                None => {
+                    let id = id.to_string();
+                    self.router.probed(now, &id, Outcome::NoConnection, None);
+                }
+            }
+        }
+        if d.subscribe {
+            todo.push(Do::AskList);
+        }
+        for &inf in &d.closed {
+            if let Some(t) = self.ticket(inf) {
+                self.ledger.let_go(now, t.serial);
+                // A request must not vanish unanswered, whatever the Router thinks of it.
+                self.answer(now, t, Answer::Errored(Why::SendsFailed));
+            }
+        }
+        todo.append(&mut self.ready);
+        for inf in &d.closed {
+            self.taken[inf.0 as usize] = None;
+        }
+        let (calls, let_go_at) = self.ledger.due(now);
+        for (call, state) in calls {
+            let at = if state.shared { self.takers(&state.reader) } else { Vec::new() };
+            todo.push(Do::LetGo { call, state, at });
+        }
+        let (readers, sweep_at) = self.sweep.due(now);
+        todo.extend(readers.into_iter().map(Do::Sweep));
+        let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
+        let wake_at = [d.wake_at, let_go_at, sweep_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
+        Actions { todo, wake_at }
+    }
+
+    /// Engines that the module names for a call which any of them takes; the one meant at least.
+    fn takers(&self, meant: &Rc<Place>) -> Vec<Rc<Place>> {
+        let named = self.router.heard_last(&meant.id, TRIED);
+        let place = |e: &Eng| self.places.get(self.router.engine_id(*e)).map(|p| p.0.clone());
+        let places: Vec<_> = named.iter().filter_map(place).collect();
+        if places.is_empty() {
+            vec![meant.clone()]
+        } else {
+            places
+        }
+    }
+
+    /// Books a send and says what the shell needs to make it.
+    fn order(&mut self, now: f64, inf: Inf, eng: Eng, patience_s: f64) -> Option<Order> {
+        let ticket = self.ticket(inf)?;
+        let id = self.router.engine_id(eng).to_string();
+        let idle_s = self.figures.stream_idle_s;
+        let (eng, role) = match self.places.get(&id) {
+            Some((place, role)) => (place.clone(), *role),
+            None => (Rc::new(Place { id, address: String::new(), tls_name: None }), Role::Read),
+        };
+        let taken = self.get(ticket)?;
+        let send = taken.sends.len() as u32;
+        let read = role == Role::Read;
+        let route = taken.route;
+        taken.sends.push(Sent { read, live: true, may_have_run: !read });
+        let shared = taken.name.is_some();
+        let name = taken.name.clone();
+        let name = name.unwrap_or_else(|| format!("{}-{}-{send}", self.figures.boot, ticket.serial));
+        let (there, expected_s) = self.router.grounds(inf, send);
+        let what = if read {
+            let state = HeldState { name: name.clone(), reader: eng.clone(), shared };
+            self.ledger.coming(Held { owner: ticket.serial, read: send }, state);
+            Work::Read
+        } else {
+            let state = self.ledger.take(now, ticket.serial, send);
+            let grant = state.as_ref().and_then(|s| self.grant(now, s, &eng));
+            Work::Write { state, grant, idle_s }
+        };
+        let from_state = matches!(what, Work::Write { state: Some(_), .. });
+        self.note(now, ticket, Step::Sent { send, eng: eng.clone(), read, there, expected_s, from_state });
+        let once = !read && self.once.get(route).copied().unwrap_or(true);
+        Some(Order { ticket, send, name, eng, patience_s, once, what })
+    }
+
+    /// What lets this writer fetch this state, once and for a time.
+    fn grant(&self, now: f64, state: &HeldState, writer: &Place) -> Option<String> {
+        let unix_now = self.figures.epoch_unix_s + now;
+        let g = self.figures.grants.as_ref()?;
+        let until = unix_now + g.lifetime_s;
+        let granted = Granted { state: &state.name, reader: &state.reader.id, writer: &writer.id, until };
+        Some(grant(g.key(unix_now)?, &granted))
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-node/src/core/membership.rs
@@ -0,0 +1,117 @@
+//! What is told of engines, of other nodes and of what earlier processes learnt.
+
+use super::*;
+
+impl Core {
+    /// Under these ids other processes live than before: what was known of the old ones is void with the next list.
+    pub fn renewed(&mut self, now: f64, ids: &[String]) {
+        let gone = |id: &String| EngineLine {
+            id: id.clone(),
+            zone: 0,
+            cell: 0,
+            role: Role::Read,
+            memory_tokens: 1.0,
+            standing: Standing::Gone,
+            started_at: None,
+        };
+        let lines: Vec<EngineLine> = ids.iter().map(gone).collect();
+        self.router.list(now, &lines, false);
+    }
+
+    /// A list from the same source never goes back: an older one is an answer that was overtaken.
+    pub fn list(&mut self, now: f64, list: &List) {
+        if self.revision.is_some_and(|r| list.revision < r) {
+            return;
+        }
+        self.revision = Some(list.revision);
+        let mut lines = Vec::with_capacity(list.engines.len());
+        for l in &list.engines {
+            // A zone not in the settings cannot be weighed; the engine is left out, as if gone.
+            let Some(zone) = self.figures.zones.iter().position(|z| *z == l.zone) else { continue };
+            let role = match l.role {
+                list::Role::Read => Role::Read,
+                list::Role::Write => Role::Write,
+                list::Role::Both => Role::Both,
+            };
+            let standing = match l.state {
+                list::State::In => Standing::In,
+                list::State::Draining => Standing::Draining,
+                list::State::Gone => Standing::Gone,
+            };
+            let known =
+                self.places.get(&l.id).filter(|(p, _)| p.address == l.address && p.tls_name == l.tls_name);
+            let place = known.map_or_else(
+                || {
+                    Rc::new(Place {
+                        id: l.id.clone(),
+                        address: l.address.clone(),
+                        tls_name: l.tls_name.clone(),
+                    })
+                },
+                |(p, _)| p.clone(),
+            );
+            self.places.insert(l.id.clone(), (place, role));
+            lines.push(EngineLine {
+                id: l.id.clone(),
+                zone: zone as u32,
+                cell: l.cell,
+                role,
+                memory_tokens: l.memory_tokens,
+                standing,
+                started_at: l.started_at.map(|at| at - self.figures.epoch_unix_s),
+            });
+        }
+        let (places, listed): (_, BTreeSet<&str>) =
+            (&mut self.places, lines.iter().map(|l| &*l.id).collect());
+        places.retain(|id, _| listed.contains(id.as_str()));
+        // Out of the list, or listed at another address: a process that has ended.
+        let ended = |s: &HeldState| places.get(&s.reader.id).is_none_or(|p| p.0.address != s.reader.address);
+        self.ledger.readers_gone(now, ended);
+        let readers = places.values().filter(|p| p.1 != Role::Write).map(|p| p.0.clone());
+        self.sweep.listed(now, readers);
+        self.router.list(now, &lines, true);
+        if let Some((learnt, trust)) = self.recall.take_if(|_| !lines.is_empty()) {
+            self.router.recall(now, &learnt, trust);
+        }
+    }
+
+    /// What part of the whole is this node's has changed.
+    pub fn place(&mut self, now: f64, place: Option<(u32, u32)>) {
+        self.router.place(now, place.map(|(_, of)| of));
+    }
+
+    /// From now on it is one of a fleet, under this name.
+    pub fn join(&mut self, name: &str, figures: nickelgw_zones::core::Figures, round_s: f64, seed: u64) {
+        self.together = Some(Together::new(self.figures.zones.clone(), name, figures, round_s, seed));
+    }
+
+    /// What other nodes of the fleet have told: turns the ways to zones. What is to be told to them comes back.
+    pub fn round(&mut self, now: f64, others: &[Known]) -> Option<Round> {
+        Some(self.together.as_mut()?.round(now, &mut self.router, others))
+    }
+
+    /// What an earlier process of this node had learnt, as it was kept; false: it cannot be read.
+    pub fn recall(&mut self, kept: &[u8], trust: f64) -> bool {
+        self.recall = kept::read(kept, self.figures.epoch_unix_s).map(|l| (l, trust));
+        self.recall.is_some()
+    }
+
+    /// What is to be kept for the next one.
+    pub fn learnt(&self, now: f64) -> Vec<u8> {
+        kept::write(&self.router.learnt(now), self.figures.epoch_unix_s)
+    }
+
+    pub fn swept(&mut self, now: f64, address: &str, done: bool) {
+        self.sweep.told(now, address, done);
+    }
+
+    /// The last list of an earlier process: used until a source speaks, whose first word counts at any revision.
+    pub fn list_unproved(&mut self, now: f64, list: &List) {
+        self.list(now, list);
+        self.revision = None;
+    }
+
+    pub fn list_failed(&mut self, now: f64) {
+        self.router.list_failed(now);
+    }
+}
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -1,11 +1,13 @@
 //! A request's life around the Router, without I/O: calls tell what happened and when, [`Core::act`] returns what
 //! to do. No clock, socket or task; equal calls give equal actions.
 
+mod act;
 pub mod cause;
 pub mod door;
 pub mod kept;
 pub mod ledger;
 pub mod life;
+mod membership;
 pub mod sweep;
 pub mod together;
 pub mod trace;
@@ -35,9 +37,6 @@
     (first_s * f64::from(1u32 << tries.min(16))).min(longest_s)
 }
 
-/// Engines that a call to let go is tried at before it is repeated.
-const TRIED: usize = 3;
-
 /// Part of its target past which a first token counts as late for the limit: one that waits for misses has had them.
 const IN_GOOD_TIME: f64 = 0.4;
 
@@ -167,118 +166,6 @@
         self.taken.iter().all(Option::is_none) && self.ledger.is_empty()
     }
 
-    /// Under these ids other processes live than before: what was known of the old ones is void with the next list.
-    pub fn renewed(&mut self, now: f64, ids: &[String]) {
-        let gone = |id: &String| EngineLine {
-            id: id.clone(),
-            zone: 0,
-            cell: 0,
-            role: Role::Read,
-            memory_tokens: 1.0,
-            standing: Standing::Gone,
-            started_at: None,
-        };
-        let lines: Vec<EngineLine> = ids.iter().map(gone).collect();
-        self.router.list(now, &lines, false);
-    }
-
-    /// A list from the same source never goes back: an older one is an answer that was overtaken.
-    pub fn list(&mut self, now: f64, list: &List) {
-        if self.revision.is_some_and(|r| list.revision < r) {
-            return;
-        }
-        self.revision = Some(list.revision);
-        let mut lines = Vec::with_capacity(list.engines.len());
-        for l in &list.engines {
-            // A zone not in the settings cannot be weighed; the engine is left out, as if gone.
-            let Some(zone) = self.figures.zones.iter().position(|z| *z == l.zone) else { continue };
-            let role = match l.role {
-                list::Role::Read => Role::Read,
-                list::Role::Write => Role::Write,
-                list::Role::Both => Role::Both,
-            };
-            let standing = match l.state {
-                list::State::In => Standing::In,
-                list::State::Draining => Standing::Draining,
-                list::State::Gone => Standing::Gone,
-            };
-            let known =
-                self.places.get(&l.id).filter(|(p, _)| p.address == l.address && p.tls_name == l.tls_name);
-            let place = known.map_or_else(
-                || {
-                    Rc::new(Place {
-                        id: l.id.clone(),
-                        address: l.address.clone(),
-                        tls_name: l.tls_name.clone(),
-                    })
-                },
-                |(p, _)| p.clone(),
-            );
-            self.places.insert(l.id.clone(), (place, role));
-            lines.push(EngineLine {
-                id: l.id.clone(),
-                zone: zone as u32,
-                cell: l.cell,
-                role,
-                memory_tokens: l.memory_tokens,
-                standing,
-                started_at: l.started_at.map(|at| at - self.figures.epoch_unix_s),
-            });
-        }
-        let (places, listed): (_, BTreeSet<&str>) =
-            (&mut self.places, lines.iter().map(|l| &*l.id).collect());
-        places.retain(|id, _| listed.contains(id.as_str()));
-        // Out of the list, or listed at another address: a process that has ended.
-        let ended = |s: &HeldState| places.get(&s.reader.id).is_none_or(|p| p.0.address != s.reader.address);
-        self.ledger.readers_gone(now, ended);
-        let readers = places.values().filter(|p| p.1 != Role::Write).map(|p| p.0.clone());
-        self.sweep.listed(now, readers);
-        self.router.list(now, &lines, true);
-        if let Some((learnt, trust)) = self.recall.take_if(|_| !lines.is_empty()) {
-            self.router.recall(now, &learnt, trust);
-        }
-    }
-
-    /// What part of the whole is this node's has changed.
-    pub fn place(&mut self, now: f64, place: Option<(u32, u32)>) {
-        self.router.place(now, place.map(|(_, of)| of));
-    }
-
-    /// From now on it is one of a fleet, under this name.
-    pub fn join(&mut self, name: &str, figures: nickelgw_zones::core::Figures, round_s: f64, seed: u64) {
-        self.together = Some(Together::new(self.figures.zones.clone(), name, figures, round_s, seed));
-    }
-
-    /// What other nodes of the fleet have told: turns the ways to zones. What is to be told to them comes back.
-    pub fn round(&mut self, now: f64, others: &[Known]) -> Option<Round> {
-        Some(self.together.as_mut()?.round(now, &mut self.router, others))
-    }
-
-    /// What an earlier process of this node had learnt, as it was kept; false: it cannot be read.
-    pub fn recall(&mut self, kept: &[u8], trust: f64) -> bool {
-        self.recall = kept::read(kept, self.figures.epoch_unix_s).map(|l| (l, trust));
-        self.recall.is_some()
-    }
-
-    /// What is to be kept for the next one.
-    pub fn learnt(&self, now: f64) -> Vec<u8> {
-        kept::write(&self.router.learnt(now), self.figures.epoch_unix_s)
-    }
-
-    pub fn swept(&mut self, now: f64, address: &str, done: bool) {
-        self.sweep.told(now, address, done);
-    }
-
-    /// The last list of an earlier process: used until a source speaks, whose first word counts at any revision.
-    pub fn list_unproved(&mut self, now: f64, list: &List) {
-        self.list(now, list);
-        self.revision = None;
-    }
-
-    pub fn list_failed(&mut self, now: f64) {
-        self.router.list_failed(now);
-    }
-
     /// Takes a request, or says why not.
     pub fn take(&mut self, now: f64, ask: &Ask) -> Result<Ticket, Refusal> {
         if let Err(why) = self.may_enter(ask) {
@@ -563,130 +450,6 @@
         let orders: Vec<Do> = live.map(|(n, _)| Do::CallOff { ticket: t, send: n as u32 }).collect();
         self.ready.extend(orders);
     }
-
-    /// What to do after a batch of calls.
-    pub fn act(&mut self, now: f64) -> Actions {
-        while let Some(&(at, t)) = self.unseen.first().filter(|u| f64::from_bits(u.0) <= now) {
-            self.unseen.remove(&(at, t));
-            self.answer(now, t, Answer::Errored(Why::TimeUp));
-        }
-        let d = self.router.decide(now);
-        let mut todo = std::mem::take(&mut self.ready);
-        for &(inf, send) in &d.cancelled {
-            if let Some(ticket) = self.ticket(inf) {
-                todo.push(Do::CallOff { ticket, send });
-            }
-        }
-        for s in &d.sends {
-            todo.extend(self.order(now, s.inf, s.eng, s.patience_s).map(Do::Send));
-        }
-        for &(inf, come_back_s) in &d.shed {
-            if let Some(t) = self.ticket(inf) {
-                self.answer(now, t, Answer::Shed { come_back_s });
-            }
-        }
-        for &inf in &d.errored {
-            if let Some(t) = self.ticket(inf) {
-                let due = self.get(t).map_or(f64::INFINITY, |x| x.due_at);
-                let why = if now + 2.0 * self.tick >= due { Why::TimeUp } else { Why::SendsFailed };
-                self.answer(now, t, Answer::Errored(why));
-            }
-        }
-        for &inf in &d.released {
-            if let Some(t) = self.ticket(inf) {
-                self.ledger.let_go(now, t.serial);
-            }
-        }
-        for &eng in &d.probes {
-            let id = self.router.engine_id(eng);
-            match self.places.get(id) {
-                Some((place, _)) => todo.push(Do::Probe(place.clone())),
-                // The list took it out in this very batch.
-                None => {
-                    let id = id.to_string();
-                    self.router.probed(now, &id, Outcome::NoConnection, None);
-                }
-            }
-        }
-        if d.subscribe {
-            todo.push(Do::AskList);
-        }
-        for &inf in &d.closed {
-            if let Some(t) = self.ticket(inf) {
-                self.ledger.let_go(now, t.serial);
-                // A request must not vanish unanswered, whatever the Router thinks of it.
-                self.answer(now, t, Answer::Errored(Why::SendsFailed));
-            }
-        }
-        todo.append(&mut self.ready);
-        for inf in &d.closed {
-            self.taken[inf.0 as usize] = None;
-        }
-        let (calls, let_go_at) = self.ledger.due(now);
-        for (call, state) in calls {
-            let at = if state.shared { self.takers(&state.reader) } else { Vec::new() };
-            todo.push(Do::LetGo { call, state, at });
-        }
-        let (readers, sweep_at) = self.sweep.due(now);
-        todo.extend(readers.into_iter().map(Do::Sweep));
-        let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
-        let wake_at = [d.wake_at, let_go_at, sweep_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
-        Actions { todo, wake_at }
-    }
-
-    /// Engines that the module names for a call which any of them takes; the one meant at least.
-    fn takers(&self, meant: &Rc<Place>) -> Vec<Rc<Place>> {
-        let named = self.router.heard_last(&meant.id, TRIED);
-        let place = |e: &Eng| self.places.get(self.router.engine_id(*e)).map(|p| p.0.clone());
-        let places: Vec<_> = named.iter().filter_map(place).collect();
-        if places.is_empty() {
-            vec![meant.clone()]
-        } else {
-            places
-        }
-    }
-
-    /// Books a send and says what the shell needs to make it.
-    fn order(&mut self, now: f64, inf: Inf, eng: Eng, patience_s: f64) -> Option<Order> {
-        let ticket = self.ticket(inf)?;
-        let id = self.router.engine_id(eng).to_string();
-        let idle_s = self.figures.stream_idle_s;
-        let (eng, role) = match self.places.get(&id) {
-            Some((place, role)) => (place.clone(), *role),
-            None => (Rc::new(Place { id, address: String::new(), tls_name: None }), Role::Read),
-        };
-        let taken = self.get(ticket)?;
-        let send = taken.sends.len() as u32;
-        let read = role == Role::Read;
-        let route = taken.route;
-        taken.sends.push(Sent { read, live: true, may_have_run: !read });
-        let shared = taken.name.is_some();
-        let name = taken.name.clone();
-        let name = name.unwrap_or_else(|| format!("{}-{}-{send}", self.figures.boot, ticket.serial));
-        let (there, expected_s) = self.router.grounds(inf, send);
-        let what = if read {
-            let state = HeldState { name: name.clone(), reader: eng.clone(), shared };
-            self.ledger.coming(Held { owner: ticket.serial, read: send }, state);
-            Work::Read
-        } else {
-            let state = self.ledger.take(now, ticket.serial, send);
-            let grant = state.as_ref().and_then(|s| self.grant(now, s, &eng));
-            Work::Write { state, grant, idle_s }
-        };
-        let from_state = matches!(what, Work::Write { state: Some(_), .. });
-        self.note(now, ticket, Step::Sent { send, eng: eng.clone(), read, there, expected_s, from_state });
-        let once = !read && self.once.get(route).copied().unwrap_or(true);
-        Some(Order { ticket, send, name, eng, patience_s, once, what })
-    }
-
-    /// What lets this writer fetch this state, once and for a time.
-    fn grant(&self, now: f64, state: &HeldState, writer: &Place) -> Option<String> {
-        let unix_now = self.figures.epoch_unix_s + now;
-        let g = self.figures.grants.as_ref()?;
-        let until = unix_now + g.lifetime_s;
-        let granted = Granted { state: &state.name, reader: &state.reader.id, writer: &writer.id, until };
-        Some(grant(g.key(unix_now)?, &granted))
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/nickelgw-node/src/core/tests/between.rs
@@ -0,0 +1,122 @@
+//! Between processes, and between tenants.
+
+use super::*;
+
+#[test]
+fn what_one_process_learns_the_next_knows_as_far_as_it_is_fresh() {
+    let mut old = core(64);
+    let (mut now, mut bad) = (1.0, None);
+    // Reads take longer than first guessed, and the last one fails.
+    for n in 0..3 {
+        let t = old.take(now, &Ask { timeout_s: 9.0, ..ask(0) }).unwrap();
+        for _ in 0..4 {
+            let todo = old.act(now).todo;
+            now += 0.1;
+            for d in todo {
+                if let Do::Send(o) = d {
+                    let fails = n == 2 && o.what == Work::Read;
+                    bad = bad.or(fails.then(|| o.eng.id.clone()));
+                    old.ended(
+                        now,
+                        o.ticket,
+                        o.send,
+                        end(if fails { Cause::Failed(500) } else { Cause::Read }),
+                    );
+                }
+            }
+        }
+        old.left(now, t);
+        // What is called off by that, or sent meanwhile, ends too.
+        for d in old.act(now).todo {
+            if let Do::Send(Order { ticket, send, .. }) | Do::CallOff { ticket, send } = d {
+                old.ended(now, ticket, send, end(Cause::CalledOff));
+            }
+        }
+    }
+    let kept = old.learnt(now);
+    let learnt = kept::read(&kept, 0.0).unwrap();
+    let bad = |l: &Learnt| l.engines.iter().any(|e| Some(&e.id) == bad.as_ref() && e.faults > 0.2);
+    assert!(bad(&learnt), "{learnt:?}");
+    // The next process began at another time of its own.
+    let fresh = |trust: f64| {
+        let mut c = core(64);
+        c.figures.epoch_unix_s = now;
+        assert!(c.recall(&kept, trust));
+        c.list(0.1, &list(2, &[State::In; 8]));
+        kept::read(&c.learnt(0.2), now).unwrap()
+    };
+    let (whole, half, none) = (fresh(1.0), fresh(0.5), fresh(0.0));
+    assert_eq!(whole.figures, learnt.figures);
+    let prompt = |l: &Learnt| l.figures[1];
+    assert!(prompt(&none) == 0.0 && prompt(&half) == prompt(&whole) / 2.0);
+    assert!(bad(&whole) && none.engines.is_empty());
+    let mut c = core(4);
+    assert!(!c.recall(b"junk", 1.0));
+    assert!(c.recall(br#"{"figures":[1,2],"engines":[]}"#, 1.0));
+    c.list(0.1, &list(2, &[State::In; 8]));
+}
+
+#[test]
+fn when_there_is_not_enough_a_tenant_with_its_part_is_refused_and_another_is_not() {
+    let mut c = core(100);
+    let shares = FairShares {
+        figures: fair::Figures { least: 4.0, window: 10, ..fair::Figures::default() },
+        weights: vec![1.0, 1.0],
+    };
+    c.figures.fair = Some(shares);
+    c.limit = fair::Limit::new(fair::Figures { least: 4.0, window: 10, ..fair::Figures::default() }, 100.0);
+    let of = |tenant| Ask { tenant: Some(tenant), ..ask(0) };
+    // One alone is never refused for fairness; what is given up late tells that there is too much.
+    let mut open = Vec::new();
+    for n in 0..60 {
+        let now = 1.0 + 0.05 * f64::from(n);
+        open.push(c.take(now, &of(0)).unwrap());
+        c.act(now);
+    }
+    for k in 0..60 {
+        c.act(4.0 + 0.05 * f64::from(k));
+    }
+    assert!(c.limit.get() < 60.0, "{}", c.limit.get());
+    let now = 7.0;
+    let most = c.limit.get();
+    while (c.open() as f64) < most {
+        c.take(now, &of(0)).unwrap();
+    }
+    let other = c.take(now, &of(1)).unwrap();
+    assert_eq!(c.take(now, &of(0)), Err(Refusal::OverPart));
+    assert!(c.take(now, &of(1)).is_ok() || most < 6.0);
+    c.left(now, other);
+}
+
+#[test]
+fn a_tenant_has_no_more_open_than_it_may() {
+    let mut c = core(8);
+    c.figures.tenant_most_open = vec![Some(2)];
+    let first = c.take(1.0, &ask(0)).unwrap();
+    c.take(1.0, &ask(1)).unwrap();
+    assert_eq!(c.take(1.0, &ask(0)), Err(Refusal::TenantFull));
+    assert!(c.take(1.0, &Ask { tenant: None, ..ask(0) }).is_ok());
+    c.left(1.1, first);
+    assert!(c.take(1.1, &ask(0)).is_ok());
+}
+
+#[test]
+fn a_write_carries_a_grant_by_the_key_whose_time_has_come() {
+    use nickelgw_chat::core::grant::Checker;
+    let key = |n| GrantKey::of(n, &format!("a long enough secret {n}")).unwrap();
+    let mut c = core(4);
+    c.figures.epoch_unix_s = 1000.0;
+    c.figures.grants = Some(Grants { keys: vec![(0.0, key(1)), (1002.0, key(2))], lifetime_s: 5.0 });
+    let mut reader = Checker::new([key(1), key(2)]);
+    for (at, number) in [(1.0, "1."), (3.0, "2.")] {
+        let t = c.take(at, &ask(0)).unwrap();
+        c.act(at);
+        let read = first_send(&mut c, at + 0.02);
+        c.ended(at + 0.1, t, read.send, end(Cause::Read));
+        let write = first_send(&mut c, at + 0.1);
+        let Work::Write { state: Some(s), grant: Some(g), .. } = &write.what else { panic!("{write:?}") };
+        assert!(g.starts_with(number), "{g}");
+        let granted = Granted { state: &s.name, reader: &s.reader.id, writer: &write.eng.id, until: 0.0 };
+        assert_eq!(reader.check(1000.0 + at + 0.2, g, &granted), Ok(()));
+    }
+}
