--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -69,7 +69,9 @@
                 node.hear(news);
                 if at_once {
                     // It brought nothing and did not wait: asked again at once it would only turn. Its address may move.
-                    within(UNWAITED_S, told(&moved)).await.into_iter().for_each(|_| after = None);
+                    if within(UNWAITED_S, told(&moved)).await.is_some() {
+                        after = None;
+                    }
                 }
             }
             Err(why) => {
--- a/crates/nickelgw-platform/tests/cases/close.rs
+++ b/crates/nickelgw-platform/tests/cases/close.rs
@@ -77,13 +77,7 @@
 #[test_case(format!("{HEAD}4").into_bytes(); "half a chunk's size")]
 #[test_case(format!("{HEAD}40\r\ndata: {{\"n\"").into_bytes(); "half an event")]
 fn an_answer_that_breaks_off_before_its_first_event_is_sent_again(bytes: Vec<u8>) {
-    let w = peer(move |_, n| match n {
-        1 => Then::Break(bytes.clone()),
-        _ => Then::Answer(stream()),
-    });
-    let r = reader();
-    let world = node(&silent(), &[&r], &[&w], None);
-    let got = world.say(ask("da04").as_bytes());
+    let got = after_a_bad_answer("da04", move || Then::Break(bytes.clone()));
     assert!(got.contains(&chunk(EVENTS[0])) && got.ends_with("0\r\n\r\n"), "{got}");
 }
 
--- a/crates/nickelgw-platform/tests/cases/events.rs
+++ b/crates/nickelgw-platform/tests/cases/events.rs
@@ -43,13 +43,7 @@
 #[test_case("data: {\"n\":1}\n"; "all but its end")]
 fn a_stream_that_breaks_inside_its_first_event_is_sent_again(half: &str) {
     let bytes = format!("{HEAD}{}", chunk(half)).into_bytes();
-    let w = peer(move |_, n| match n {
-        1 => Then::Break(bytes.clone()),
-        _ => Then::Answer(stream()),
-    });
-    let r = reader();
-    let world = node(&silent(), &[&r], &[&w], None);
-    let got = world.say(ask("ea01").as_bytes());
+    let got = after_a_bad_answer("ea01", move || Then::Break(bytes.clone()));
     assert!(got.contains(&chunk(EVENTS[0])) && got.ends_with("0\r\n\r\n"), "{got}");
 }
 
@@ -77,13 +71,7 @@
 #[test]
 fn a_first_chunk_that_does_not_fit_is_a_failed_attempt() {
     let first = format!("{HEAD}40\r\n{}\r\n{}{}", EVENTS[0], chunk(TWO), chunk(&TWO.repeat(9)));
-    let w = peer(move |_, n| match n {
-        1 => Then::Answer(first.clone().into_bytes()),
-        _ => Then::Answer(stream()),
-    });
-    let r = reader();
-    let world = node(&silent(), &[&r], &[&w], None);
-    let got = world.say(ask("ea03").as_bytes());
+    let got = after_a_bad_answer("ea03", move || Then::Answer(first.clone().into_bytes()));
     assert!(got.contains(&chunk(EVENTS[0])) && got.ends_with("0\r\n\r\n") && !got.contains(TWO), "{got}");
 }
 
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -287,3 +287,13 @@
         }
     }
 }
+
+/// What a client gets whose writer answers like this at first, and well when it is sent to again.
+pub fn after_a_bad_answer(id: &str, first: impl Fn() -> Then + Send + Sync + 'static) -> String {
+    let w = peer(move |_, n| match n {
+        1 => first(),
+        _ => Then::Answer(stream()),
+    });
+    let r = reader();
+    node(&silent(), &[&r], &[&w], None).say(ask(id).as_bytes())
+}
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -43,13 +43,7 @@
 #[test_case(&format!("{HEAD}2\r\ndata: 1\n\n\r\n"); "a chunk that does not fit")]
 fn a_stream_spoilt_before_its_first_event_is_sent_again(bytes: &str) {
     let bytes = bytes.as_bytes().to_vec();
-    let w = peer(move |_, n| match n {
-        1 => Then::Answer(bytes.clone()),
-        _ => Then::Answer(stream()),
-    });
-    let r = reader();
-    let world = node(&silent(), &[&r], &[&w], None);
-    let got = world.say(ask("aa02").as_bytes());
+    let got = after_a_bad_answer("aa02", move || Then::Answer(bytes.clone()));
     assert!(got.contains(&chunk(EVENTS[0])) && got.ends_with("0\r\n\r\n"), "{got}");
 }
 
--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -1,11 +1,13 @@
 //! What all nodes together send an engine that has just started: the cores of a whole fleet in one process, on a clock of
 //! their own. Reads, writes, probes and resends all count.
 
+mod common;
+
+use common::Clock;
 use nanorand::{Rng, WyRand};
 use nickelgw::decide::Router;
 use nickelgw::interface::*;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
 
 /// Engines of each role, and inferences a second that a warm one bears.
@@ -79,32 +81,6 @@
     Full(Send),
 }
 
-struct Event {
-    at: f64,
-    order: u64,
-    node: usize,
-    /// The process of the node that it is for.
-    life: u32,
-    what: What,
-}
-
-impl PartialEq for Event {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-impl Eq for Event {}
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Event {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.at.total_cmp(&other.at).then(self.order.cmp(&other.order))
-    }
-}
-
 struct Node {
     router: Router,
     life: u32,
@@ -127,8 +103,10 @@
     course: Course,
     nodes: Vec<Node>,
     engines: Vec<Engine>,
-    events: BinaryHeap<Reverse<Event>>,
-    order: u64,
+    /// For which node, and which of its processes.
+    clock: Clock<(usize, u32, What)>,
+    /// Sends so far.
+    sent: u64,
     /// Sends without an ending.
     live: BTreeSet<u64>,
     chance: WyRand,
@@ -168,8 +146,8 @@
             course,
             nodes: (0..nodes).map(node).collect(),
             engines: (0..2 * EACH).map(|e| Engine { started: start(e), out: 0, calls: Vec::new() }).collect(),
-            events: BinaryHeap::new(),
-            order: 0,
+            clock: Clock::new(),
+            sent: 0,
             live: BTreeSet::new(),
             chance: WyRand::new_seed(seed),
             served: 0,
@@ -199,9 +177,8 @@
     }
 
     fn at(&mut self, at: f64, node: usize, what: What) {
-        self.order += 1;
         let life = self.nodes[node].life;
-        self.events.push(Reverse(Event { at, order: self.order, node, life, what }));
+        self.clock.at(at, (node, life, what));
     }
 
     /// A process of this node begins; it knows what has started so far.
@@ -286,8 +263,8 @@
         }
         for s in &todo.sends {
             let eng = self.call(now, n, s.eng);
-            self.order += 1;
-            let number = self.order;
+            self.sent += 1;
+            let number = self.sent;
             self.live.insert(number);
             let sends = self.nodes[n].sends.entry(s.inf.0).or_default();
             let of = Send { inf: s.inf, send: sends.len() as u32, eng, sent: now, number };
@@ -358,7 +335,7 @@
 
     /// Plays it, and returns the largest share of what an engine may get that any got, and what was served.
     fn play(mut self) -> (f64, u32) {
-        while let Some(Reverse(Event { at: now, node: n, life, what, .. })) = self.events.pop() {
+        while let Some((now, (n, life, what))) = self.clock.next() {
             if now > END {
                 break;
             }
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -1,11 +1,13 @@
 //! Who is answered while there is room, and who beyond it: the cores of many nodes in one process, on a clock of their own.
 //! The longest prompts of a class and each session have their part, however uneven the nodes' traffic.
 
+mod common;
+
+use common::Clock;
 use nanorand::{Rng, WyRand};
 use nickelgw::decide::Router;
 use nickelgw::interface::*;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use test_case::test_case;
 
 const NODES: usize = 30;
@@ -43,30 +45,6 @@
     Probed(usize),
 }
 
-struct Event {
-    at: f64,
-    order: u64,
-    node: usize,
-    what: What,
-}
-
-impl PartialEq for Event {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-impl Eq for Event {}
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Event {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.at.total_cmp(&other.at).then(self.order.cmp(&other.order))
-    }
-}
-
 struct Reader {
     free_at: f64,
     queued: usize,
@@ -98,8 +76,8 @@
     open: Vec<BTreeMap<u32, Asked>>,
     readers: Vec<Reader>,
     writers: Vec<u32>,
-    events: BinaryHeap<Reverse<Event>>,
-    order: u64,
+    /// For which node.
+    clock: Clock<(usize, What)>,
     chance: WyRand,
     /// Inferences a second, all nodes.
     rate: f64,
@@ -168,8 +146,7 @@
             open: vec![BTreeMap::new(); NODES],
             readers: (0..READERS).map(reader).collect(),
             writers: vec![0; WRITERS],
-            events: BinaryHeap::new(),
-            order: 0,
+            clock: Clock::new(),
             chance,
             rate,
             sessions: Vec::new(),
@@ -195,8 +172,7 @@
     }
 
     fn at(&mut self, at: f64, node: usize, what: What) {
-        self.order += 1;
-        self.events.push(Reverse(Event { at, order: self.order, node, what }));
+        self.clock.at(at, (node, what));
     }
 
     fn load(&self, e: usize) -> Load {
@@ -321,7 +297,7 @@
     }
 
     fn play(mut self) -> Vec<Over> {
-        while let Some(Reverse(Event { at: now, node: n, what, .. })) = self.events.pop() {
+        while let Some((now, (n, what))) = self.clock.next() {
             if now > END {
                 break;
             }
