Why an inference was given up is told with its figures, and a table of causes is read from logs

The log told that an inference was shed, not by which test, nor what its engines were. Now the module names the reason of each that it gives up (`Reason`: too late to start, a first token unlikely, no further send, held too long, time up), with the figures of the test; a story and the platform's debug log have it, and a send's line says what it was made on (prompts there, time expected, age of the engine's process, silence). No decision changes.

--- a/crates/nickelgw-node/src/core/act.rs
+++ b/crates/nickelgw-node/src/core/act.rs
@@ -22,6 +22,11 @@
         for s in &d.sends {
             todo.extend(self.order(now, s.inf, s.eng, s.patience_s).map(Do::Send));
         }
+        let named = d.reasons.iter().filter_map(|&(inf, reason)| Some((self.ticket(inf)?, reason)));
+        let reasons: Vec<(Ticket, Reason)> = named.collect();
+        for &(t, reason) in &reasons {
+            self.note(now, t, Step::GivenUp(reason));
+        }
         for &(inf, come_back_s) in &d.shed {
             if let Some(t) = self.ticket(inf) {
                 self.answer(now, t, Answer::Shed { come_back_s });
@@ -73,7 +78,7 @@
         todo.extend(readers.into_iter().map(Do::Sweep));
         let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
         let wake_at = [d.wake_at, let_go_at, sweep_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
-        Actions { todo, wake_at }
+        Actions { todo, reasons, wake_at }
     }
 
     /// Engines that the module names for a call which any of them takes; the one meant at least.
@@ -105,7 +110,7 @@
         let shared = taken.name.is_some();
         let name = taken.name.clone();
         let name = name.unwrap_or_else(|| format!("{}-{}-{send}", self.figures.boot, ticket.serial));
-        let (there, expected_s) = self.router.grounds(inf, send);
+        let grounds = self.router.grounds(inf, send);
         let what = if read {
             let state = HeldState { name: name.clone(), reader: eng.clone(), shared };
             self.ledger.coming(Held { owner: ticket.serial, read: send }, state);
@@ -116,9 +121,9 @@
             Work::Write { state, grant, idle_s }
         };
         let from_state = matches!(what, Work::Write { state: Some(_), .. });
-        self.note(now, ticket, Step::Sent { send, eng: eng.clone(), read, there, expected_s, from_state });
+        self.note(now, ticket, Step::Sent { send, eng: eng.clone(), read, grounds, from_state });
         let once = !read && self.once.get(route).copied().unwrap_or(true);
-        Some(Order { ticket, send, name, eng, patience_s, once, what })
+        Some(Order { ticket, send, name, eng, patience_s, once, what, grounds })
     }
 
     /// What lets this writer fetch this state, once and for a time.
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -18,7 +18,7 @@
 use ledger::{Held, Ledger};
 use nickelgw::decide::Router;
 use nickelgw::interface::{
-    Arrival, Deployment, Ending, Eng, EngineLine, Inf, Learnt, Load, Outcome, Repeat, Role, Standing,
+    Arrival, Deployment, Ending, Eng, EngineLine, Inf, Learnt, Load, Outcome, Reason, Repeat, Role, Standing,
 };
 use nickelgw_accord::core::Known;
 use nickelgw_chat::core::grant::{grant, Granted};
--- a/crates/nickelgw-node/src/core/trace.rs
+++ b/crates/nickelgw-node/src/core/trace.rs
@@ -2,6 +2,7 @@
 //! down; of those that are over, failures and slow ones are kept, and of the rest a sample. Bounded.
 
 use super::{Answer, Cause, Place};
+use nickelgw::interface::{Grounds, Reason};
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -19,9 +20,7 @@
         send: u32,
         eng: Rc<Place>,
         read: bool,
-        /// Prompts there before it, as far as was known, and seconds expected until its end or beginning.
-        there: f64,
-        expected_s: f64,
+        grounds: Grounds,
         /// It fetches a held state.
         from_state: bool,
     },
@@ -32,6 +31,7 @@
     Began {
         send: u32,
     },
+    GivenUp(Reason),
     Answered(Answer),
     Left,
 }
@@ -89,7 +89,7 @@
                 sent.iter().find(|s| s.0 == send).map_or(0.0, |s| 1e3 * (at - s.1))
             };
             let word = match step {
-                Step::Sent { send, eng, read, there, expected_s, from_state } => {
+                Step::Sent { send, eng, read, grounds, from_state } => {
                     sent_at.push((*send, *at));
                     let what = match (read, from_state) {
                         (true, _) => "its prompt was sent to be read at",
@@ -97,9 +97,10 @@
                         (false, false) => "it was sent to be read and written at",
                     };
                     format!(
-                        "{what} {} (send {send}; {there:.1} there before it, {:.0} ms expected)",
+                        "{what} {} (send {send}; {:.1} there before it, {:.0} ms expected)",
                         eng.id,
-                        1e3 * expected_s
+                        grounds.there,
+                        1e3 * grounds.expected_s
                     )
                 }
                 Step::Ended { send, cause: Cause::Read } => {
@@ -111,6 +112,7 @@
                 Step::Began { send } => {
                     format!("first token after {:.0} ms of its write (send {send})", took(*send, &sent_at))
                 }
+                Step::GivenUp(reason) => format!("given up: {}", said(*reason)),
                 Step::Answered(Answer::Completed) => "completed".into(),
                 Step::Answered(Answer::Shed { come_back_s }) => match come_back_s {
                     Some(s) => {
@@ -146,6 +148,26 @@
     }
 }
 
+fn said(reason: Reason) -> String {
+    let ms = |s: f64| format!("{:.0} ms", 1e3 * s);
+    match reason {
+        Reason::TimeUp => "its time was up".into(),
+        Reason::NoSend => "no further send is allowed, or could be made".into(),
+        Reason::Held => "its state found no writer in time".into(),
+        Reason::Late { open, readers, reader_s, writer_s } => format!(
+            "too late to start ({open} of {readers} readers open to it, ready in {}, a writer in {})",
+            ms(reader_s),
+            ms(writer_s)
+        ),
+        Reason::Unlikely { open, readers, reader_s, read_s, writer_s } => format!(
+            "a first token in time was unlikely ({open} of {readers} readers open to it, ready in {}, reading for {}, a writer in {})",
+            ms(reader_s),
+            ms(read_s),
+            ms(writer_s)
+        ),
+    }
+}
+
 /// Stories of requests that are over.
 #[derive(Default)]
 pub struct Ring {
@@ -195,8 +217,7 @@
                 send: 0,
                 eng: eng("r0"),
                 read: true,
-                there: 2.0,
-                expected_s: 0.1,
+                grounds: Grounds { there: 2.0, expected_s: 0.1, age_s: f64::INFINITY, silent_s: -1.0 },
                 from_state: false,
             },
         );
@@ -207,8 +228,7 @@
                 send: 1,
                 eng: eng("w0"),
                 read: false,
-                there: 0.0,
-                expected_s: 0.05,
+                grounds: Grounds { there: 0.0, expected_s: 0.05, age_s: f64::INFINITY, silent_s: -1.0 },
                 from_state: true,
             },
         );
--- a/crates/nickelgw-node/src/core/words.rs
+++ b/crates/nickelgw-node/src/core/words.rs
@@ -2,6 +2,7 @@
 
 use super::cause::Cause;
 use super::ledger::Held;
+use nickelgw::interface::{Grounds, Reason};
 use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_protocol::load::LoadReport;
 use nickelgw_tenants::core::fair;
@@ -44,6 +45,8 @@
     /// It may not be made again once it may have run.
     pub once: bool,
     pub what: Work,
+    /// Why there, for who asks.
+    pub grounds: Grounds,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -107,6 +110,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Actions {
     pub todo: Vec<Do>,
+    /// Why those that were given up were.
+    pub reasons: Vec<(Ticket, Reason)>,
     pub wake_at: Option<f64>,
 }
 
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -78,6 +78,7 @@
         fair: None,
         tenant_most_open: Vec::new(),
     };
+    tracing::debug!(deployment = ?start.told.deployment, "begins");
     let core = Core::new(start.told.deployment, figures);
     let shared = start.sockets.saturating_sub(OWN + discovery::CONNECTIONS);
     let for_clients = (FOR_CLIENTS * shared as f64) as usize;
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -156,7 +156,7 @@
         let ticket = self.core.borrow_mut().take(self.now(), ask)?;
         let (reply, replied) = async_channel::bounded(1);
         let id = passed.id.clone();
-        tracing::debug!(at = self.now(), request = %id, route = ask.route, due_s = ask.timeout_s, prompt = ask.prompt_tokens, body = passed.body.len(), "taken");
+        tracing::debug!(at = self.now(), request = %id, route = ask.route, due_s = ask.timeout_s, target_s = self.core.borrow().target_s(ask), prompt = ask.prompt_tokens, body = passed.body.len(), "taken");
         self.ids.borrow_mut().insert(id.clone());
         self.jobs.borrow_mut().insert(ticket, Job { passed: Rc::new(passed), reply, client: client.clone() });
         self.look();
@@ -187,6 +187,11 @@
         loop {
             let actions = self.core.borrow_mut().act(now);
             let mut again = false;
+            for (ticket, reason) in &actions.reasons {
+                if let Some(job) = self.jobs.borrow().get(ticket) {
+                    tracing::debug!(at = now, request = %job.passed.id, ?reason, "given up");
+                }
+            }
             for d in actions.todo {
                 match d {
                     Do::Send(order) => again |= !self.send(now, order),
@@ -241,7 +246,8 @@
             return false;
         };
         let read = matches!(order.what, Work::Read);
-        tracing::debug!(at = now, request = %passed.id, send, engine = %order.eng.id, read, "sent");
+        let g = &order.grounds;
+        tracing::debug!(at = now, request = %passed.id, send, engine = %order.eng.id, read, there = g.there, expected_s = g.expected_s, age_s = g.age_s, silent_s = g.silent_s, "sent");
         let progress = Rc::new(Progress::default());
         let (node, made) = (self.clone(), progress.clone());
         let task = self.ex.spawn(async move {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -227,7 +227,7 @@
             // Sending again: from the state if it still waits, else from the prompt.
             self.infs[i].stage = if self.infs[i].state.is_some() { Stage::Held } else { Stage::Queued };
             if end.outcome == NotSent || !self.again(now, i, None) {
-                self.give_up(i);
+                self.give_up(i, Reason::NoSend);
             }
         }
     }
@@ -260,7 +260,7 @@
             match self.writer(now, i) {
                 Some(w) if !late => self.write(now, i, w, 0.0),
                 None if !spent => {}
-                _ => self.give_up(i),
+                _ => self.give_up(i, Reason::Held),
             }
         }
         // The queue: by pace aim, then arrival; what a tenant sends beyond its share comes last.
@@ -291,8 +291,12 @@
             let least = reader_wait + self.read_cost.of(0.0) + writer_wait;
             // Shed unread: too late to start before the deadline.
             let deadline = if pressed { inf.target.min(inf.due) } else { inf.due };
+            let (n, of) = (open.len() as u32, readers.len() as u32);
             if now + least > deadline || !self.again(now, i, None) {
-                self.give_up(i);
+                self.give_up(
+                    i,
+                    Reason::Late { open: n, readers: of, reader_s: reader_wait, writer_s: writer_wait },
+                );
                 continue;
             }
             // With no reader to send to, an engine that reads for itself takes the prompt.
@@ -324,7 +328,8 @@
                 self.read(now, i, home);
             } else if self.infs[i].over_share || pressed {
                 // Beyond its tenant's share none waits for room that others need, nor, pressed, any at all.
-                self.give_up(i);
+                let (reader_s, read_s, writer_s) = (ahead, cost, writer_wait);
+                self.give_up(i, Reason::Unlikely { open: n, readers: of, reader_s, read_s, writer_s });
             }
         }
         // A matured reader that admitted nothing takes the oldest held, even below θ; not so when all
--- a/src/decide/again.rs
+++ b/src/decide/again.rs
@@ -29,10 +29,11 @@
     }
 
     /// Answers at once: shed where a repeat is harmless, else errored; lets go of what is held.
-    pub(super) fn give_up(&mut self, i: usize) {
+    pub(super) fn give_up(&mut self, i: usize, why: Reason) {
         if matches!(self.infs[i].stage, Stage::Ended | Stage::Closed) {
             return;
         }
+        self.todo.reasons.push((Inf(i as u32), why));
         let inf = &self.infs[i];
         // A read is no effect once it has ended; where none may be called off it has not.
         let out = |s: &Sent| s.live && (s.write || !self.cancel);
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -45,7 +45,7 @@
         for i in self.open.clone() {
             // Rule 1: the answer goes out a tick before the client's time is up.
             if now + self.tick >= self.infs[i].due {
-                self.give_up(i);
+                self.give_up(i, Reason::TimeUp);
                 continue;
             }
             for n in 0..self.infs[i].sends.len() {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -214,6 +214,11 @@
     hold(&mut r, Inference { due: NOW + 0.02, ..inference(Stage::Queued) });
     let todo = r.decide(NOW);
     assert_eq!((todo.shed.len(), todo.sends.len()), (1, 0));
+    assert!(
+        matches!(todo.reasons[..], [(Inf(0), Reason::Late { open: 2, readers: 2, .. })]),
+        "{:?}",
+        todo.reasons
+    );
 }
 
 /// Overload: late work read for full writers made fresh work late too.
@@ -393,7 +398,7 @@
     let mut r = router(repeat);
     let s = sent(&mut r, 2, true);
     hold(&mut r, Inference { sends: vec![s], ..inference(Stage::Writing) });
-    r.give_up(0);
+    r.give_up(0, Reason::NoSend);
     assert_eq!((r.todo.shed.len() == 1, r.todo.errored.len() == 1), (shed, !shed));
     assert_eq!(r.todo.cancelled, [(Inf(0), 0)]);
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,6 +149,34 @@
     pub patience_s: f64,
 }
 
+/// Why an inference was given up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reason {
+    /// Its client's time is up.
+    TimeUp,
+    /// Its kind or the number of its sends allows no further one, or none is left to ask.
+    NoSend,
+    /// Its state found no writer in the time that it may be held.
+    Held,
+    /// Too late to start: the readers that it may go to, of all of them, mature in `reader_s`, a writer in `writer_s`.
+    Late { open: u32, readers: u32, reader_s: f64, writer_s: f64 },
+    /// A first token in time is unlikely: the best reader matures in `reader_s`, reads for `read_s`.
+    Unlikely { open: u32, readers: u32, reader_s: f64, read_s: f64, writer_s: f64 },
+}
+
+/// What a send was made on, as far as was known.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Grounds {
+    /// Prompts there before it.
+    pub there: f64,
+    /// Until its end, or its first token.
+    pub expected_s: f64,
+    /// Of the engine's process; infinite: it started long ago.
+    pub age_s: f64,
+    /// How long after it was last heard it could not be reached; below zero: it was heard since.
+    pub silent_s: f64,
+}
+
 /// What to do, list by list, in this order.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Decisions {
@@ -157,6 +185,8 @@
     pub sends: Vec<SendOrder>,
     pub shed: Vec<(Inf, Option<f64>)>,
     pub errored: Vec<Inf>,
+    /// Why each that is shed or errored was given up, in the order in which it was.
+    pub reasons: Vec<(Inf, Reason)>,
     /// Inferences whose held state is let go.
     pub released: Vec<Inf>,
     pub probes: Vec<Eng>,
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -4,10 +4,16 @@
 use crate::state::{Engine, Router};
 
 impl Router {
-    /// What a send was made on: prompts there before it as far as was known, and the time expected.
-    pub fn grounds(&self, inf: Inf, send: u32) -> (f64, f64) {
+    /// What a send was made on.
+    pub fn grounds(&self, inf: Inf, send: u32) -> Grounds {
         let s = self.infs[inf.0 as usize].sends[send as usize];
-        (s.there, s.expected)
+        let e = &self.engines[s.eng];
+        Grounds {
+            there: s.there,
+            expected_s: s.expected,
+            age_s: s.at - e.started,
+            silent_s: e.mute - e.heard,
+        }
     }
 
     /// What is worth keeping for this node's next process.
