--- a/crates/nickelgw-platform/examples/causes.rs
+++ b/crates/nickelgw-platform/examples/causes.rs
@@ -12,10 +12,12 @@
 
 /// One inference, as its node wrote it down.
 #[derive(Default)]
-struct Story {
+pub struct Story {
     route: u32,
     taken: f64,
     target: f64,
+    /// The client's whole time for a first token.
+    due: f64,
     sends: Vec<Send>,
     read: Option<f64>,
     begun: Option<f64>,
@@ -35,13 +37,13 @@
 }
 
 #[derive(Default)]
-struct Table {
-    fresh: f64,
-    rows: BTreeMap<(String, &'static str), BTreeMap<u32, u32>>,
-    taken: BTreeMap<u32, u32>,
-    served: BTreeMap<u32, u32>,
+pub struct Table {
+    pub fresh: f64,
+    pub rows: BTreeMap<(String, &'static str), BTreeMap<u32, u32>>,
+    pub taken: BTreeMap<u32, u32>,
+    pub served: BTreeMap<u32, u32>,
     /// By prompts there before: expected and taken, of reads that ended.
-    reads: BTreeMap<u32, Vec<(f64, f64)>>,
+    pub reads: BTreeMap<u32, Vec<(f64, f64)>>,
 }
 
 /// The value of `name=` in a line, without quotes.
@@ -62,7 +64,7 @@
 }
 
 /// Reads one node's log; a request's id is its own on all nodes.
-fn read(text: &str, stories: &mut BTreeMap<String, Story>, refused: &mut BTreeMap<String, u32>) {
+pub fn read(text: &str, stories: &mut BTreeMap<String, Story>, refused: &mut BTreeMap<String, u32>) {
     for line in text.lines() {
         let Some(word) = line.split(": ").nth(1) else { continue };
         let at = number(line, "at");
@@ -71,8 +73,9 @@
         }
         let Some(id) = field(line, "request") else { continue };
         if word.starts_with("taken ") {
-            let (route, target) = (number(line, "route") as u32, number(line, "target_s"));
-            stories.insert(id.to_string(), Story { route, taken: at, target, ..Story::default() });
+            let (route, target, due) =
+                (number(line, "route") as u32, number(line, "target_s"), number(line, "due_s"));
+            stories.insert(id.to_string(), Story { route, taken: at, target, due, ..Story::default() });
             continue;
         }
         let Some(s) = stories.get_mut(id) else { continue };
@@ -111,12 +114,16 @@
 }
 
 impl Table {
-    fn add(&mut self, s: &Story) {
+    pub fn add(&mut self, s: &Story) {
         *self.taken.entry(s.route).or_default() += 1;
         if s.whole && s.begun.is_some_and(|b| b - s.taken <= s.target) {
             *self.served.entry(s.route).or_default() += 1;
         } else {
-            *self.rows.entry((cause(s), self.engines(s))).or_default().entry(s.route).or_default() += 1;
+            // Such clients ask again and again; they are no more than one each.
+            let short =
+                if s.begun.is_none() && s.due < s.target { ", client's time below the target" } else { "" };
+            *self.rows.entry((cause(s) + short, self.engines(s))).or_default().entry(s.route).or_default() +=
+                1;
         }
         let ended = s.sends.iter().find(|x| x.ended.as_deref() == Some("Read"));
         if let (Some(x), Some(at)) = (ended, s.read) {
@@ -127,8 +134,6 @@
 
     /// What its engines were: of those it was sent to the worst off; unsent, whether fresh ones were kept from it.
     fn engines(&self, s: &Story) -> &'static str {
-        let unanswered =
-            |x: &Send| matches!(x.ended.as_deref(), Some("NoAnswer" | "NoConnection" | "CalledOff") | None);
         if s.sends.is_empty() {
             let of = |name: &str| {
                 s.reason
@@ -143,13 +148,11 @@
                 _ => "",
             };
         }
-        let Some(last) = s.sends.last() else { return "" };
-        if last.silent > 0.0 || (unanswered(last) && s.begun.is_none() && last.age >= self.fresh) {
-            "silent"
-        } else if last.age < self.fresh {
-            "fresh"
-        } else {
-            "sound"
+        match s.sends.last() {
+            Some(x) if x.silent > 0.0 || x.ended.as_deref() == Some("NoConnection") => "silent",
+            Some(x) if x.age < self.fresh => "fresh",
+            Some(_) => "sound",
+            None => "",
         }
     }
 }
