Parked: a second ending does not take back one that was told

Read over: with versions a second ending of a parked inference was written anew under a new version, so that one told already was said to be running until that write was on disk. It gives the same write once more, as before. A test, which fails without it.

--- a/crates/nickelgw-parked/src/core/mod.rs
+++ b/crates/nickelgw-parked/src/core/mod.rs
@@ -345,7 +345,8 @@
         self.unqueue(ticket);
         let Some(e) = self.all.get_mut(&ticket) else { return self.remove(ticket) };
         if matches!(e.record.state, State::Ended { .. }) {
-            return self.rewrite(ticket);
+            // What was told stays told: the same write once more.
+            return Write { ticket, version: e.version, bytes: Some(e.record.bytes()) };
         }
         self.due_at = self.due_at.min(now + self.figures.keep_s);
         e.record.state = State::Ended { at: now, answer };
--- a/crates/nickelgw-parked/src/core/tests.rs
+++ b/crates/nickelgw-parked/src/core/tests.rs
@@ -138,6 +138,18 @@
     assert!(matches!(p.look(3, "gone"), Some(Look::Ended(a)) if a.status == 410));
 }
 
+#[test]
+fn an_ending_that_was_told_is_not_taken_back_by_a_second_one() {
+    let mut p = Parked::new(figures());
+    park(&mut p, 1, "t", 0.0);
+    p.next(1.0, |_| 1.0, |_| Some(Repeat::Retriable)).unwrap();
+    let first = p.answered(2.0, 1, answer());
+    p.written(1, first.version, true);
+    let second = p.answered(3.0, 1, Answer { status: 200, body: b"late".to_vec() });
+    assert_eq!(p.look(1, "t"), Some(Look::Ended(&answer())));
+    assert_eq!(second, first);
+}
+
 /// A disk that fails: the write of its way back into the queue is overtaken by its ending.
 #[test]
 fn a_write_that_was_overtaken_neither_tells_of_the_newer_nor_takes_its_place() {
