Read over: what a fleet's nodes are told in tests stands once; two folds said straight

tests/cold_ramp.rs and tests/shares.rs wrote the same deployment: common::deployment (their figures are the same as before, line by line in cold_ramp). Events::next matched each step twice; the longest deadline was folded over an Option. No behaviour changes.

--- a/crates/nickelgw-platform/src/core/events.rs
+++ b/crates/nickelgw-platform/src/core/events.rs
@@ -38,17 +38,16 @@
             let step = self.chunked.decode(buf, &mut self.part, MOST_BODY);
             // The body's end ends its last event too.
             let whole = if step == Ok(Step::Whole) { self.part.len() } else { self.whole() };
-            match step {
-                Err(why) => self.spoilt = Some(why),
-                Ok(Step::Whole) if whole == 0 => return Ok(Some(Piece::Last)),
-                Ok(_) => {}
+            self.spoilt = step.err();
+            if whole > 0 {
+                break whole;
             }
-            match (whole, step) {
-                (0, Err(why)) => return Err(why),
-                (0, _) if self.part.len() > MOST_BODY => return Err(Spoilt::Long),
-                (0, Ok(Step::Wait)) => return Ok(None),
-                (0, _) => {}
-                _ => break whole,
+            match step {
+                Err(why) => return Err(why),
+                Ok(Step::Whole) => return Ok(Some(Piece::Last)),
+                Ok(_) if self.part.len() > MOST_BODY => return Err(Spoilt::Long),
+                Ok(Step::Wait) => return Ok(None),
+                Ok(Step::Chunk) => {}
             }
         };
         let events = self.part.split_to(whole).freeze();
--- a/crates/nickelgw-platform/src/start.rs
+++ b/crates/nickelgw-platform/src/start.rs
@@ -70,12 +70,11 @@
             Some(k) => Some(serde_json::from_value(k.clone()).map_err(|e| Bad(format!("field known: {e}")))?),
         };
         let connect_s = num_or(allowed, "connect_timeout_s", 0.25)?.clamp(0.01, 10.0);
-        let mut longest_s: Option<f64> = None;
-        for class in list(settings, "classes")? {
-            let deadline_s = num_or(class, "deadline_s", LONGEST_DEADLINE_S)?;
-            longest_s = Some(longest_s.map_or(deadline_s, |s| s.max(deadline_s)));
-        }
-        let longest_s = longest_s.unwrap_or(LONGEST_DEADLINE_S).clamp(0.0, LONGEST_DEADLINE_S);
+        let deadline = |class| num_or(class, "deadline_s", LONGEST_DEADLINE_S);
+        let deadlines: Vec<f64> =
+            list(settings, "classes")?.iter().map(deadline).collect::<Result<_, _>>()?;
+        let longest_s = deadlines.into_iter().reduce(f64::max).unwrap_or(LONGEST_DEADLINE_S);
+        let longest_s = longest_s.clamp(0.0, LONGEST_DEADLINE_S);
         let mut told = Told::read(settings, seed)?;
         told.deployment.hold_limit_s += HELD_MORE_S;
         told.deployment.connect_s = connect_s;
--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::Clock;
+use common::{deployment, Clock, COLD_FROM, MULTIPLE, WARM_WITHIN, WINDOW};
 use nanorand::{Rng, WyRand};
 use nickelgw::decide::Router;
 use nickelgw::interface::*;
@@ -21,10 +21,6 @@
 const STARTS: f64 = 4.0;
 const STEP: f64 = 0.25;
 const END: f64 = 16.0;
-const COLD_FROM: f64 = 0.3;
-const WARM_WITHIN: f64 = 9.0;
-const MULTIPLE: f64 = 3.0;
-const WINDOW: f64 = 2.0;
 
 /// What befalls the fleet.
 #[derive(Clone, Copy)]
@@ -189,28 +185,10 @@
             pace_s: 0.06,
             repeat: Repeat::Retriable,
         };
+        let seed = self.chance.generate();
         let d = Deployment {
-            node: n as u32,
-            nodes: self.nodes.len() as u32,
-            seed: self.chance.generate(),
-            zone: 0,
-            tick_s: 0.004,
-            routes: vec![route],
             tenant_quotas: if self.course.quotas { vec![0.8 * BEARS * EACH as f64] } else { Vec::new() },
-            most_sends: 6,
-            writers_read: false,
-            hold_limit_s: 0.8,
-            connect_s: 0.25,
-            move_price: 0.04,
-            zone_price: 0.01,
-            cancel: true,
-            probes: self.course.probes,
-            must_ask: false,
-            longest_come_back_s: None,
-            cold_share: COLD_FROM,
-            warm_within_s: WARM_WITHIN,
-            tip_multiple: MULTIPLE,
-            tip_window_s: WINDOW,
+            ..deployment(n, self.nodes.len(), seed, vec![route], self.course.probes)
         };
         let heard = self.engines.iter().map(|e| e.started <= now).collect();
         let node = &mut self.nodes[n];
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,14 @@
-//! A clock of its own, for the cores of a fleet played in one process.
+//! For the cores of a fleet played in one process: a clock of its own, and what its nodes are told.
 
+use nickelgw::interface::{Deployment, ModelRoute};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+pub const COLD_FROM: f64 = 0.3;
+pub const WARM_WITHIN: f64 = 9.0;
+pub const MULTIPLE: f64 = 3.0;
+pub const WINDOW: f64 = 2.0;
+
 struct Coming<T> {
     at: f64,
     order: u64,
@@ -46,3 +52,30 @@
         self.coming.pop().map(|Reverse(c)| (c.at, c.what))
     }
 }
+
+/// What a node of a fleet in one zone is told; nothing is promised to tenants.
+pub fn deployment(node: usize, nodes: usize, seed: u64, routes: Vec<ModelRoute>, probes: bool) -> Deployment {
+    Deployment {
+        node: node as u32,
+        nodes: nodes as u32,
+        seed,
+        zone: 0,
+        tick_s: 0.004,
+        routes,
+        tenant_quotas: Vec::new(),
+        most_sends: 6,
+        writers_read: false,
+        hold_limit_s: 0.8,
+        connect_s: 0.25,
+        move_price: 0.04,
+        zone_price: 0.01,
+        cancel: true,
+        probes,
+        must_ask: false,
+        longest_come_back_s: None,
+        cold_share: COLD_FROM,
+        warm_within_s: WARM_WITHIN,
+        tip_multiple: MULTIPLE,
+        tip_window_s: WINDOW,
+    }
+}
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::Clock;
+use common::{deployment, Clock};
 use nanorand::{Rng, WyRand};
 use nickelgw::decide::Router;
 use nickelgw::interface::*;
@@ -97,29 +97,7 @@
 impl Fleet {
     fn new(load: f64, probes: bool, seed: u64) -> Fleet {
         let mut chance = WyRand::new_seed(seed);
-        let deployment = |n: usize, seed: u64| Deployment {
-            node: n as u32,
-            nodes: NODES as u32,
-            seed,
-            zone: 0,
-            tick_s: 0.004,
-            routes: vec![route(TARGETS[0], Repeat::Retriable), route(TARGETS[1], Repeat::NonRetriable)],
-            tenant_quotas: Vec::new(),
-            most_sends: 6,
-            writers_read: false,
-            hold_limit_s: 0.8,
-            connect_s: 0.25,
-            move_price: 0.04,
-            zone_price: 0.01,
-            cancel: true,
-            probes,
-            must_ask: false,
-            longest_come_back_s: None,
-            cold_share: 0.3,
-            warm_within_s: 9.0,
-            tip_multiple: 3.0,
-            tip_window_s: 2.0,
-        };
+        let routes = [route(TARGETS[0], Repeat::Retriable), route(TARGETS[1], Repeat::NonRetriable)];
         let lines: Vec<EngineLine> = (0..READERS + WRITERS)
             .map(|e| EngineLine {
                 id: e.to_string(),
@@ -132,7 +110,7 @@
             })
             .collect();
         let nodes = (0..NODES).map(|n| {
-            let mut r = Router::new(deployment(n, chance.generate()));
+            let mut r = Router::new(deployment(n, NODES, chance.generate(), routes.to_vec(), probes));
             r.list(0.0, &lines, true);
             r
         });
