--- a/crates/nickelgw-cli/src/bench_path.rs
+++ b/crates/nickelgw-cli/src/bench_path.rs
@@ -72,7 +72,7 @@
     let reader = Rc::new(Place { id: "r".into(), address: "a".into(), tls_name: None });
     ns("a state's way through the ledger", |n| {
         let (now, h) = (n as f64 * 1e-3, Held { owner: n, read: 0 });
-        ledger.coming(h, HeldState { name: String::new(), reader: reader.clone(), shared: false });
+        ledger.coming(now, h, HeldState { name: String::new(), reader: reader.clone(), shared: false });
         ledger.read(now, h);
         black_box(ledger.take(now, n, 1));
         ledger.fetched(now, n, 1);
--- a/crates/nickelgw-node/src/core/act.rs
+++ b/crates/nickelgw-node/src/core/act.rs
@@ -78,7 +78,8 @@
         todo.extend(readers.into_iter().map(Do::Sweep));
         let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
         let wake_at = [d.wake_at, let_go_at, sweep_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
-        Actions { todo, reasons, wake_at }
+        let transitions = self.ledger.take_transitions();
+        Actions { todo, reasons, transitions, wake_at }
     }
 
     /// Engines that the module names for a call which any of them takes; the one meant at least.
@@ -113,7 +114,7 @@
         let grounds = self.router.grounds(inf, send);
         let what = if read {
             let state = HeldState { name: name.clone(), reader: eng.clone(), shared };
-            self.ledger.coming(Held { owner: ticket.serial, read: send }, state);
+            self.ledger.coming(now, Held { owner: ticket.serial, read: send }, state);
             Work::Read
         } else {
             let state = self.ledger.take(now, ticket.serial, send);
--- a/crates/nickelgw-node/src/core/ledger.rs
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -35,8 +35,51 @@
     },
 }
 
+/// A stage as the log names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The prefill is out.
+    Prefilling,
+    /// No attempt claims it.
+    Unclaimed,
+    /// A decode attempt claims it.
+    Claimed,
+    /// Calls that release it go out until one is confirmed.
+    Releasing,
+    /// Nothing is known to be reserved any more.
+    Ended,
+}
+
+impl From<Stage> for Phase {
+    fn from(stage: Stage) -> Phase {
+        match stage {
+            Stage::Coming => Phase::Prefilling,
+            Stage::Waiting(_) => Phase::Unclaimed,
+            Stage::Taken { .. } => Phase::Claimed,
+            Stage::Leaving { .. } => Phase::Releasing,
+        }
+    }
+}
+
+/// A reservation has passed from one phase to another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Transition {
+    pub id: Held,
+    /// The name under which it stands at its engine.
+    pub name: String,
+    pub from: Phase,
+    pub to: Phase,
+    /// How long it was in the former phase, in seconds.
+    pub after_s: f64,
+}
+
+/// Transitions kept for a log that does not ask for them; further ones are counted alone.
+const MOST_TRANSITIONS: usize = 1024;
+
 struct Entry {
     state: HeldState,
+    /// When it came to its stage.
+    since: f64,
     stage: Stage,
     /// Its reader's process has ended, as the list has it: there is nothing to free.
     gone: bool,
@@ -67,6 +110,10 @@
     pub account: Account,
     /// Microseconds without a taker, each wait by itself.
     waits: Histogram<u64>,
+    /// Transitions that no log has taken yet.
+    transitions: Vec<Transition>,
+    /// Transitions that found no room there.
+    pub unlogged: u64,
 }
 
 fn bits(t: f64) -> u64 {
@@ -84,6 +131,8 @@
             leaving: BTreeSet::new(),
             account: Account::default(),
             waits: Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("a valid range"),
+            transitions: Vec::new(),
+            unlogged: 0,
         }
     }
 
@@ -110,8 +159,31 @@
         }
     }
 
+    /// What has become of reservations since this was last asked.
+    pub fn take_transitions(&mut self) -> Vec<Transition> {
+        std::mem::take(&mut self.transitions)
+    }
+
+    fn record(&mut self, now: f64, h: Held, to: Phase) {
+        let Some(e) = self.states.get(&h) else { return };
+        if self.transitions.len() >= MOST_TRANSITIONS {
+            self.unlogged += 1;
+            return;
+        }
+        let (name, from, after_s) = (e.state.name.clone(), Phase::from(e.stage), now - e.since);
+        self.transitions.push(Transition { id: h, name, from, to, after_s });
+    }
+
     /// Moves one to another stage, and all that is kept by stage with it.
     fn set(&mut self, now: f64, h: Held, stage: Stage) {
+        self.record(now, h, stage.into());
+        self.index(now, h, stage);
+        if let Some(e) = self.states.get_mut(&h) {
+            e.since = now;
+        }
+    }
+
+    fn index(&mut self, now: f64, h: Held, stage: Stage) {
         let Some(e) = self.states.get_mut(&h) else { return };
         if let Some(at) = Self::when(e, self.hold_s) {
             self.due.remove(&(bits(at), h));
@@ -131,14 +203,15 @@
     }
 
     fn remove(&mut self, now: f64, h: Held) {
+        self.record(now, h, Phase::Ended);
         // A stage that stands in no other table.
-        self.set(now, h, Stage::Coming);
+        self.index(now, h, Stage::Coming);
         self.states.remove(&h);
     }
 
     /// A read goes out: from now on its reader may hold a state for it.
-    pub fn coming(&mut self, h: Held, state: HeldState) {
-        self.states.insert(h, Entry { state, stage: Stage::Coming, gone: false });
+    pub fn coming(&mut self, now: f64, h: Held, state: HeldState) {
+        self.states.insert(h, Entry { state, since: now, stage: Stage::Coming, gone: false });
     }
 
     /// The read is done, and the state waits.
--- a/crates/nickelgw-node/src/core/ledger_tests.rs
+++ b/crates/nickelgw-node/src/core/ledger_tests.rs
@@ -20,7 +20,7 @@
 }
 
 fn waiting(l: &mut Ledger, now: f64, owner: u64) {
-    l.coming(held(owner), state(owner));
+    l.coming(now, held(owner), state(owner));
     l.read(now, held(owner));
 }
 
@@ -45,7 +45,7 @@
 fn two_shared(l: &mut Ledger) -> Held {
     let second = Held { owner: 1, read: 1 };
     for h in [held(1), second] {
-        l.coming(h, HeldState { shared: true, ..state(1) });
+        l.coming(1.0, h, HeldState { shared: true, ..state(1) });
     }
     l.unread(1.0, held(1), false);
     l.read(1.0, second);
@@ -145,7 +145,7 @@
             match what {
                 0 | 1 => {
                     let h = Held { owner: n, read: send };
-                    l.coming(h, state(u64::from(send)));
+                    l.coming(now, h, state(u64::from(send)));
                     match dt < 0.2 {
                         true => l.read(now, h),
                         false => l.unread(now, h, false),
--- a/crates/nickelgw-node/src/core/words.rs
+++ b/crates/nickelgw-node/src/core/words.rs
@@ -1,7 +1,7 @@
 //! What the core and its shell say to each other.
 
 use super::cause::Cause;
-use super::ledger::Held;
+use super::ledger::{Held, Transition};
 use nickelgw::interface::{Grounds, Reason};
 use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_protocol::load::LoadReport;
@@ -112,6 +112,8 @@
     pub todo: Vec<Do>,
     /// Why those that were given up were.
     pub reasons: Vec<(Ticket, Reason)>,
+    /// What has become of KV reservations, for the log.
+    pub transitions: Vec<Transition>,
     pub wake_at: Option<f64>,
 }
 
--- a/crates/nickelgw-platform/src/clients.rs
+++ b/crates/nickelgw-platform/src/clients.rs
@@ -81,7 +81,7 @@
 }
 
 /// What becomes of a connection after an answer.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Then {
     Next,
     /// That was its last answer.
@@ -262,6 +262,10 @@
                     then
                 }
             };
+            if then != Then::Next {
+                let (connection, asked) = (entry.number, entry.me.asked.get());
+                tracing::debug!(at = self.node.now(), connection, asked, why = ?then, "client connection ended");
+            }
             match then {
                 Then::Next => {}
                 Then::Close => return socket.close().await,
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 pub mod core;
+mod counters;
 mod discovery;
 mod node;
 mod orders;
@@ -103,6 +104,7 @@
         ex.spawn(discovery::follow(node.clone(), towards_discovery, times, address.clone(), moves));
     let tending = ex.spawn(pool.tend());
     let driving = ex.spawn(node.clone().drive());
+    let counting = ex.spawn(counters::write_regularly(node.clone()));
     // Until the process ends: what is told during a shutdown counts for the sends that still go out.
     let reloading = {
         let (node, address, reload) = (node.clone(), address.clone(), ordered.reload);
@@ -160,6 +162,7 @@
         }
     };
     ex.run(living).await;
-    drop((reloading, following, tending, driving));
+    counters::write(&node);
+    drop((reloading, following, tending, driving, counting));
     Ok(())
 }
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -192,6 +192,9 @@
                     tracing::debug!(at = now, request = %job.passed.id, ?reason, "given up");
                 }
             }
+            for t in &actions.transitions {
+                tracing::debug!(at = now, request = %t.name, prefill = t.id.read, from = ?t.from, to = ?t.to, after_s = t.after_s, "reservation");
+            }
             for d in actions.todo {
                 match d {
                     Do::Send(order) => again |= !self.send(now, order),
@@ -203,6 +206,7 @@
                         progress.on.take().inspect(Closer::close);
                         drop(task);
                         let cause = if progress.out.get() { Cause::CalledOff } else { Cause::NoConnection };
+                        tracing::debug!(at = now, ticket = ticket.serial, send, ?cause, "attempt cancelled");
                         self.core.borrow_mut().ended(now, ticket, send, End { cause, ..End::default() });
                         again = true;
                     }
@@ -326,6 +330,7 @@
             }
             progress.on.replace(Some(c.closer()));
             c.write(&passed.bytes(&order.eng.address, order.patience_s), &progress.out).await?;
+            tracing::debug!(at = self.now(), request = %passed.id, send = order.send, idle_s = c.stood_s(), "attempt written");
             let answer = c.answer().await;
             if answer.is_ok() || answer == Err(Cause::Lost) {
                 self.pool.told(&c, answer.is_ok());
@@ -454,7 +459,10 @@
         let target = format!("{}{id}", names::HELD);
         for place in at {
             let within = Within::whole(self.short_s);
+            let began = self.now();
             let answer = self.pool.short(within, "DELETE", &target, &place.address, MOST_BODY).await;
+            let status = answer.as_ref().map(|(a, _)| a.status);
+            tracing::debug!(at = self.now(), request = id, engine = %place.id, ?status, after_s = self.now() - began, "release call");
             if answer.is_ok_and(|(a, _)| a.status < 300) {
                 return true;
             }
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -153,6 +153,11 @@
 }
 
 impl Connection {
+    /// How long it had been idle when this call took it; none: it was opened for it.
+    pub fn stood_s(&self) -> Option<f64> {
+        self.stood_s
+    }
+
     pub fn closer(&self) -> Closer {
         Closer(self.stream.clone())
     }
