--- a/crates/nickelgw-node/src/core/act.rs
+++ b/crates/nickelgw-node/src/core/act.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Engines that a call to let go is tried at before it is repeated.
-const TRIED: usize = 3;
+const TRIED: usize = 4;
 
 impl Core {
     /// What to do after a batch of calls.
@@ -42,6 +42,7 @@
         for &inf in &d.released {
             if let Some(t) = self.ticket(inf) {
                 self.ledger.let_go(now, t.serial);
+                self.await_release(t);
             }
         }
         for &eng in &d.probes {
@@ -70,6 +71,12 @@
             self.taken[inf.0 as usize] = None;
         }
         let (calls, let_go_at) = self.ledger.due(now);
+        for owner in self.ledger.take_expired() {
+            if let Some(t) = self.ticket_of(owner) {
+                self.router.reservation_expired(now, Inf(t.inf));
+                self.await_release(t);
+            }
+        }
         for (call, state) in calls {
             let at = if state.shared { self.takers(&state.reader) } else { Vec::new() };
             todo.push(Do::LetGo { call, state, at });
--- a/crates/nickelgw-node/src/core/cause.rs
+++ b/crates/nickelgw-node/src/core/cause.rs
@@ -31,6 +31,15 @@
 }
 
 impl Cause {
+    /// Whether an engine's answer has told it, which proves that the attempt had arrived there.
+    pub fn is_answer(self) -> bool {
+        match self {
+            Cause::Completed | Cause::Read | Cause::Failed(_) | Cause::Garbled => true,
+            Cause::TurnedAway | Cause::NoState => true,
+            Cause::NoAnswer | Cause::NoConnection | Cause::Lost | Cause::CalledOff | Cause::NotSent => false,
+        }
+    }
+
     pub fn outcome(self) -> Outcome {
         match self {
             Cause::Completed => Outcome::Completed,
--- a/crates/nickelgw-node/src/core/ledger.rs
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -14,6 +14,9 @@
 
 /// States to let go of at once; past it the oldest is forgotten, and its reader's own limit frees it.
 const MOST_LEAVING: usize = 8192;
+/// Part of the time that a reservation may stand unattended after which it is released: the rest is for the calls, some of which
+/// find silent connections, and for a process that is held up.
+const LEASE_PART: f64 = 0.5;
 const FIRST_GAP_S: f64 = 0.02;
 /// A reader that comes back from a cut is told within this time.
 const LONGEST_GAP_S: f64 = 0.32;
@@ -27,11 +30,17 @@
     Taken {
         by: u32,
     },
-    /// Nothing will take it. Without `at` the answer to a call is awaited.
+    /// It is released. Without `at` the answer to a call is awaited.
     Leaving {
         since: f64,
         tries: u32,
         at: Option<f64>,
+        /// The attempt that claims it and is still out: its lease has ended with no sign that it arrived.
+        claimed_by: Option<u32>,
+    },
+    /// A release call was confirmed while this attempt is still out. If it had arrived it has kept its claim.
+    Released {
+        by: u32,
     },
 }
 
@@ -46,6 +55,8 @@
     Claimed,
     /// Calls that release it go out until one is confirmed.
     Releasing,
+    /// Released, with an attempt still out that may have claimed it before.
+    Released,
     /// Nothing is known to be reserved any more.
     Ended,
 }
@@ -57,6 +68,7 @@
             Stage::Waiting(_) => Phase::Unclaimed,
             Stage::Taken { .. } => Phase::Claimed,
             Stage::Leaving { .. } => Phase::Releasing,
+            Stage::Released { .. } => Phase::Released,
         }
     }
 }
@@ -76,10 +88,23 @@
 /// Transitions kept for a log that does not ask for them; further ones are counted alone.
 const MOST_TRANSITIONS: usize = 1024;
 
+impl Stage {
+    /// The attempt that claims it and is still out.
+    fn claimed_by(self) -> Option<u32> {
+        match self {
+            Stage::Taken { by } | Stage::Released { by } => Some(by),
+            Stage::Leaving { claimed_by, .. } => claimed_by,
+            Stage::Coming | Stage::Waiting(_) => None,
+        }
+    }
+}
+
 struct Entry {
     state: HeldState,
     /// When it came to its stage.
     since: f64,
+    /// When an engine last showed that the reservation was attended to: the lease runs from here.
+    lease_from: f64,
     stage: Stage,
     /// Its reader's process has ended, as the list has it: there is nothing to free.
     gone: bool,
@@ -112,6 +137,8 @@
     waits: Histogram<u64>,
     /// Transitions that no log has taken yet.
     transitions: Vec<Transition>,
+    /// Requests whose reservation's lease has ended, not yet asked for.
+    expired: Vec<u64>,
     /// Transitions that found no room there.
     pub unlogged: u64,
 }
@@ -132,6 +159,7 @@
             account: Account::default(),
             waits: Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("a valid range"),
             transitions: Vec::new(),
+            expired: Vec::new(),
             unlogged: 0,
         }
     }
@@ -151,11 +179,12 @@
 
     fn when(e: &Entry, hold_s: f64) -> Option<f64> {
         match e.stage {
-            // Shared: a call would take from a later send what it has read; the module's own limit holds.
-            Stage::Waiting(_) if e.state.shared => None,
+            Stage::Waiting(_) | Stage::Taken { .. } if e.state.shared => {
+                Some(e.lease_from + LEASE_PART * hold_s)
+            }
             Stage::Waiting(since) => Some(since + hold_s),
             Stage::Leaving { at, .. } => at,
-            Stage::Coming | Stage::Taken { .. } => None,
+            Stage::Coming | Stage::Taken { .. } | Stage::Released { .. } => None,
         }
     }
 
@@ -211,24 +240,38 @@
 
     /// A read goes out: from now on its reader may hold a state for it.
     pub fn coming(&mut self, now: f64, h: Held, state: HeldState) {
-        self.states.insert(h, Entry { state, since: now, stage: Stage::Coming, gone: false });
+        self.states
+            .insert(h, Entry { state, since: now, lease_from: now, stage: Stage::Coming, gone: false });
     }
 
     /// The read is done, and the state waits.
     pub fn read(&mut self, now: f64, h: Held) {
         if self.states.get(&h).is_some_and(|e| e.stage == Stage::Coming) {
             self.account.read += 1;
+            self.renew(now, h);
             self.set(now, h, Stage::Waiting(now));
         }
     }
 
+    /// An engine has answered: the lease runs from now on.
+    fn renew(&mut self, now: f64, h: Held) {
+        let Some(e) = self.states.get_mut(&h) else { return };
+        if let Some(at) = Self::when(e, self.hold_s) {
+            self.due.remove(&(bits(at), h));
+        }
+        e.lease_from = now;
+        if let Some(at) = Self::when(e, self.hold_s) {
+            self.due.insert((bits(at), h));
+        }
+    }
+
     /// The read failed. `never`: it is known not to have begun; else it may have left a state that nobody asks for.
     pub fn unread(&mut self, now: f64, h: Held, never: bool) {
-        let Some(e) = self.states.get(&h).filter(|e| e.stage == Stage::Coming) else { return };
+        if self.states.get(&h).is_none_or(|e| e.stage != Stage::Coming) {
+            return;
+        }
         match never {
             true => self.remove(now, h),
-            // What it may have left goes with all else of the request, once none of its sends is out.
-            false if e.state.shared => self.set(now, h, Stage::Waiting(now)),
             false => {
                 self.account.read += 1;
                 self.leave(now, h);
@@ -245,7 +288,7 @@
 
     /// The send that took it has begun to answer: its writer fetched it, and the reader let go by itself.
     pub fn fetched(&mut self, now: f64, owner: u64, by: u32) {
-        for h in self.of(owner, |s| s == Stage::Taken { by }) {
+        for h in self.of(owner, |s| s.claimed_by() == Some(by)) {
             self.account.fetched += 1;
             // With its first token engines let go by themselves of all else that bears the request's name.
             let shared = self.states.get(&h).is_some_and(|e| e.state.shared);
@@ -258,13 +301,35 @@
         }
     }
 
-    /// The send that took it ended without a beginning: it waits again, if it is still there.
-    pub fn given_back(&mut self, now: f64, owner: u64, by: u32) {
-        for h in self.of(owner, |s| s == Stage::Taken { by }) {
+    /// The attempt that claimed it ended without a beginning: it waits again, if its lease has not ended. `answered`: by an
+    /// answer of its engine, which had it until now; else it may never have arrived, and the lease runs on.
+    pub fn given_back(&mut self, now: f64, owner: u64, by: u32, answered: bool) {
+        for h in self.of(owner, |s| s.claimed_by() == Some(by)) {
+            if !matches!(self.states.get(&h).map(|e| e.stage), Some(Stage::Taken { .. })) {
+                // Released under it: a call that came while it waited there spared what it claimed.
+                self.leave(now, h);
+                continue;
+            }
+            if answered {
+                self.renew(now, h);
+            }
             self.set(now, h, Stage::Waiting(now));
         }
     }
 
+    /// Whether a release of anything of the request awaits its confirmation: the calls go by the request's name, and would take
+    /// what a further prefill reserves.
+    pub fn is_releasing(&self, owner: u64) -> bool {
+        let releases = |e: &Entry| e.state.shared && matches!(e.stage, Stage::Leaving { .. });
+        let all = self.states.range(Held { owner, read: 0 }..=Held { owner, read: u32::MAX });
+        all.into_iter().any(|(_, e)| releases(e))
+    }
+
+    /// Requests whose reservation's lease has ended since this was last asked.
+    pub fn take_expired(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.expired)
+    }
+
     fn of(&self, owner: u64, such: impl Fn(Stage) -> bool) -> Vec<Held> {
         let all = self.states.range(Held { owner, read: 0 }..=Held { owner, read: u32::MAX });
         all.filter(|(_, e)| such(e.stage)).map(|(h, _)| *h).collect()
@@ -282,7 +347,12 @@
     }
 
     fn leave(&mut self, now: f64, h: Held) {
-        if self.states.get(&h).is_some_and(|e| e.gone) {
+        let Some(e) = self.states.get(&h) else { return };
+        let claimed_by = match e.stage {
+            Stage::Taken { by } => Some(by),
+            _ => None,
+        };
+        if e.gone {
             self.account.lost += 1;
             return self.remove(now, h);
         }
@@ -291,31 +361,43 @@
             self.account.given_up += 1;
             self.remove(now, oldest);
         }
-        self.set(now, h, Stage::Leaving { since: now, tries: 0, at: Some(now) });
+        self.set(now, h, Stage::Leaving { since: now, tries: 0, at: Some(now), claimed_by });
     }
 
     /// A call that lets go of it was answered, or was not.
     pub fn told(&mut self, now: f64, h: Held, done: bool) {
-        let Some(Entry { stage: Stage::Leaving { since, tries, at: None }, gone, .. }) = self.states.get(&h)
+        let Some(Entry { stage: Stage::Leaving { since, tries, at: None, claimed_by }, gone, .. }) =
+            self.states.get(&h)
         else {
             return;
         };
-        let (since, tries, gone) = (*since, *tries, *gone);
+        let (since, tries, gone, claimed_by) = (*since, *tries, *gone, *claimed_by);
+        if let (true, Some(by)) = (done, claimed_by) {
+            return self.set(now, h, Stage::Released { by });
+        }
         let gap = super::doubling(FIRST_GAP_S, tries, LONGEST_GAP_S);
         let late = now + gap > since + self.within_s;
         match (done, gone) {
             (true, _) => self.account.let_go += 1,
             (false, true) => self.account.lost += 1,
             (false, false) if late => self.account.given_up += 1,
-            (false, false) => return self.set(now, h, Stage::Leaving { since, tries, at: Some(now + gap) }),
+            (false, false) => {
+                let at = Some(now + gap);
+                return self.set(now, h, Stage::Leaving { since, tries, at, claimed_by });
+            }
         }
         self.remove(now, h);
     }
 
-    /// These readers' processes have ended. What waits there is lost; calls to them are not repeated.
+    /// These readers' processes have ended. What waits there is lost; calls to them are not repeated. What bears its request's name
+    /// is released all the same: any engine takes the call, and one that has left the list may be cut off and still run.
     pub fn readers_gone(&mut self, now: f64, gone: impl Fn(&HeldState) -> bool) {
-        let there: Vec<Held> =
-            self.states.iter().filter(|(_, e)| !e.gone && gone(&e.state)).map(|(h, _)| *h).collect();
+        let there: Vec<Held> = self
+            .states
+            .iter()
+            .filter(|(_, e)| !e.gone && !e.state.shared && gone(&e.state))
+            .map(|(h, _)| *h)
+            .collect();
         for h in there {
             let Some(e) = self.states.get_mut(&h) else { continue };
             e.gone = true;
@@ -331,12 +413,13 @@
         let mut calls = Vec::new();
         while let Some(&(at, h)) = self.due.first().filter(|d| f64::from_bits(d.0) <= now) {
             match self.states.get(&h).map(|e| e.stage) {
-                Some(Stage::Leaving { since, tries, .. }) => {
-                    self.set(now, h, Stage::Leaving { since, tries: tries + 1, at: None });
+                Some(Stage::Leaving { since, tries, claimed_by, .. }) => {
+                    self.set(now, h, Stage::Leaving { since, tries: tries + 1, at: None, claimed_by });
                     calls.extend(self.states.get(&h).map(|e| (h, e.state.clone())));
                 }
-                Some(Stage::Waiting(_)) => {
+                Some(Stage::Waiting(_) | Stage::Taken { .. }) => {
                     self.account.overdue += 1;
+                    self.expired.push(h.owner);
                     self.leave(now, h);
                 }
                 _ => drop(self.due.remove(&(at, h))),
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -312,7 +312,7 @@
             (true, Cause::Read) => self.ledger.read(now, state),
             // What a failed read may have left is let go at once: nobody will ever ask for it.
             (true, _) => self.ledger.unread(now, state, never),
-            (false, _) => self.ledger.given_back(now, t.serial, send),
+            (false, _) => self.ledger.given_back(now, t.serial, send, cause.is_answer()),
         }
         self.note(now, t, Step::Ended { send, cause });
         if began && cause == Cause::CalledOff {
@@ -335,6 +335,7 @@
         let after_s = now - self.router.sent_at(Inf(t.inf), send);
         let ending = Ending { outcome, after_s, over, note };
         self.router.settled(now, Inf(t.inf), send, ending, end.load.as_ref().map(load));
+        self.await_release(t);
     }
 
     /// Nothing more is taken from now on.
@@ -427,6 +428,20 @@
     /// A call that lets go of a state was answered, or was not.
     pub fn let_go(&mut self, now: f64, call: Held, done: bool) {
         self.ledger.told(now, call, done);
+        if let Some(t) = self.ticket_of(call.owner) {
+            self.await_release(t);
+        }
+    }
+
+    fn ticket_of(&self, serial: u64) -> Option<Ticket> {
+        let inf = self.taken.iter().position(|x| x.as_ref().is_some_and(|x| x.serial == serial))?;
+        Some(Ticket { inf: inf as u32, serial })
+    }
+
+    /// No further prefill goes out for the request while a release of an earlier one's reservation is not confirmed.
+    fn await_release(&mut self, t: Ticket) {
+        let releasing = self.ledger.is_releasing(t.serial);
+        self.router.await_release(Inf(t.inf), releasing);
     }
 
     fn answer(&mut self, now: f64, t: Ticket, answer: Answer) {
--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::core::told::Times;
 use crate::core::MOST_LIST;
 use crate::node::Node;
-use crate::wire::{Pool, Within};
+use crate::wire::{Pool, Use, Within};
 use async_channel::Receiver;
 use nickelgw_node::core::Cause;
 use nickelgw_node::{seconds, within};
@@ -41,7 +41,9 @@
         };
         let (head, whole) = times.within(after.is_some());
         let asked = Instant::now();
-        let call = async { Some(pool.short(Within { head, whole }, "GET", &target, &at, MOST_LIST).await) };
+        let call = async {
+            Some(pool.short(Use::Short, Within { head, whole }, "GET", &target, &at, MOST_LIST).await)
+        };
         let other = async {
             told(&moved).await;
             None
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -33,8 +33,8 @@
 const STREAM_IDLE_S: f64 = 4.0;
 /// What is refused at a shutdown is told to come back after so long, where the settings allow it: another node takes it then.
 const COME_BACK_S: f64 = 1.0;
-/// A call that lets go is repeated for so long.
-const LET_GO_S: f64 = 3.0;
+/// A call that releases is repeated for so long: engines may be away for many seconds, and nobody else frees what stands there.
+const LET_GO_S: f64 = 30.0;
 /// After the order to shut down new connections still come for 0.2 to 0.4 s. Streams go on to the end: broken on purpose,
 /// so that their clients ask elsewhere, they served less than half as often.
 const STILL_COMING_S: f64 = 0.5;
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -20,6 +20,8 @@
 
 /// Events that may wait for a slow client before its writer is slowed.
 const AHEAD: usize = 32;
+/// Seconds between the calls of one release to several engines: a usual answer takes a few milliseconds.
+const RELEASE_GAP_S: f64 = 0.05;
 /// The first event waits so long for the rest of its chunk. Events are to be passed on within 0.3 s (the platform's page).
 const FIRST_HELD_S: f64 = 0.1;
 
@@ -214,7 +216,7 @@
                     Do::LetGo { call, state, at } => {
                         let node = self.clone();
                         let task = async move {
-                            let done = node.let_go(&state.name, &at).await;
+                            let done = node.clone().release(&state.name, &at).await;
                             node.core.borrow_mut().let_go(node.now(), call, done);
                             node.look();
                         };
@@ -435,7 +437,7 @@
     async fn probe(self: Rc<Self>, place: Rc<Place>) {
         let (cause, load) = match self
             .pool
-            .short(Within::whole(self.short_s), "GET", self.probe, &place.address, MOST_BODY)
+            .short(Use::Short, Within::whole(self.short_s), "GET", self.probe, &place.address, MOST_BODY)
             .await
         {
             Err(cause) => (cause, None),
@@ -454,20 +456,38 @@
         self.look();
     }
 
-    /// Lets go of all that is held for the request, at the first of these that takes the call.
-    async fn let_go(&self, id: &str, at: &[Rc<Place>]) -> bool {
-        let target = format!("{}{id}", names::HELD);
-        for place in at {
-            let within = Within::whole(self.short_s);
-            let began = self.now();
-            let answer = self.pool.short(within, "DELETE", &target, &place.address, MOST_BODY).await;
-            let status = answer.as_ref().map(|(a, _)| a.status);
-            tracing::debug!(at = self.now(), request = id, engine = %place.id, ?status, after_s = self.now() - began, "release call");
-            if answer.is_ok_and(|(a, _)| a.status < 300) {
-                return true;
-            }
+    /// Releases all that is reserved for the request, at whichever of these engines confirms it first. They are called one after the other
+    /// without waiting for the ones before: an open connection may be silent.
+    async fn release(self: Rc<Self>, id: &str, at: &[Rc<Place>]) -> bool {
+        let (confirm, confirmed) = async_channel::bounded(at.len().max(1));
+        let call = |(n, place): (usize, &Rc<Place>)| {
+            let (node, id, place, confirm) = (self.clone(), id.to_string(), place.clone(), confirm.clone());
+            self.ex.spawn(async move {
+                Timer::after(seconds(n as f64 * RELEASE_GAP_S)).await;
+                let done = node.release_call(&id, &place, n > 0).await;
+                let _ = confirm.try_send(done);
+            })
+        };
+        // Dropped at the end: what is still out is not waited for.
+        let calls: Vec<Task<()>> = at.iter().enumerate().map(call).collect();
+        drop(confirm);
+        let mut done = false;
+        while let (false, Ok(confirmed)) = (done, confirmed.recv().await) {
+            done = confirmed;
         }
-        false
+        drop(calls);
+        done
+    }
+
+    /// One release call; `fresh`: on a new connection, which proves that its way is open.
+    async fn release_call(&self, id: &str, place: &Place, fresh: bool) -> bool {
+        let target = format!("{}{id}", names::HELD);
+        let (began, within) = (self.now(), Within::whole(self.short_s));
+        let what = if fresh { Use::Fresh } else { Use::Short };
+        let answer = self.pool.short(what, within, "DELETE", &target, &place.address, MOST_BODY).await;
+        let status = answer.as_ref().map(|(a, _)| a.status);
+        tracing::debug!(at = self.now(), request = id, engine = %place.id, ?status, fresh, after_s = self.now() - began, "release call");
+        status.is_ok_and(|s| s < 300)
     }
 
     /// What has not begun is given up; streams go on.
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -128,6 +128,8 @@
     /// One that may not be made again: a request that crosses the far side's close is a reset after which it may have run.
     Once,
     Short,
+    /// A call that does not go out on a connection that has been idle: it may be silent.
+    Fresh,
 }
 
 /// A connection of ours; dropped it closes, by which the far side knows that nobody waits.
@@ -252,19 +254,18 @@
     pub async fn connection(&self, address: &str, what: Use) -> Result<Connection, Cause> {
         let idle_s = match what {
             Use::Once => self.idle_s.min(YOUNG * self.kept_s.borrow().get(address).unwrap_or(&f64::INFINITY)),
-            Use::Send | Use::Short => self.idle_s,
+            Use::Send | Use::Short | Use::Fresh => self.idle_s,
         };
-        loop {
-            let Some(mut c) = self.idle.borrow_mut().get_mut(address).and_then(Vec::pop) else { break };
-            let stood_s = c.since.elapsed().as_secs_f64();
-            if !c.is_sound() {
-                self.closed(&c, stood_s);
-            } else if stood_s < idle_s {
-                c.stood_s = Some(stood_s);
+        if what != Use::Fresh {
+            if let Some(c) = self.idle_connection(address, idle_s) {
                 return Ok(c);
             }
         }
-        let most = if what == Use::Short { self.most } else { self.most.saturating_sub(self.kept_back) };
+        let most = if matches!(what, Use::Short | Use::Fresh) {
+            self.most
+        } else {
+            self.most.saturating_sub(self.kept_back)
+        };
         if self.open.get() >= most {
             self.close_idle(|_| true);
         }
@@ -288,6 +289,20 @@
         })
     }
 
+    /// A connection that has been idle for less than so long, and is not known to have ended.
+    fn idle_connection(&self, address: &str, idle_s: f64) -> Option<Connection> {
+        loop {
+            let mut c = self.idle.borrow_mut().get_mut(address).and_then(Vec::pop)?;
+            let stood_s = c.since.elapsed().as_secs_f64();
+            if !c.is_sound() {
+                self.closed(&c, stood_s);
+            } else if stood_s < idle_s {
+                c.stood_s = Some(stood_s);
+                return Some(c);
+            }
+        }
+    }
+
     /// What a call on it tells of how long its engine keeps what stands unused: it was answered, or the connection broke.
     pub fn told(&self, c: &Connection, answered: bool) {
         let Some(stood_s) = c.stood_s else { return };
@@ -359,6 +374,7 @@
     /// A call without a body, its answer whole and no longer than allowed, or nothing within the time.
     pub async fn short(
         &self,
+        what: Use,
         within_s: Within,
         method: &str,
         target: &str,
@@ -367,7 +383,7 @@
     ) -> Result<(Answer, Bytes), Cause> {
         let call = async {
             let head = async {
-                let mut c = self.connection(address, Use::Short).await?;
+                let mut c = self.connection(address, what).await?;
                 c.write(&engine::short(method, target, address), &Cell::new(false)).await?;
                 let answer = c.answer().await?;
                 Ok((c, answer))
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -184,7 +184,9 @@
         let silent = matches!(end.outcome, NoAnswer | Cancelled) && e.mute > s.at.max(e.heard);
         let missed = matches!(end.outcome, NoConnection | NotSent) || silent;
         self.infs[i].sends[send as usize].missed = missed;
-        if !missed || self.connect == 0.0 {
+        // Only an answer proves that a send had arrived; without one it may never have been out.
+        let answered = matches!(end.outcome, Completed | Read | EngineError | TurnedAway);
+        if answered || self.connect == 0.0 {
             self.infs[i].held_since = now;
         }
         if !matches!(end.outcome, NoAnswer | NoConnection | Cancelled | NotSent) {
@@ -217,6 +219,12 @@
             NoAnswer if self.engines[s.eng].heard > s.at => {}
             _ => self.strike(now, s.eng),
         }
+        // What a send that came to nothing has left of a state's time is not enough for another one.
+        let unsure = s.write && !answered && !missed && self.connect > 0.0;
+        if unsure && self.infs[i].state.is_some() && self.is_spent(now, i) {
+            self.infs[i].state = None;
+            self.todo.released.push(inf);
+        }
         let proven = matches!(end.outcome, TurnedAway | NoConnection | NotSent | Read);
         if s.write && !proven && self.infs[i].ran.is_none() {
             self.infs[i].ran = Some((s.eng, s.at));
@@ -253,10 +261,9 @@
             }
             // Rule 5: a state that no writer may be sent is not kept; with no sends left it never will be.
             let inf = &self.infs[i];
-            // A further send may not come up either, nor the first call that lets go.
-            let last = inf.held_since + (self.hold / 2.0).min(self.hold - 2.0 * self.connect);
-            let spent = now >= last || !self.again(now, i, None);
-            let late = now > last && inf.sends.iter().any(|s| s.missed && s.write && s.at >= inf.held_since);
+            let spent = self.is_spent(now, i) || !self.again(now, i, None);
+            let late = now > self.last_send(i)
+                && inf.sends.iter().any(|s| s.missed && s.write && s.at >= inf.held_since);
             match self.writer(now, i) {
                 Some(w) if !late => self.write(now, i, w, 0.0),
                 None if !spent => {}
@@ -281,7 +288,7 @@
         let mean_wait = waits.sum::<f64>() / readers.len().max(1) as f64;
         let pressed = busy >= ROOM || mean_wait > self.target / 4.0;
         for &i in &queue {
-            if self.asking(now, i) {
+            if self.asking(now, i) || self.infs[i].awaits_release {
                 continue;
             }
             let inf = &self.infs[i];
@@ -337,7 +344,7 @@
         queue.sort_by(|&x, &y| self.infs[x].arrived.total_cmp(&self.infs[y].arrived).then(x.cmp(&y)));
         queue.retain(|&i| writer_wait <= self.target / 2.0 && self.infs[i].stage == Stage::Queued);
         for &i in &queue {
-            if self.infs[i].over_share || self.asking(now, i) {
+            if self.infs[i].over_share || self.infs[i].awaits_release || self.asking(now, i) {
                 continue;
             }
             let idle = |e: &usize| self.engines[*e].batch_s == 0.0 && self.engines[*e].matures <= now;
--- a/src/decide/again.rs
+++ b/src/decide/again.rs
@@ -28,6 +28,33 @@
         }
     }
 
+    /// Until when a held state may be sent on: a further send may not come up either, nor the first call that lets go.
+    pub(super) fn last_send(&self, i: usize) -> f64 {
+        self.infs[i].held_since + (self.hold / 2.0).min(self.hold - 2.0 * self.connect)
+    }
+
+    /// Whether a held state's time is too short for one more send.
+    pub(super) fn is_spent(&self, now: f64, i: usize) -> bool {
+        now >= self.last_send(i)
+    }
+
+    /// A held state's time is over, and it is let go of, whatever is out for its inference: what has arrived keeps it.
+    pub fn reservation_expired(&mut self, now: f64, inf: Inf) {
+        let i = inf.0 as usize;
+        self.infs[i].state = None;
+        if self.infs[i].stage == Stage::Held {
+            self.infs[i].stage = Stage::Queued;
+            if !self.again(now, i, None) {
+                self.give_up(i, Reason::Held);
+            }
+        }
+    }
+
+    /// Whether letting go of what earlier reads left is still to be confirmed; until it is nothing is read for the inference.
+    pub fn await_release(&mut self, inf: Inf, awaited: bool) {
+        self.infs[inf.0 as usize].awaits_release = awaited;
+    }
+
     /// Answers at once: shed where a repeat is harmless, else errored; lets go of what is held.
     pub(super) fn give_up(&mut self, i: usize, why: Reason) {
         if matches!(self.infs[i].stage, Stage::Ended | Stage::Closed) {
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -79,6 +79,10 @@
             let key = |e: &Engine| (e.mute > e.heard, e.id != meant, -e.heard);
             key(&self.engines[x]).partial_cmp(&key(&self.engines[y])).unwrap_or(std::cmp::Ordering::Equal)
         });
-        all.into_iter().take(most).map(|e| Eng(e as u32)).collect()
+        // One of each zone first: what is cut off is a zone more often than not.
+        let mut zones = HashSet::new();
+        let (first, others): (Vec<usize>, Vec<usize>) =
+            all.into_iter().partition(|&e| zones.insert(self.engines[e].zone));
+        first.into_iter().chain(others).take(most).map(|e| Eng(e as u32)).collect()
     }
 }
