--- a/crates/nickelgw-cli/tests/platform_reservations.rs
+++ b/crates/nickelgw-cli/tests/platform_reservations.rs
@@ -11,6 +11,7 @@
 
 use common::LONG;
 use nickelgw_standin::platform::Outcome;
+use rustix::process::Signal;
 use std::sync::atomic::Ordering::Relaxed;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -101,3 +102,108 @@
     assert!(!w.table.is_reserved("hangs"));
     w.assert_kept();
 }
+
+/// System calls that fail for a moment, short reads and writes, a wall clock that steps by an hour: no matter.
+#[test]
+fn failing_system_calls_and_a_stepping_clock_cost_no_request() {
+    let faults = world::shim();
+    let w = World::start_with(
+        106,
+        2,
+        2,
+        |_| {},
+        |c| {
+            c.env("LD_PRELOAD", &faults).env("FAULTS_EVERY", "7").env("FAULTS_STEP_S", "3600");
+        },
+    );
+    let outcomes: Vec<Outcome> = (0..30).map(|k| w.ask(&format!("shim{k}"))).collect();
+    let served = outcomes.iter().filter(|o| **o == Outcome::Served).count();
+    assert!(served >= 29, "{outcomes:?}\n{}", w.log());
+    w.assert_kept();
+}
+
+/// All open connections fall silent while the prefill's answer is on its way back: release calls find new ones.
+#[test]
+fn a_release_gets_through_though_every_open_connection_is_silent() {
+    let w = World::start(107, 1, 3, |_| {});
+    for k in 0..6 {
+        assert_eq!(w.ask(&format!("warm{k}")), Outcome::Served);
+    }
+    w.prefills()[0].engine.behaviour.work_ms.store(300, Relaxed);
+    let asked = w.ask_in_background("silent");
+    sleep(ms(200));
+    w.decodes().iter().for_each(|d| d.proxy.silence_open());
+    sleep(ms(120));
+    w.prefills()[0].proxy.silence_open();
+    let outcome = asked.join().unwrap();
+    assert!(!matches!(outcome, Outcome::Silent | Outcome::Closed), "no final answer: {outcome:?}");
+    w.assert_kept();
+}
+
+/// The process is held up for 0.15 s as the lease is about to end.
+#[test]
+fn a_node_that_is_held_up_releases_in_time() {
+    let w = World::start(108, 1, 1, |_| {});
+    assert_eq!(w.ask("warm"), Outcome::Served);
+    w.decodes()[0].proxy.silence_open();
+    let asked = w.ask_in_background("held-up");
+    sleep(ms(350));
+    w.signal(Signal::STOP);
+    sleep(ms(150));
+    w.signal(Signal::CONT);
+    asked.join().unwrap();
+    w.assert_kept();
+}
+
+/// An engine that has left the list may still run: what stands there is released through another one.
+#[test]
+fn what_stands_at_an_engine_that_left_the_list_is_released() {
+    let w = World::start(109, 1, 1, |_| {});
+    assert_eq!(w.ask("warm"), Outcome::Served);
+    w.decodes()[0].proxy.silence_open();
+    let asked = w.ask_in_background("delisted");
+    w.tell(|list| drop(list["instances"].as_array_mut().unwrap().remove(0)));
+    asked.join().unwrap();
+    w.assert_kept();
+}
+
+/// No engine can be reached for longer than any call is worth; then they are back, and are told.
+#[test]
+fn what_stands_is_released_when_engines_are_back() {
+    let w = World::start(110, 1, 1, |_| {});
+    assert_eq!(w.ask("warm"), Outcome::Served);
+    w.prefills()[0].engine.behaviour.work_ms.store(300, Relaxed);
+    let asked = w.ask_and_leave("away", Some(ms(200)));
+    sleep(ms(100));
+    // The prefill ends well behind a connection that tells nobody, and no call gets through.
+    for p in w.prefills().into_iter().chain(w.decodes()) {
+        p.proxy.silence(true);
+        p.proxy.refuse(true);
+    }
+    asked.join().unwrap();
+    sleep(ms(4000));
+    assert!(w.table.is_reserved("away"), "nothing stood there");
+    w.prefills().into_iter().chain(w.decodes()).for_each(|p| p.proxy.heal());
+    let until = Instant::now() + ms(1500);
+    while w.table.is_reserved("away") {
+        assert!(Instant::now() < until, "not released after their return");
+        sleep(ms(10));
+    }
+}
+
+/// A client leaves, or a new configuration comes, while an attempt goes into a silent connection.
+#[test]
+fn leaving_and_reloading_do_not_keep_a_reservation() {
+    for (n, reload) in [(111, false), (112, true)] {
+        let w = World::start(n, 1, 1, |_| {});
+        assert_eq!(w.ask("warm"), Outcome::Served);
+        w.decodes()[0].proxy.silence_open();
+        let asked = w.ask_and_leave("leaves", (!reload).then(|| ms(150)));
+        sleep(ms(100));
+        if reload {
+            w.signal(Signal::HUP);
+        }
+        asked.join().unwrap();
+        w.assert_kept();
+    }
+}
--- a/crates/nickelgw-cli/tests/platform_reservations/world.rs
+++ b/crates/nickelgw-cli/tests/platform_reservations/world.rs
@@ -63,6 +63,19 @@
     json!({"generation": 3, "reset": true, "instances": lines.collect::<Vec<_>>()})
 }
 
+/// The library that lets system calls fail, built for this run.
+pub fn shim() -> std::path::PathBuf {
+    let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/platform_reservations/faults.c");
+    let built = std::env::temp_dir().join(format!("nickelgw-faults-{}.so", std::process::id()));
+    let cc = Command::new("cc")
+        .args(["-shared", "-fPIC", "-O1", "-o"])
+        .arg(&built)
+        .args([source, "-ldl"])
+        .status();
+    assert!(cc.is_ok_and(|s| s.success()), "a C compiler is wanted");
+    built
+}
+
 impl World {
     pub fn start(n: u8, prefills: usize, decodes: usize, but: impl Fn(&mut Value)) -> World {
         World::start_with(n, prefills, decodes, but, |_| {})
@@ -138,10 +151,15 @@
             std::thread::sleep(Duration::from_millis(5));
         }
         let found = self.table.violations();
-        assert!(found.is_empty(), "{found:?}\n{}", std::fs::read_to_string(&self.log).unwrap_or_default());
+        assert!(found.is_empty(), "{found:?}\n{}", self.log());
         assert!(!self.table.is_any_reserved(), "something stays reserved");
     }
 
+    /// The node's log, for a test that fails.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.node.child), signal).unwrap();
     }
--- a/crates/nickelgw-platform/src/wire.rs
+++ b/crates/nickelgw-platform/src/wire.rs
@@ -29,7 +29,12 @@
 /// Reads what is there onto the buffer, without waiting; 0 at the end.
 pub fn read_now(mut stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
     let mut some = [0; READ];
-    let n = stream.read(&mut some)?;
+    let n = loop {
+        match stream.read(&mut some) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            done => break done?,
+        }
+    };
     buf.extend_from_slice(some.get(..n).unwrap_or_default());
     Ok(n)
 }
@@ -39,6 +44,19 @@
     stream.read_with(|s| read_now(s, buf)).await
 }
 
+/// Writes all of it; a call that a signal interrupts is made again.
+async fn write_all(mut stream: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.write(bytes).await {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(n) => bytes = bytes.get(n..).unwrap_or_default(),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// Why what a stream was to bring did not come.
 pub enum Broken {
     Ended,
@@ -166,14 +184,19 @@
 
     /// Nothing came or ended while it stood unused.
     fn is_sound(&self) -> bool {
-        let quiet = self.stream.get_ref().peek(&mut [0]);
-        self.buf.is_empty() && matches!(quiet, Err(e) if e.kind() == ErrorKind::WouldBlock)
+        loop {
+            return match self.stream.get_ref().peek(&mut [0]) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) => self.buf.is_empty() && e.kind() == ErrorKind::WouldBlock,
+                Ok(_) => false,
+            };
+        }
     }
 
     /// Writes a request. Until its last byte is handed over it is known not to have run.
     pub async fn write(&mut self, bytes: &[u8], out: &Cell<bool>) -> Result<(), Cause> {
         // An error tells that not all of it was taken over.
-        (&*self.stream).write_all(bytes).await.map_err(|_| Cause::NoConnection)?;
+        write_all(&self.stream, bytes).await.map_err(|_| Cause::NoConnection)?;
         out.set(true);
         Ok(())
     }
