--- a/crates/nickelgw-node/src/admin.rs
+++ b/crates/nickelgw-node/src/admin.rs
@@ -28,6 +28,8 @@
 pub struct Counted {
     pub tally: crate::core::Tally,
     pub account: crate::core::ledger::Account,
+    /// Broken rules, by name.
+    pub violations: Vec<(&'static str, u64)>,
     pub open: usize,
     pub states: usize,
     pub held_p99_s: f64,
@@ -102,6 +104,7 @@
             ("overdue", a.overdue),
         ];
         by_how(&mut r, "states", "Held states by what became of them", all);
+        by_how(&mut r, "violations", "Broken rules; any is a bug", c.violations);
         whole(&mut r, "open", "Inferences open", c.open);
         whole(&mut r, "held", "States held at readers, as the ledger has it", c.states);
         whole(&mut r, "connections", "Client connections", self.doors.connections.get());
--- a/crates/nickelgw-node/src/core/act.rs
+++ b/crates/nickelgw-node/src/core/act.rs
@@ -20,7 +20,13 @@
             }
         }
         for s in &d.sends {
-            todo.extend(self.order(now, s.inf, s.eng, s.patience_s).map(Do::Send));
+            match self.order(now, s.inf, s.eng, s.patience_s) {
+                Some(Ok(order)) => todo.push(Do::Send(order)),
+                Some(Err((t, send))) => {
+                    self.ended(now, t, send, End { cause: Cause::NotSent, ..End::default() })
+                }
+                None => {}
+            }
         }
         let named = d.reasons.iter().filter_map(|&(inf, reason)| Some((self.ticket(inf)?, reason)));
         let reasons: Vec<(Ticket, Reason)> = named.collect();
@@ -63,6 +69,9 @@
             if let Some(t) = self.ticket(inf) {
                 self.ledger.let_go(now, t.serial);
                 // A request must not vanish unanswered, whatever the Router thinks of it.
+                if self.get(t).is_some_and(|x| x.stage != Stage::Over) {
+                    self.guard.count(Violation::Unanswered, t.serial);
+                }
                 self.answer(now, t, Answer::Errored(Why::SendsFailed));
             }
         }
@@ -85,8 +94,11 @@
         todo.extend(readers.into_iter().map(Do::Sweep));
         let unseen = self.unseen.first().map(|u| f64::from_bits(u.0));
         let wake_at = [d.wake_at, let_go_at, sweep_at, unseen].into_iter().flatten().min_by(f64::total_cmp);
-        let transitions = self.ledger.take_transitions();
-        Actions { todo, reasons, transitions, wake_at }
+        for owner in self.ledger.take_overdue(now) {
+            self.guard.count(Violation::ReservationOverdue, owner);
+        }
+        let (transitions, violations) = (self.ledger.take_transitions(), self.guard.take_news());
+        Actions { todo, reasons, transitions, violations, wake_at }
     }
 
     /// Engines that the module names for a call which any of them takes; the one meant at least.
@@ -102,7 +114,14 @@
     }
 
     /// Books a send and says what the shell needs to make it.
-    fn order(&mut self, now: f64, inf: Inf, eng: Eng, patience_s: f64) -> Option<Order> {
+    /// An error: the guard refuses it.
+    fn order(
+        &mut self,
+        now: f64,
+        inf: Inf,
+        eng: Eng,
+        patience_s: f64,
+    ) -> Option<Result<Order, (Ticket, u32)>> {
         let ticket = self.ticket(inf)?;
         let id = self.router.engine_id(eng).to_string();
         let idle_s = self.figures.stream_idle_s;
@@ -110,11 +129,16 @@
             Some((place, role)) => (place.clone(), *role),
             None => (Rc::new(Place { id, address: String::new(), tls_name: None }), Role::Read),
         };
+        let read = role == Role::Read;
+        let attempt = self.attempt(now, ticket, &eng.id, read)?;
+        let permitted = self.guard.permits(&attempt, ticket.serial);
         let taken = self.get(ticket)?;
         let send = taken.sends.len() as u32;
-        let read = role == Role::Read;
         let route = taken.route;
-        taken.sends.push(Sent { read, live: true, may_have_run: !read });
+        taken.sends.push(Sent { read, live: true, at: now, may_have_run: !read && permitted });
+        if !permitted {
+            return Some(Err((ticket, send)));
+        }
         let shared = taken.name.is_some();
         let name = taken.name.clone();
         let name = name.unwrap_or_else(|| format!("{}-{}-{send}", self.figures.boot, ticket.serial));
@@ -131,7 +155,23 @@
         let from_state = matches!(what, Work::Write { state: Some(_), .. });
         self.note(now, ticket, Step::Sent { send, eng: eng.clone(), read, grounds, from_state });
         let once = !read && self.once.get(route).copied().unwrap_or(true);
-        Some(Order { ticket, send, name, eng, patience_s, once, what, grounds })
+        Some(Ok(Order { ticket, send, name, eng, patience_s, once, what, grounds }))
+    }
+
+    /// What the guard is told of an attempt that is about to be made.
+    fn attempt(&self, now: f64, ticket: Ticket, engine: &str, prefill: bool) -> Option<Attempt> {
+        let taken = self.taken.get(ticket.inf as usize)?.as_ref()?;
+        let ran = taken.sends.iter().find(|s| !s.read && s.may_have_run);
+        Some(Attempt {
+            prefill,
+            waiting: taken.stage == Stage::Waiting,
+            left_s: taken.due_at - now,
+            another_out: taken.sends.iter().any(|s| s.live),
+            may_have_run_s: ran.map(|s| now - s.at),
+            repeat: self.repeats.get(taken.route).copied().unwrap_or(Repeat::NonRetriable),
+            listed: self.places.contains_key(engine) && !self.draining.contains(engine),
+            releasing: self.ledger.is_releasing(ticket.serial),
+        })
     }
 
     /// What lets this writer fetch this state, once and for a time.
--- a/crates/nickelgw-node/src/core/ledger.rs
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -108,6 +108,8 @@
     stage: Stage,
     /// Its reader's process has ended, as the list has it: there is nothing to free.
     gone: bool,
+    /// It was told as overdue.
+    told_late: bool,
 }
 
 /// What became of the states that were read.
@@ -240,8 +242,10 @@
 
     /// A read goes out: from now on its reader may hold a state for it.
     pub fn coming(&mut self, now: f64, h: Held, state: HeldState) {
-        self.states
-            .insert(h, Entry { state, since: now, lease_from: now, stage: Stage::Coming, gone: false });
+        self.states.insert(
+            h,
+            Entry { state, since: now, lease_from: now, stage: Stage::Coming, gone: false, told_late: false },
+        );
     }
 
     /// The read is done, and the state waits.
@@ -274,6 +278,7 @@
             true => self.remove(now, h),
             false => {
                 self.account.read += 1;
+                self.renew(now, h);
                 self.leave(now, h);
             }
         }
@@ -325,6 +330,23 @@
         all.into_iter().any(|(_, e)| releases(e))
     }
 
+    /// Requests with a reservation that was neither claimed nor released in its time, each told once: no call that releases it was
+    /// confirmed though its lease ended long ago.
+    pub fn take_overdue(&mut self, now: f64) -> Vec<u64> {
+        let hold_s = self.hold_s;
+        let late = |e: &Entry| matches!(e.stage, Stage::Leaving { .. }) && now > e.lease_from + hold_s;
+        let mut owners = Vec::new();
+        // Only what is being released can be late: all else has a time of its own before that.
+        let releasing: Vec<Held> = self.leaving.iter().map(|(_, h)| *h).collect();
+        for h in releasing {
+            if let Some(e) = self.states.get_mut(&h).filter(|e| !e.told_late && late(e)) {
+                e.told_late = true;
+                owners.push(h.owner);
+            }
+        }
+        owners
+    }
+
     /// Requests whose reservation's lease has ended since this was last asked.
     pub fn take_expired(&mut self) -> Vec<u64> {
         std::mem::take(&mut self.expired)
--- a/crates/nickelgw-node/src/core/membership.rs
+++ b/crates/nickelgw-node/src/core/membership.rs
@@ -25,6 +25,8 @@
         }
         self.revision = Some(list.revision);
         let mut lines = Vec::with_capacity(list.engines.len());
+        let draining = list.engines.iter().filter(|l| l.state != list::State::In);
+        self.draining = draining.map(|l| l.id.clone()).collect();
         for l in &list.engines {
             // A zone not in the settings cannot be weighed; the engine is left out, as if gone.
             let Some(zone) = self.figures.zones.iter().position(|z| *z == l.zone) else { continue };
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod act;
 pub mod cause;
 pub mod door;
+pub mod guard;
 pub mod kept;
 pub mod ledger;
 pub mod life;
@@ -15,6 +16,7 @@
 
 pub use cause::Cause;
 pub use door::{Ask, Door, Refusal};
+use guard::{Attempt, Guard, Violation};
 use ledger::{Held, Ledger};
 use nickelgw::decide::Router;
 use nickelgw::interface::{
@@ -51,6 +53,7 @@
 struct Sent {
     read: bool,
     live: bool,
+    at: f64,
     /// A write that is not known not to have run.
     may_have_run: bool,
 }
@@ -90,6 +93,12 @@
     limit: fair::Limit,
     serial: u64,
     pub ledger: Ledger,
+    /// What every attempt passes, and what counts broken rules.
+    pub guard: Guard,
+    /// Engines of the list that take no new work.
+    draining: BTreeSet<String>,
+    /// How each route may be repeated.
+    repeats: Vec<Repeat>,
     sweep: Sweep,
     /// The node as one of a fleet, where nodes tell each other what they see.
     pub together: Option<Together>,
@@ -117,6 +126,7 @@
 
 impl Core {
     pub fn new(deployment: Deployment, figures: Figures) -> Core {
+        let repeats = deployment.routes.iter().map(|r| r.repeat).collect();
         let ledger = Ledger::new(deployment.hold_limit_s, figures.let_go_within_s);
         Core {
             tick: deployment.tick_s,
@@ -134,6 +144,9 @@
             open: 0,
             serial: 0,
             ledger,
+            guard: Guard::default(),
+            draining: BTreeSet::new(),
+            repeats,
             sweep: Sweep::new(figures.sweep_s.0, figures.sweep_s.1),
             recall: None,
             together: None,
@@ -166,6 +179,16 @@
         self.taken.iter().all(Option::is_none) && self.ledger.is_empty()
     }
 
+    /// The process is about to end: what is still owed is counted.
+    pub fn exits(&mut self) {
+        if self.open > 0 {
+            self.guard.count(Violation::ExitWithRequests, 0);
+        }
+        if !self.ledger.is_empty() {
+            self.guard.count(Violation::ExitWithReservations, 0);
+        }
+    }
+
     /// Takes a request, or says why not.
     pub fn take(&mut self, now: f64, ask: &Ask) -> Result<Ticket, Refusal> {
         if let Err(why) = self.may_enter(ask) {
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -338,6 +338,8 @@
             prop_assert_eq!(s.answers.len() + usize::from(s.left), 1, "{:?}", t);
         }
         prop_assert!(w.core.is_quiet(), "something is kept for requests that are over");
+        let broken = w.core.guard.counts().keys().find(|v| **v != Violation::ReservationOverdue);
+        prop_assert_eq!(broken, None);
         prop_assert_eq!(w.core.open(), 0);
         prop_assert!(w.states.is_empty());
         let t = w.core.tally;
--- a/crates/nickelgw-node/src/core/words.rs
+++ b/crates/nickelgw-node/src/core/words.rs
@@ -1,6 +1,7 @@
 //! What the core and its shell say to each other.
 
 use super::cause::Cause;
+use super::guard::Violation;
 use super::ledger::{Held, Transition};
 use nickelgw::interface::{Grounds, Reason};
 use nickelgw_chat::core::grant::GrantKey;
@@ -114,6 +115,8 @@
     pub reasons: Vec<(Ticket, Reason)>,
     /// What has become of KV reservations, for the log.
     pub transitions: Vec<Transition>,
+    /// Rules that were about to be broken, or were, with their requests' serial numbers.
+    pub violations: Vec<(Violation, u64)>,
     pub wake_at: Option<f64>,
 }
 
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -299,6 +299,7 @@
         Counted {
             tally: c.tally,
             account: ledger.account,
+            violations: c.guard.counts().iter().map(|(v, n)| (v.name(), *n)).collect(),
             open: c.open(),
             states: ledger.len(),
             held_p99_s: ledger.waited(0.99),
--- a/crates/nickelgw-platform/src/counters.rs
+++ b/crates/nickelgw-platform/src/counters.rs
@@ -20,6 +20,7 @@
         reserved = core.ledger.len(),
         unclaimed_longest_s = core.ledger.waited(1.0),
         transitions_not_logged = core.ledger.unlogged,
+        violations = ?core.guard.counts(),
         "counters"
     );
 }
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -162,6 +162,7 @@
         }
     };
     ex.run(living).await;
+    node.exits();
     counters::write(&node);
     drop((reloading, following, tending, driving, counting));
     Ok(())
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -194,6 +194,15 @@
                     tracing::debug!(at = now, request = %job.passed.id, ?reason, "given up");
                 }
             }
+            for (violation, serial) in &actions.violations {
+                let name = violation.name();
+                tracing::error!(
+                    at = now,
+                    rule = name,
+                    ticket = serial,
+                    "a rule was broken, or an attempt refused that would have"
+                );
+            }
             for t in &actions.transitions {
                 tracing::debug!(at = now, request = %t.name, prefill = t.id.read, from = ?t.from, to = ?t.to, after_s = t.after_s, "reservation");
             }
@@ -496,6 +505,11 @@
         self.look();
     }
 
+    /// The process is about to end.
+    pub fn exits(&self) {
+        self.core.borrow_mut().exits();
+    }
+
     /// Requests open.
     pub fn open(&self) -> usize {
         self.core.borrow().open()
