--- /dev/null
+++ b/crates/nickelgw-cli/tests/platform_soak/faults.rs
@@ -0,0 +1,121 @@
+//! Random faults that overlap: each is begun at a random moment and ends by itself some time later.
+
+use crate::fleet::Fleet;
+use nanorand::{Rng, WyRand};
+use nickelgw_standin::platform::Proxy;
+use rustix::process::Signal;
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// What ends a fault, and when.
+type Ending = (Instant, Box<dyn Fn(&Fleet) + Send>);
+
+pub struct Faults {
+    chance: WyRand,
+    endings: Vec<Ending>,
+    /// Names of the faults so far.
+    pub played: Vec<&'static str>,
+}
+
+impl Faults {
+    pub fn new(seed: u64) -> Faults {
+        Faults { chance: WyRand::new_seed(seed), endings: Vec::new(), played: Vec::new() }
+    }
+
+    fn below(&mut self, n: usize) -> usize {
+        self.chance.generate_range(0..n)
+    }
+
+    fn ends_in(&mut self, ms: usize, end: impl Fn(&Fleet) + Send + 'static) {
+        let after = Duration::from_millis(self.below(ms) as u64 + 100);
+        self.endings.push((Instant::now() + after, Box::new(end)));
+    }
+
+    /// Waits a while, ends what is over, and begins one more.
+    pub fn next(&mut self, fleet: &Fleet) {
+        sleep(Duration::from_millis(self.below(200) as u64));
+        self.end_due(fleet, Instant::now());
+        let engine = self.below(fleet.places.len());
+        let proxy = fleet.places[engine].proxy.clone();
+        let behaviour = fleet.places[engine].engine.behaviour.clone();
+        let node = self.below(fleet.nodes());
+        let name = match self.below(14) {
+            0 | 1 => {
+                proxy.silence_open();
+                "connections fall silent"
+            }
+            2 => {
+                proxy.silence(true);
+                self.ends_in(2000, move |_| Proxy::heal(&proxy));
+                "an engine is cut off"
+            }
+            3 => {
+                proxy.break_open();
+                "connections break"
+            }
+            4 => {
+                proxy.refuse(true);
+                self.ends_in(1000, move |_| proxy.refuse(false));
+                "connections are refused"
+            }
+            5 => {
+                proxy.delay(Duration::from_millis(80));
+                self.ends_in(1000, move |_| proxy.delay(Duration::ZERO));
+                "connections are late"
+            }
+            6 => {
+                behaviour.loses_answers.store(true, Relaxed);
+                self.ends_in(600, move |_| behaviour.loses_answers.store(false, Relaxed));
+                "answers get lost"
+            }
+            7 => {
+                behaviour.hangs.store(true, Relaxed);
+                self.ends_in(1500, move |_| behaviour.hangs.store(false, Relaxed));
+                "an engine hangs"
+            }
+            8 => {
+                behaviour.full.store(true, Relaxed);
+                self.ends_in(800, move |_| behaviour.full.store(false, Relaxed));
+                "an engine is full"
+            }
+            9 => {
+                behaviour.work_ms.store(self.below(500) as u64 + 5, Relaxed);
+                self.ends_in(1500, move |_| behaviour.work_ms.store(10, Relaxed));
+                "an engine is slow"
+            }
+            10 => {
+                fleet.signal(node, Signal::STOP);
+                sleep(Duration::from_millis(self.below(140) as u64));
+                fleet.signal(node, Signal::CONT);
+                "a node is held up"
+            }
+            11 => {
+                fleet.signal(node, Signal::HUP);
+                "a new configuration"
+            }
+            12 => {
+                fleet.kill_and_restart(node);
+                "a node is killed"
+            }
+            _ => {
+                fleet.end_and_restart(node);
+                "a node is told to end"
+            }
+        };
+        self.played.push(name);
+    }
+
+    fn end_due(&mut self, fleet: &Fleet, now: Instant) {
+        let (due, later) = std::mem::take(&mut self.endings).into_iter().partition(|e: &Ending| e.0 <= now);
+        self.endings = later;
+        due.iter().for_each(|e: &Ending| e.1(fleet));
+    }
+
+    /// All faults end.
+    pub fn end(&mut self, fleet: &Fleet) {
+        let endings = std::mem::take(&mut self.endings);
+        endings.iter().for_each(|e| e.1(fleet));
+        fleet.places.iter().for_each(|p| p.proxy.heal());
+    }
+}
--- /dev/null
+++ b/crates/nickelgw-cli/tests/platform_soak/fleet.rs
@@ -0,0 +1,235 @@
+//! Nodes as processes with a client each that asks all the time, and what is found in the end.
+
+use crate::common::silent;
+use crate::processes::{configured, start_with};
+use crate::world::{endpoints, places, Place};
+use nanorand::{Rng, WyRand};
+use nickelgw_standin::platform::{request, Asked, Outcome, Rules, Table};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::{sleep, spawn, JoinHandle};
+use std::time::{Duration, Instant};
+
+const PREFILLS: usize = 4;
+const DECODES: usize = 5;
+const DESCRIPTORS: usize = 256;
+const TIMEOUT: Duration = Duration::from_millis(2000);
+/// Gap between the requests of a node's client.
+const GAP: Duration = Duration::from_millis(60);
+/// After the order to end clients still come for so long; it is killed no sooner than its longest deadline and 0.7 s later.
+const STILL_COMING: Duration = Duration::from_millis(400);
+const KILLED_AFTER: Duration = Duration::from_millis(3700);
+
+/// One node over the lives of its processes.
+struct Member {
+    address: SocketAddr,
+    path: PathBuf,
+    log: PathBuf,
+    child: Mutex<Child>,
+    /// Its clients stay away.
+    away: AtomicBool,
+    /// Requests that were open as it was killed are nobody's loss.
+    killed: Mutex<Vec<Instant>>,
+}
+
+impl Member {
+    fn child(&self) -> MutexGuard<'_, Child> {
+        self.child.lock().unwrap()
+    }
+
+    fn spawn(path: &std::path::Path, log: &std::path::Path) -> Child {
+        let file = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+        start_with(path, DESCRIPTORS, |c| {
+            c.env("LEVEL", "--log-level debug").stderr(Stdio::from(file));
+        })
+    }
+
+    fn restart(&self) {
+        let mut child = self.child();
+        let _ = child.wait();
+        *child = Member::spawn(&self.path, &self.log);
+        self.away.store(false, Relaxed);
+    }
+
+    fn remove_files(self: &Arc<Self>) {
+        let _ = std::fs::remove_file(&self.log);
+        let _ = std::fs::remove_file(&self.path);
+    }
+
+    fn was_killed_since(&self, since: Instant) -> bool {
+        self.killed.lock().unwrap().iter().any(|at| *at >= since)
+    }
+}
+
+pub struct Fleet {
+    pub places: Vec<Place>,
+    members: Vec<Arc<Member>>,
+    table: Arc<Table>,
+    on: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<Vec<(String, Outcome)>>>,
+    ending: Mutex<Vec<JoinHandle<()>>>,
+}
+
+/// What a soak came to.
+pub struct Report {
+    pub asked: usize,
+    pub served: usize,
+    pub violations: Vec<String>,
+}
+
+impl std::fmt::Display for Report {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{} asked, {} served, {} violations", self.asked, self.served, self.violations.len())
+    }
+}
+
+impl Fleet {
+    pub fn start(nodes: usize, seed: u64) -> Fleet {
+        let table = Arc::new(Table::new(Rules::default()));
+        let places = places(&table, PREFILLS, DECODES);
+        let discovery = silent();
+        let members: Vec<Arc<Member>> = (0..nodes)
+            .map(|n| {
+                let (address, path) = configured(120 + n as u8, &discovery, endpoints(&places), |all| {
+                    let settings = &mut all["settings"];
+                    settings["balancers"] = nodes.into();
+                    settings["limits"]["probes"] = seed.is_multiple_of(2).into();
+                    settings["limits"]["most_tries"] = 6.into();
+                    let once =
+                        json!({"name": "pay", "slo_s": 1.0, "idempotency": "side_effect", "worth": 1.0});
+                    settings["classes"].as_array_mut().unwrap().push(once);
+                    settings["family_info"]["aim_us_per_1000_prompt_tokens"] = json!([40000.0, 40000.0]);
+                    settings["family_info"]["token_aim_s"] = json!([0.06, 0.06]);
+                });
+                let log = path.with_extension("log");
+                let child = Mutex::new(Member::spawn(&path, &log));
+                let (away, killed) = (AtomicBool::new(false), Mutex::default());
+                Arc::new(Member { address, path, log, child, away, killed })
+            })
+            .collect();
+        sleep(Duration::from_secs(1));
+        let on = Arc::new(AtomicBool::new(true));
+        let client = |(n, member): (usize, &Arc<Member>)| {
+            let (member, table, on) = (member.clone(), table.clone(), on.clone());
+            spawn(move || asks(n, seed, &member, &table, &on))
+        };
+        let clients = members.iter().enumerate().map(client).collect();
+        Fleet { places, members, table, on, clients, ending: Mutex::default() }
+    }
+
+    pub fn nodes(&self) -> usize {
+        self.members.len()
+    }
+
+    pub fn signal(&self, node: usize, signal: Signal) {
+        let child = self.members[node].child();
+        let _ = kill_process(Pid::from_child(&child), signal);
+    }
+
+    /// A node dies at once; what it left is freed by the platform.
+    pub fn kill_and_restart(&self, node: usize) {
+        let member = &self.members[node];
+        if member.away.swap(true, Relaxed) {
+            return;
+        }
+        member.killed.lock().unwrap().push(Instant::now());
+        let _ = member.child().kill();
+        self.table.forgive_all(&format!("s{node}x"));
+        member.restart();
+    }
+
+    /// A node is told to end, and is killed when its time is up.
+    pub fn end_and_restart(&self, node: usize) {
+        let member = self.members[node].clone();
+        if member.away.load(Relaxed) {
+            return;
+        }
+        self.signal(node, Signal::TERM);
+        self.ending.lock().unwrap().push(spawn(move || {
+            sleep(STILL_COMING);
+            if member.away.swap(true, Relaxed) {
+                return;
+            }
+            let until = Instant::now() + KILLED_AFTER;
+            while member.child().try_wait().unwrap().is_none() && Instant::now() < until {
+                sleep(Duration::from_millis(10));
+            }
+            let _ = member.child().kill();
+            member.restart();
+        }));
+    }
+
+    /// Ends all, and judges.
+    pub fn end(self) -> Report {
+        self.on.store(false, Relaxed);
+        let outcomes: Vec<(String, Outcome)> =
+            self.clients.into_iter().flat_map(|c| c.join().unwrap()).collect();
+        self.ending.into_inner().unwrap().into_iter().for_each(|e| e.join().unwrap());
+        sleep(Duration::from_secs(1));
+        let mut violations: Vec<String> = self.table.violations().iter().map(|v| format!("{v:?}")).collect();
+        if self.table.is_any_reserved() {
+            violations.push("something stays reserved".into());
+        }
+        let judged = violations.len();
+        for member in &self.members {
+            let _ = member.child().kill();
+            let _ = member.child().wait();
+            let log = std::fs::read_to_string(&member.log).unwrap_or_default();
+            // What a node finds wrong itself, and whatever else it says that is no usual step.
+            let own = log.lines().filter(|line| !line.contains(" DEBUG ") && !line.contains(" INFO "));
+            violations.extend(own.map(|line| format!("{}: {line}", member.address)));
+        }
+        if violations.is_empty() {
+            self.members.iter().for_each(Member::remove_files);
+        }
+        // The logs of a failed run are kept: a violation is followed by its request's id.
+        println!("{judged} found outside of the nodes; logs: {}", self.members[0].log.display());
+        let served = outcomes.iter().filter(|o| o.1 == Outcome::Served).count();
+        Report { asked: outcomes.len(), served, violations }
+    }
+}
+
+/// A client that asks one node all the time, several requests at once.
+fn asks(
+    node: usize,
+    seed: u64,
+    member: &Arc<Member>,
+    table: &Arc<Table>,
+    on: &AtomicBool,
+) -> Vec<(String, Outcome)> {
+    let mut chance = WyRand::new_seed(seed ^ ((node as u64 + 1) << 32));
+    let mut open = Vec::new();
+    let mut k = 0;
+    while on.load(Relaxed) {
+        sleep(GAP.mul_f64(0.5 + chance.generate::<f64>()));
+        if member.away.load(Relaxed) {
+            continue;
+        }
+        k += 1;
+        let once = chance.generate_range(0..4u32) == 0;
+        let leaves = chance.generate_range(0..8u32) == 0;
+        let asked = Asked {
+            id: format!("s{node}x{k}"),
+            class: if once { "pay" } else { "chat" }.into(),
+            once,
+            timeout: TIMEOUT,
+            leaves_after: leaves.then(|| Duration::from_millis(chance.generate_range(0..600u64))),
+        };
+        let (member, table) = (member.clone(), table.clone());
+        open.push(smol::spawn(async move {
+            let began = Instant::now();
+            let outcome = request(member.address, &asked, &table, Rules::default().answer_slack).await;
+            let lost = matches!(outcome, Outcome::Closed | Outcome::Silent);
+            if lost && !member.was_killed_since(began) {
+                table.unanswered(&asked.id, format!("{outcome:?} after {:?}", began.elapsed()));
+            }
+            (asked.id, outcome)
+        }));
+    }
+    open.into_iter().map(smol::block_on).collect()
+}
--- a/crates/nickelgw-node/src/core/ledger.rs
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -17,6 +17,8 @@
 /// Part of the time that a reservation may stand unattended after which it is released: the rest is for the calls, some of which
 /// find silent connections, and for a process that is held up.
 const LEASE_PART: f64 = 0.5;
+/// Part of that time after which a release is made once more, where the first may have overtaken the end of an attempt.
+const FOLLOW_UP_PART: f64 = 0.25;
 const FIRST_GAP_S: f64 = 0.02;
 /// A reader that comes back from a cut is told within this time.
 const LONGEST_GAP_S: f64 = 0.32;
@@ -110,6 +112,11 @@
     gone: bool,
     /// It was told as overdue.
     told_late: bool,
+    /// An attempt that may have had it was given up without an answer: its engine may hear of that later than of the release, which
+    /// spares what an attempt waits for.
+    follow_up: bool,
+    /// A release was confirmed: what follows is a precaution.
+    confirmed: bool,
 }
 
 /// What became of the states that were read.
@@ -244,7 +251,16 @@
     pub fn coming(&mut self, now: f64, h: Held, state: HeldState) {
         self.states.insert(
             h,
-            Entry { state, since: now, lease_from: now, stage: Stage::Coming, gone: false, told_late: false },
+            Entry {
+                state,
+                since: now,
+                lease_from: now,
+                stage: Stage::Coming,
+                gone: false,
+                told_late: false,
+                follow_up: false,
+                confirmed: false,
+            },
         );
     }
 
@@ -280,6 +296,7 @@
                 self.account.read += 1;
                 self.renew(now, h);
                 self.leave(now, h);
+                self.expect_follow_up(h);
             }
         }
     }
@@ -310,8 +327,14 @@
     /// answer of its engine, which had it until now; else it may never have arrived, and the lease runs on.
     pub fn given_back(&mut self, now: f64, owner: u64, by: u32, answered: bool) {
         for h in self.of(owner, |s| s.claimed_by() == Some(by)) {
+            if !answered {
+                self.expect_follow_up(h);
+            }
             if !matches!(self.states.get(&h).map(|e| e.stage), Some(Stage::Taken { .. })) {
                 // Released under it: a call that came while it waited there spared what it claimed.
+                if matches!(self.states.get(&h).map(|e| e.stage), Some(Stage::Released { .. })) {
+                    self.renew(now, h);
+                }
                 self.leave(now, h);
                 continue;
             }
@@ -322,6 +345,12 @@
         }
     }
 
+    fn expect_follow_up(&mut self, h: Held) {
+        if let Some(e) = self.states.get_mut(&h) {
+            e.follow_up = e.state.shared;
+        }
+    }
+
     /// Whether a release of anything of the request awaits its confirmation: the calls go by the request's name, and would take
     /// what a further prefill reserves.
     pub fn is_releasing(&self, owner: u64) -> bool {
@@ -334,7 +363,9 @@
     /// confirmed though its lease ended long ago.
     pub fn take_overdue(&mut self, now: f64) -> Vec<u64> {
         let hold_s = self.hold_s;
-        let late = |e: &Entry| matches!(e.stage, Stage::Leaving { .. }) && now > e.lease_from + hold_s;
+        let late = |e: &Entry| {
+            matches!(e.stage, Stage::Leaving { .. }) && now > e.lease_from + hold_s && !e.confirmed
+        };
         let mut owners = Vec::new();
         // Only what is being released can be late: all else has a time of its own before that.
         let releasing: Vec<Held> = self.leaving.iter().map(|(_, h)| *h).collect();
@@ -386,8 +417,8 @@
         self.set(now, h, Stage::Leaving { since: now, tries: 0, at: Some(now), claimed_by });
     }
 
-    /// A call that lets go of it was answered, or was not.
-    pub fn told(&mut self, now: f64, h: Held, done: bool) {
+    /// A call that lets go of it was answered, or was not. `over`: nothing more is sent for its request.
+    pub fn told(&mut self, now: f64, h: Held, done: bool, over: bool) {
         let Some(Entry { stage: Stage::Leaving { since, tries, at: None, claimed_by }, gone, .. }) =
             self.states.get(&h)
         else {
@@ -399,6 +430,13 @@
         }
         let gap = super::doubling(FIRST_GAP_S, tries, LONGEST_GAP_S);
         let late = now + gap > since + self.within_s;
+        if done && over && self.states.get_mut(&h).is_some_and(|e| std::mem::take(&mut e.follow_up)) {
+            if let Some(e) = self.states.get_mut(&h) {
+                e.confirmed = true;
+            }
+            let at = Some(now + FOLLOW_UP_PART * self.hold_s);
+            return self.set(now, h, Stage::Leaving { since: now, tries: 0, at, claimed_by });
+        }
         match (done, gone) {
             (true, _) => self.account.let_go += 1,
             (false, true) => self.account.lost += 1,
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -450,8 +450,10 @@
 
     /// A call that lets go of a state was answered, or was not.
     pub fn let_go(&mut self, now: f64, call: Held, done: bool) {
-        self.ledger.told(now, call, done);
-        if let Some(t) = self.ticket_of(call.owner) {
+        let ticket = self.ticket_of(call.owner);
+        let over = ticket.and_then(|t| self.get(t)).is_none_or(|x| x.stage == Stage::Over);
+        self.ledger.told(now, call, done, over);
+        if let Some(t) = ticket {
             self.await_release(t);
         }
     }
