--- a/crates/nickelgw-cli/tests/platform_soak/faults.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/faults.rs
@@ -60,7 +60,7 @@
                 "connections are refused"
             }
             5 => {
-                proxy.delay(Duration::from_millis(80));
+                proxy.delay(Duration::from_millis(40));
                 self.ends_in(1000, move |_| proxy.delay(Duration::ZERO));
                 "connections are late"
             }
--- a/crates/nickelgw-cli/tests/platform_soak/fleet.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/fleet.rs
@@ -172,9 +172,8 @@
         self.ending.into_inner().unwrap().into_iter().for_each(|e| e.join().unwrap());
         sleep(Duration::from_secs(1));
         let mut violations: Vec<String> = self.table.violations().iter().map(|v| format!("{v:?}")).collect();
-        if self.table.is_any_reserved() {
-            violations.push("something stays reserved".into());
-        }
+        let reserved = self.table.reserved().into_iter();
+        violations.extend(reserved.map(|(id, out)| format!("{id} stays reserved, {out} attempts out")));
         let judged = violations.len();
         for member in &self.members {
             let _ = member.child().kill();
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -327,6 +327,7 @@
         client: &Socket,
         progress: &Progress,
     ) -> Result<(crate::wire::Connection, engine::Answer), End> {
+        let began = self.now();
         let ask = async {
             let what = if order.once { Use::Once } else { Use::Send };
             let mut c = self.pool.connection(&order.eng.address, what).await?;
@@ -340,7 +341,9 @@
                 return Err(Cause::TurnedAway);
             }
             progress.on.replace(Some(c.closer()));
-            c.write(&passed.bytes(&order.eng.address, order.patience_s), &progress.out).await?;
+            // The connection may have taken a while: the engine is told what is left by now.
+            let left_s = order.patience_s - (self.now() - began);
+            c.write(&passed.bytes(&order.eng.address, left_s), &progress.out).await?;
             tracing::debug!(at = self.now(), request = %passed.id, send = order.send, idle_s = c.stood_s(), "attempt written");
             let answer = c.answer().await;
             if answer.is_ok() || answer == Err(Cause::Lost) {
--- a/crates/nickelgw-platform/tests/cases/cut.rs
+++ b/crates/nickelgw-platform/tests/cases/cut.rs
@@ -2,9 +2,10 @@
 
 use crate::common::*;
 use serde_json::{json, Value};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What the settings and the platform's protocol allow a state to be held with no send out.
 const HELD_S: f64 = 0.5 + 0.3;
@@ -54,3 +55,27 @@
     let held_s = read_at.lock().unwrap().unwrap().elapsed().as_secs_f64();
     assert!(got.starts_with("HTTP/1.1 200") && held_s < HELD_S, "{held_s} s, {got}");
 }
+
+/// An attempt tells its engine what is left as it goes out, not what was left as its connection was begun.
+#[test]
+fn an_attempt_on_a_late_connection_tells_what_is_left_by_then() {
+    let cut = cut_off();
+    let w = peer(|_, _| Then::Answer(stream()));
+    let mut r = reader();
+    r.address = cut.address;
+    let world = node_of(&silent(), list(&[&r], &[&w]), None, |told| {
+        told["settings"]["limits"]["connect_timeout_s"] = json!(5.0);
+        told["settings"]["limits"]["probes"] = json!(true);
+        told["settings"]["family_info"]["release_s"] = json!(30.0);
+    });
+    let mut client = world.client();
+    let asked = Instant::now();
+    client.write_all(ask("ba03").as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(600));
+    let text = cut.text_when_back(Duration::from_millis(1500));
+    let attempt = text.split("POST ").nth(1).expect("an attempt goes out");
+    let told_ms: u64 =
+        attempt.lines().find_map(|l| l.strip_prefix("x-budget-ms: ")).and_then(|ms| ms.parse().ok()).unwrap();
+    // It went out no sooner than the machine was back.
+    assert!(told_ms <= 4000 - 600 + 150, "{told_ms} ms told, {:?} after the request", asked.elapsed());
+}
--- a/crates/nickelgw-platform/tests/common/mod.rs
+++ b/crates/nickelgw-platform/tests/common/mod.rs
@@ -34,8 +34,13 @@
 impl CutOff {
     /// The machine is back: it takes all connections for so long, and counts the bytes that are sent on them.
     pub fn bytes_when_back(&self, within: Duration) -> usize {
+        self.text_when_back(within).len()
+    }
+
+    /// The machine is back: what is sent on the connections that it takes for so long.
+    pub fn text_when_back(&self, within: Duration) -> String {
         self.listener.set_nonblocking(true).unwrap();
-        let (mut all, mut bytes) = (Vec::new(), 0);
+        let (mut all, mut text) = (Vec::new(), String::new());
         let until = Instant::now() + within;
         while Instant::now() < until {
             if let Ok((c, _)) = self.listener.accept() {
@@ -43,11 +48,13 @@
                 all.push(c);
             }
             for c in &mut all {
-                bytes += c.read(&mut [0; 512]).unwrap_or(0);
+                let mut some = [0; 512];
+                let n = c.read(&mut some).unwrap_or(0);
+                text.push_str(&String::from_utf8_lossy(&some[..n]));
             }
             std::thread::sleep(Duration::from_millis(1));
         }
-        bytes
+        text
     }
 }
 
--- a/crates/nickelgw-standin/src/platform/proxy.rs
+++ b/crates/nickelgw-standin/src/platform/proxy.rs
@@ -32,7 +32,7 @@
         }
     }
 
-    /// An answer is swallowed.
+    /// An answer is swallowed, or the engine's end of the connection.
     fn swallows(&self, engine: &Behind) {
         if let Some(id) = lock(&self.last).take() {
             engine.table.answer_unheard(&id, engine.decode);
@@ -159,7 +159,13 @@
         pump(near.clone(), far.clone(), &connection, &engine, true).await;
         connection.ends(&engine);
     };
-    let back = pump(far.clone(), near.clone(), &connection, &engine, false);
+    let back = async {
+        pump(far.clone(), near.clone(), &connection, &engine, false).await;
+        // The engine's end of a silent connection is not heard either.
+        if connection.silent.load(Relaxed) {
+            connection.swallows(&engine);
+        }
+    };
     futures_lite::future::zip(there, back).await;
     let mut open = lock(&faults.open);
     open.retain(|c| !Arc::ptr_eq(c, &connection));
--- a/crates/nickelgw-standin/src/platform/table.rs
+++ b/crates/nickelgw-standin/src/platform/table.rs
@@ -59,6 +59,8 @@
     /// Decode attempts that were not turned away.
     runs: u32,
     once: bool,
+    /// Its node was killed: the platform frees what it left.
+    forgiven: bool,
     deadline: Option<Instant>,
     left: Option<Instant>,
 }
@@ -163,7 +165,7 @@
     /// A prefill is done. Its reservation stands unless a release call has met it.
     pub fn prefill_done(&self, id: &str, engine: usize, releases: u64) {
         self.change(id, |r| {
-            if r.releases == releases {
+            if r.releases == releases && !r.forgiven {
                 r.reserved.insert(engine);
             }
         });
@@ -205,9 +207,16 @@
         self.lock().get(id).is_some_and(|r| !r.reserved.is_empty())
     }
 
+    /// Requests for which something is reserved, with their attempts that are out.
+    pub fn reserved(&self) -> Vec<(String, u32)> {
+        let all = self.lock();
+        let reserved = all.iter().filter(|(_, r)| !r.reserved.is_empty());
+        reserved.map(|(id, r)| (id.clone(), r.attempts)).collect()
+    }
+
     /// Whether anything is reserved for any request.
     pub fn is_any_reserved(&self) -> bool {
-        self.lock().values().any(|r| !r.reserved.is_empty())
+        !self.reserved().is_empty()
     }
 
     /// Requests known.
@@ -225,7 +234,7 @@
         for (_, r) in self.lock().iter_mut().filter(|(id, _)| id.starts_with(beginning)) {
             r.reserved.clear();
             r.unattended = None;
-            r.releases += 1;
+            r.forgiven = true;
         }
     }
 
