--- a/crates/nickelgw-cli/src/bench_path.rs
+++ b/crates/nickelgw-cli/src/bench_path.rs
@@ -7,8 +7,8 @@
 use nickelgw_chat::core::budget::{self, Budget};
 use nickelgw_chat::core::grant::{grant, Checker, GrantKey, Granted};
 use nickelgw_chat::core::repeats::{self, Ended, Enter, Key, Repeats};
-use nickelgw_node::core::ledger::{Held, Ledger};
-use nickelgw_node::core::{HeldState, Place};
+use nickelgw_node::core::ledger::{Ledger, ReservationId};
+use nickelgw_node::core::{Place, Reservation};
 use nickelgw_standin::client;
 use nickelgw_store::core::shelf::{Batch, Figures as ShelfFigures, Shelf, Waiter};
 use nickelgw_store::core::Kind;
@@ -71,11 +71,15 @@
     let mut ledger = Ledger::new(0.5, 5.0);
     let reader = Rc::new(Place { id: "r".into(), address: "a".into(), tls_name: None });
     ns("a state's way through the ledger", |n| {
-        let (now, h) = (n as f64 * 1e-3, Held { owner: n, read: 0 });
-        ledger.coming(now, h, HeldState { name: String::new(), reader: reader.clone(), shared: false });
-        ledger.read(now, h);
-        black_box(ledger.take(now, n, 1));
-        ledger.fetched(now, n, 1);
+        let (now, h) = (n as f64 * 1e-3, ReservationId { owner: n, prefill: 0 });
+        ledger.prefill_begins(
+            now,
+            h,
+            Reservation { name: String::new(), reader: reader.clone(), shared: false },
+        );
+        ledger.prefill_done(now, h);
+        black_box(ledger.claim(now, n, 1));
+        ledger.claim_served(now, n, 1);
         black_box(ledger.due(now));
     });
 }
--- a/crates/nickelgw-cli/tests/platform_reservations.rs
+++ b/crates/nickelgw-cli/tests/platform_reservations.rs
@@ -187,8 +187,9 @@
 fn what_stands_is_released_when_engines_are_back() {
     let w = World::start(110, 1, 1, |_| {});
     assert_eq!(w.ask("warm"), Outcome::Served);
-    w.prefills()[0].engine.behaviour.work_ms.store(300, Relaxed);
-    let asked = w.ask_and_leave("away", Some(ms(200)));
+    // The prefill ends well before its client leaves, which ends the attempt.
+    w.prefills()[0].engine.behaviour.work_ms.store(200, Relaxed);
+    let asked = w.ask_and_leave("away", Some(ms(400)));
     sleep(ms(100));
     // The prefill ends well behind a connection that tells nobody, and no call gets through.
     for p in w.prefills().into_iter().chain(w.decodes()) {
--- a/crates/nickelgw-node/src/core/act.rs
+++ b/crates/nickelgw-node/src/core/act.rs
@@ -47,7 +47,7 @@
         }
         for &inf in &d.released {
             if let Some(t) = self.ticket(inf) {
-                self.ledger.let_go(now, t.serial);
+                self.ledger.release_all(now, t.serial);
                 self.await_release(t);
             }
         }
@@ -67,7 +67,7 @@
         }
         for &inf in &d.closed {
             if let Some(t) = self.ticket(inf) {
-                self.ledger.let_go(now, t.serial);
+                self.ledger.release_all(now, t.serial);
                 // A request must not vanish unanswered, whatever the Router thinks of it.
                 if self.get(t).is_some_and(|x| x.stage != Stage::Over) {
                     self.guard.count(Violation::Unanswered, t.serial);
@@ -88,7 +88,7 @@
         }
         for (call, state) in calls {
             let at = if state.shared { self.takers(&state.reader) } else { Vec::new() };
-            todo.push(Do::LetGo { call, state, at });
+            todo.push(Do::Release { call, state, at });
         }
         let (readers, sweep_at) = self.sweep.due(now);
         todo.extend(readers.into_iter().map(Do::Sweep));
@@ -144,11 +144,11 @@
         let name = name.unwrap_or_else(|| format!("{}-{}-{send}", self.figures.boot, ticket.serial));
         let grounds = self.router.grounds(inf, send);
         let what = if read {
-            let state = HeldState { name: name.clone(), reader: eng.clone(), shared };
-            self.ledger.coming(now, Held { owner: ticket.serial, read: send }, state);
+            let state = Reservation { name: name.clone(), reader: eng.clone(), shared };
+            self.ledger.prefill_begins(now, ReservationId { owner: ticket.serial, prefill: send }, state);
             Work::Read
         } else {
-            let state = self.ledger.take(now, ticket.serial, send);
+            let state = self.ledger.claim(now, ticket.serial, send);
             let grant = state.as_ref().and_then(|s| self.grant(now, s, &eng));
             Work::Write { state, grant, idle_s }
         };
@@ -175,7 +175,7 @@
     }
 
     /// What lets this writer fetch this state, once and for a time.
-    fn grant(&self, now: f64, state: &HeldState, writer: &Place) -> Option<String> {
+    fn grant(&self, now: f64, state: &Reservation, writer: &Place) -> Option<String> {
         let unix_now = self.figures.epoch_unix_s + now;
         let g = self.figures.grants.as_ref()?;
         let until = unix_now + g.lifetime_s;
--- a/crates/nickelgw-node/src/core/ledger.rs
+++ b/crates/nickelgw-node/src/core/ledger.rs
@@ -1,39 +1,42 @@
-//! The ledger of held states: who holds each, since when, and which send takes it. What nothing will take is let go
-//! of at once; a call that fails is repeated, at doubling gaps, while the state may still be there.
-
-use super::HeldState;
+//! The ledger of KV reservations: where each stands, since when, and which attempt claims it.
+//!
+//! A reservation that bears its request's name has a lease, which runs from the last answer of an engine: that an attempt's bytes
+//! were written, or that its connection is open, proves nothing. As the lease ends the reservation is released, also while an attempt is out;
+//! the call spares what an attempt that has arrived waits for. What nothing will claim is released at once. A release that is not confirmed
+//! is repeated, at doubling gaps.
+
+use super::Reservation;
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A state, by the inference that it was read for and its read's number.
+/// A reservation, by the serial number of its request and the number of the prefill that makes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Held {
+pub struct ReservationId {
     pub owner: u64,
-    pub read: u32,
+    pub prefill: u32,
 }
 
-/// States to let go of at once; past it the oldest is forgotten, and its reader's own limit frees it.
-const MOST_LEAVING: usize = 8192;
+/// Reservations being released at once; past it the oldest is forgotten, and its engine's own limit frees it.
+const MOST_RELEASING: usize = 8192;
 /// Part of the time that a reservation may stand unattended after which it is released: the rest is for the calls, some of which
 /// find silent connections, and for a process that is held up.
 const LEASE_PART: f64 = 0.5;
 /// Part of that time after which a release is made once more, where the first may have overtaken the end of an attempt.
 const FOLLOW_UP_PART: f64 = 0.25;
+/// Seconds before a release that failed is repeated, at first and at most.
 const FIRST_GAP_S: f64 = 0.02;
-/// A reader that comes back from a cut is told within this time.
 const LONGEST_GAP_S: f64 = 0.32;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
-    /// The read is out.
-    Coming,
-    /// Read, and no send takes it, since then.
-    Waiting(f64),
-    Taken {
-        by: u32,
-    },
+    /// The prefill is out.
+    Prefilling,
+    /// The prefill is done, and no attempt claims it, since then.
+    Unclaimed(f64),
+    /// This decode attempt claims it.
+    Claimed { by: u32 },
     /// It is released. Without `at` the answer to a call is awaited.
-    Leaving {
+    Releasing {
         since: f64,
         tries: u32,
         at: Option<f64>,
@@ -41,9 +44,7 @@
         claimed_by: Option<u32>,
     },
     /// A release call was confirmed while this attempt is still out. If it had arrived it has kept its claim.
-    Released {
-        by: u32,
-    },
+    Released { by: u32 },
 }
 
 /// A stage as the log names it.
@@ -66,10 +67,10 @@
 impl From<Stage> for Phase {
     fn from(stage: Stage) -> Phase {
         match stage {
-            Stage::Coming => Phase::Prefilling,
-            Stage::Waiting(_) => Phase::Unclaimed,
-            Stage::Taken { .. } => Phase::Claimed,
-            Stage::Leaving { .. } => Phase::Releasing,
+            Stage::Prefilling => Phase::Prefilling,
+            Stage::Unclaimed(_) => Phase::Unclaimed,
+            Stage::Claimed { .. } => Phase::Claimed,
+            Stage::Releasing { .. } => Phase::Releasing,
             Stage::Released { .. } => Phase::Released,
         }
     }
@@ -78,7 +79,7 @@
 /// A reservation has passed from one phase to another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Transition {
-    pub id: Held,
+    pub id: ReservationId,
     /// The name under which it stands at its engine.
     pub name: String,
     pub from: Phase,
@@ -94,15 +95,15 @@
     /// The attempt that claims it and is still out.
     fn claimed_by(self) -> Option<u32> {
         match self {
-            Stage::Taken { by } | Stage::Released { by } => Some(by),
-            Stage::Leaving { claimed_by, .. } => claimed_by,
-            Stage::Coming | Stage::Waiting(_) => None,
+            Stage::Claimed { by } | Stage::Released { by } => Some(by),
+            Stage::Releasing { claimed_by, .. } => claimed_by,
+            Stage::Prefilling | Stage::Unclaimed(_) => None,
         }
     }
 }
 
 struct Entry {
-    state: HeldState,
+    state: Reservation,
     /// When it came to its stage.
     since: f64,
     /// When an engine last showed that the reservation was attended to: the lease runs from here.
@@ -137,10 +138,10 @@
     /// Longest wait without a taker, and how long a let-go call is repeated.
     hold_s: f64,
     within_s: f64,
-    states: BTreeMap<Held, Entry>,
+    states: BTreeMap<ReservationId, Entry>,
     /// When each is to be looked at next.
-    due: BTreeSet<(u64, Held)>,
-    leaving: BTreeSet<(u64, Held)>,
+    due: BTreeSet<(u64, ReservationId)>,
+    releasing: BTreeSet<(u64, ReservationId)>,
     pub account: Account,
     /// Microseconds without a taker, each wait by itself.
     waits: Histogram<u64>,
@@ -164,7 +165,7 @@
             within_s,
             states: BTreeMap::new(),
             due: BTreeSet::new(),
-            leaving: BTreeSet::new(),
+            releasing: BTreeSet::new(),
             account: Account::default(),
             waits: Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("a valid range"),
             transitions: Vec::new(),
@@ -188,12 +189,12 @@
 
     fn when(e: &Entry, hold_s: f64) -> Option<f64> {
         match e.stage {
-            Stage::Waiting(_) | Stage::Taken { .. } if e.state.shared => {
+            Stage::Unclaimed(_) | Stage::Claimed { .. } if e.state.shared => {
                 Some(e.lease_from + LEASE_PART * hold_s)
             }
-            Stage::Waiting(since) => Some(since + hold_s),
-            Stage::Leaving { at, .. } => at,
-            Stage::Coming | Stage::Taken { .. } | Stage::Released { .. } => None,
+            Stage::Unclaimed(since) => Some(since + hold_s),
+            Stage::Releasing { at, .. } => at,
+            Stage::Prefilling | Stage::Claimed { .. } | Stage::Released { .. } => None,
         }
     }
 
@@ -202,7 +203,7 @@
         std::mem::take(&mut self.transitions)
     }
 
-    fn record(&mut self, now: f64, h: Held, to: Phase) {
+    fn record(&mut self, now: f64, h: ReservationId, to: Phase) {
         let Some(e) = self.states.get(&h) else { return };
         if self.transitions.len() >= MOST_TRANSITIONS {
             self.unlogged += 1;
@@ -213,7 +214,7 @@
     }
 
     /// Moves one to another stage, and all that is kept by stage with it.
-    fn set(&mut self, now: f64, h: Held, stage: Stage) {
+    fn set(&mut self, now: f64, h: ReservationId, stage: Stage) {
         self.record(now, h, stage.into());
         self.index(now, h, stage);
         if let Some(e) = self.states.get_mut(&h) {
@@ -221,41 +222,41 @@
         }
     }
 
-    fn index(&mut self, now: f64, h: Held, stage: Stage) {
+    fn index(&mut self, now: f64, h: ReservationId, stage: Stage) {
         let Some(e) = self.states.get_mut(&h) else { return };
         if let Some(at) = Self::when(e, self.hold_s) {
             self.due.remove(&(bits(at), h));
         }
         match e.stage {
-            Stage::Waiting(since) => self.waits.saturating_record(((now - since).max(0.0) * 1e6) as u64),
-            Stage::Leaving { since, .. } => drop(self.leaving.remove(&(bits(since), h))),
+            Stage::Unclaimed(since) => self.waits.saturating_record(((now - since).max(0.0) * 1e6) as u64),
+            Stage::Releasing { since, .. } => drop(self.releasing.remove(&(bits(since), h))),
             _ => {}
         }
         e.stage = stage;
         if let Some(at) = Self::when(e, self.hold_s) {
             self.due.insert((bits(at), h));
         }
-        if let Stage::Leaving { since, .. } = stage {
-            self.leaving.insert((bits(since), h));
+        if let Stage::Releasing { since, .. } = stage {
+            self.releasing.insert((bits(since), h));
         }
     }
 
-    fn remove(&mut self, now: f64, h: Held) {
+    fn remove(&mut self, now: f64, h: ReservationId) {
         self.record(now, h, Phase::Ended);
         // A stage that stands in no other table.
-        self.index(now, h, Stage::Coming);
+        self.index(now, h, Stage::Prefilling);
         self.states.remove(&h);
     }
 
     /// A read goes out: from now on its reader may hold a state for it.
-    pub fn coming(&mut self, now: f64, h: Held, state: HeldState) {
+    pub fn prefill_begins(&mut self, now: f64, h: ReservationId, state: Reservation) {
         self.states.insert(
             h,
             Entry {
                 state,
                 since: now,
                 lease_from: now,
-                stage: Stage::Coming,
+                stage: Stage::Prefilling,
                 gone: false,
                 told_late: false,
                 follow_up: false,
@@ -265,16 +266,16 @@
     }
 
     /// The read is done, and the state waits.
-    pub fn read(&mut self, now: f64, h: Held) {
-        if self.states.get(&h).is_some_and(|e| e.stage == Stage::Coming) {
+    pub fn prefill_done(&mut self, now: f64, h: ReservationId) {
+        if self.states.get(&h).is_some_and(|e| e.stage == Stage::Prefilling) {
             self.account.read += 1;
             self.renew(now, h);
-            self.set(now, h, Stage::Waiting(now));
+            self.set(now, h, Stage::Unclaimed(now));
         }
     }
 
     /// An engine has answered: the lease runs from now on.
-    fn renew(&mut self, now: f64, h: Held) {
+    fn renew(&mut self, now: f64, h: ReservationId) {
         let Some(e) = self.states.get_mut(&h) else { return };
         if let Some(at) = Self::when(e, self.hold_s) {
             self.due.remove(&(bits(at), h));
@@ -286,8 +287,8 @@
     }
 
     /// The read failed. `never`: it is known not to have begun; else it may have left a state that nobody asks for.
-    pub fn unread(&mut self, now: f64, h: Held, never: bool) {
-        if self.states.get(&h).is_none_or(|e| e.stage != Stage::Coming) {
+    pub fn prefill_failed(&mut self, now: f64, h: ReservationId, never: bool) {
+        if self.states.get(&h).is_none_or(|e| e.stage != Stage::Prefilling) {
             return;
         }
         match never {
@@ -295,28 +296,28 @@
             false => {
                 self.account.read += 1;
                 self.renew(now, h);
-                self.leave(now, h);
+                self.release(now, h);
                 self.expect_follow_up(h);
             }
         }
     }
 
     /// The newest state that waits for the inference goes to a send; none waits: the writer has to read.
-    pub fn take(&mut self, now: f64, owner: u64, by: u32) -> Option<HeldState> {
-        let h = *self.of(owner, |s| matches!(s, Stage::Waiting(_))).last()?;
-        self.set(now, h, Stage::Taken { by });
+    pub fn claim(&mut self, now: f64, owner: u64, by: u32) -> Option<Reservation> {
+        let h = *self.of(owner, |s| matches!(s, Stage::Unclaimed(_))).last()?;
+        self.set(now, h, Stage::Claimed { by });
         self.states.get(&h).map(|e| e.state.clone())
     }
 
     /// The send that took it has begun to answer: its writer fetched it, and the reader let go by itself.
-    pub fn fetched(&mut self, now: f64, owner: u64, by: u32) {
+    pub fn claim_served(&mut self, now: f64, owner: u64, by: u32) {
         for h in self.of(owner, |s| s.claimed_by() == Some(by)) {
             self.account.fetched += 1;
             // With its first token engines let go by themselves of all else that bears the request's name.
             let shared = self.states.get(&h).is_some_and(|e| e.state.shared);
             self.remove(now, h);
             if shared {
-                self.of(owner, |s| matches!(s, Stage::Waiting(_)))
+                self.of(owner, |s| matches!(s, Stage::Unclaimed(_)))
                     .into_iter()
                     .for_each(|h| self.remove(now, h));
             }
@@ -325,27 +326,27 @@
 
     /// The attempt that claimed it ended without a beginning: it waits again, if its lease has not ended. `answered`: by an
     /// answer of its engine, which had it until now; else it may never have arrived, and the lease runs on.
-    pub fn given_back(&mut self, now: f64, owner: u64, by: u32, answered: bool) {
+    pub fn claim_ended(&mut self, now: f64, owner: u64, by: u32, answered: bool) {
         for h in self.of(owner, |s| s.claimed_by() == Some(by)) {
             if !answered {
                 self.expect_follow_up(h);
             }
-            if !matches!(self.states.get(&h).map(|e| e.stage), Some(Stage::Taken { .. })) {
+            if !matches!(self.states.get(&h).map(|e| e.stage), Some(Stage::Claimed { .. })) {
                 // Released under it: a call that came while it waited there spared what it claimed.
                 if matches!(self.states.get(&h).map(|e| e.stage), Some(Stage::Released { .. })) {
                     self.renew(now, h);
                 }
-                self.leave(now, h);
+                self.release(now, h);
                 continue;
             }
             if answered {
                 self.renew(now, h);
             }
-            self.set(now, h, Stage::Waiting(now));
+            self.set(now, h, Stage::Unclaimed(now));
         }
     }
 
-    fn expect_follow_up(&mut self, h: Held) {
+    fn expect_follow_up(&mut self, h: ReservationId) {
         if let Some(e) = self.states.get_mut(&h) {
             e.follow_up = e.state.shared;
         }
@@ -354,8 +355,10 @@
     /// Whether a release of anything of the request awaits its confirmation: the calls go by the request's name, and would take
     /// what a further prefill reserves.
     pub fn is_releasing(&self, owner: u64) -> bool {
-        let releases = |e: &Entry| e.state.shared && matches!(e.stage, Stage::Leaving { .. });
-        let all = self.states.range(Held { owner, read: 0 }..=Held { owner, read: u32::MAX });
+        let releases = |e: &Entry| e.state.shared && matches!(e.stage, Stage::Releasing { .. });
+        let all = self
+            .states
+            .range(ReservationId { owner, prefill: 0 }..=ReservationId { owner, prefill: u32::MAX });
         all.into_iter().any(|(_, e)| releases(e))
     }
 
@@ -364,12 +367,12 @@
     pub fn take_overdue(&mut self, now: f64) -> Vec<u64> {
         let hold_s = self.hold_s;
         let late = |e: &Entry| {
-            matches!(e.stage, Stage::Leaving { .. }) && now > e.lease_from + hold_s && !e.confirmed
+            matches!(e.stage, Stage::Releasing { .. }) && now > e.lease_from + hold_s && !e.confirmed
         };
         let mut owners = Vec::new();
         // Only what is being released can be late: all else has a time of its own before that.
-        let releasing: Vec<Held> = self.leaving.iter().map(|(_, h)| *h).collect();
-        for h in releasing {
+        let releasing_now: Vec<ReservationId> = self.releasing.iter().map(|(_, h)| *h).collect();
+        for h in releasing_now {
             if let Some(e) = self.states.get_mut(&h).filter(|e| !e.told_late && late(e)) {
                 e.told_late = true;
                 owners.push(h.owner);
@@ -383,43 +386,45 @@
         std::mem::take(&mut self.expired)
     }
 
-    fn of(&self, owner: u64, such: impl Fn(Stage) -> bool) -> Vec<Held> {
-        let all = self.states.range(Held { owner, read: 0 }..=Held { owner, read: u32::MAX });
+    fn of(&self, owner: u64, such: impl Fn(Stage) -> bool) -> Vec<ReservationId> {
+        let all = self
+            .states
+            .range(ReservationId { owner, prefill: 0 }..=ReservationId { owner, prefill: u32::MAX });
         all.filter(|(_, e)| such(e.stage)).map(|(h, _)| *h).collect()
     }
 
     /// Nothing will take what waits for the inference.
-    pub fn let_go(&mut self, now: f64, owner: u64) {
-        let mut all = self.of(owner, |s| matches!(s, Stage::Waiting(_)));
+    pub fn release_all(&mut self, now: f64, owner: u64) {
+        let mut all = self.of(owner, |s| matches!(s, Stage::Unclaimed(_)));
         let last = all.last().and_then(|h| self.states.get(h)).filter(|e| e.state.shared);
         if last.is_some() {
             // One call is enough.
             all.drain(..all.len() - 1).for_each(|h| self.remove(now, h));
         }
-        all.into_iter().for_each(|h| self.leave(now, h));
+        all.into_iter().for_each(|h| self.release(now, h));
     }
 
-    fn leave(&mut self, now: f64, h: Held) {
+    fn release(&mut self, now: f64, h: ReservationId) {
         let Some(e) = self.states.get(&h) else { return };
         let claimed_by = match e.stage {
-            Stage::Taken { by } => Some(by),
+            Stage::Claimed { by } => Some(by),
             _ => None,
         };
         if e.gone {
             self.account.lost += 1;
             return self.remove(now, h);
         }
-        while self.leaving.len() >= MOST_LEAVING {
-            let Some(&(_, oldest)) = self.leaving.first() else { break };
+        while self.releasing.len() >= MOST_RELEASING {
+            let Some(&(_, oldest)) = self.releasing.first() else { break };
             self.account.given_up += 1;
             self.remove(now, oldest);
         }
-        self.set(now, h, Stage::Leaving { since: now, tries: 0, at: Some(now), claimed_by });
+        self.set(now, h, Stage::Releasing { since: now, tries: 0, at: Some(now), claimed_by });
     }
 
     /// A call that lets go of it was answered, or was not. `over`: nothing more is sent for its request.
-    pub fn told(&mut self, now: f64, h: Held, done: bool, over: bool) {
-        let Some(Entry { stage: Stage::Leaving { since, tries, at: None, claimed_by }, gone, .. }) =
+    pub fn release_answered(&mut self, now: f64, h: ReservationId, done: bool, over: bool) {
+        let Some(Entry { stage: Stage::Releasing { since, tries, at: None, claimed_by }, gone, .. }) =
             self.states.get(&h)
         else {
             return;
@@ -435,7 +440,7 @@
                 e.confirmed = true;
             }
             let at = Some(now + FOLLOW_UP_PART * self.hold_s);
-            return self.set(now, h, Stage::Leaving { since: now, tries: 0, at, claimed_by });
+            return self.set(now, h, Stage::Releasing { since: now, tries: 0, at, claimed_by });
         }
         match (done, gone) {
             (true, _) => self.account.let_go += 1,
@@ -443,7 +448,7 @@
             (false, false) if late => self.account.given_up += 1,
             (false, false) => {
                 let at = Some(now + gap);
-                return self.set(now, h, Stage::Leaving { since, tries, at, claimed_by });
+                return self.set(now, h, Stage::Releasing { since, tries, at, claimed_by });
             }
         }
         self.remove(now, h);
@@ -451,8 +456,8 @@
 
     /// These readers' processes have ended. What waits there is lost; calls to them are not repeated. What bears its request's name
     /// is released all the same: any engine takes the call, and one that has left the list may be cut off and still run.
-    pub fn readers_gone(&mut self, now: f64, gone: impl Fn(&HeldState) -> bool) {
-        let there: Vec<Held> = self
+    pub fn engines_gone(&mut self, now: f64, gone: impl Fn(&Reservation) -> bool) {
+        let there: Vec<ReservationId> = self
             .states
             .iter()
             .filter(|(_, e)| !e.gone && !e.state.shared && gone(&e.state))
@@ -461,7 +466,7 @@
         for h in there {
             let Some(e) = self.states.get_mut(&h) else { continue };
             e.gone = true;
-            if matches!(e.stage, Stage::Leaving { at: Some(_), .. }) {
+            if matches!(e.stage, Stage::Releasing { at: Some(_), .. }) {
                 self.account.lost += 1;
                 self.remove(now, h);
             }
@@ -469,18 +474,18 @@
     }
 
     /// Calls to make now, and when to look again.
-    pub fn due(&mut self, now: f64) -> (Vec<(Held, HeldState)>, Option<f64>) {
+    pub fn due(&mut self, now: f64) -> (Vec<(ReservationId, Reservation)>, Option<f64>) {
         let mut calls = Vec::new();
         while let Some(&(at, h)) = self.due.first().filter(|d| f64::from_bits(d.0) <= now) {
             match self.states.get(&h).map(|e| e.stage) {
-                Some(Stage::Leaving { since, tries, claimed_by, .. }) => {
-                    self.set(now, h, Stage::Leaving { since, tries: tries + 1, at: None, claimed_by });
+                Some(Stage::Releasing { since, tries, claimed_by, .. }) => {
+                    self.set(now, h, Stage::Releasing { since, tries: tries + 1, at: None, claimed_by });
                     calls.extend(self.states.get(&h).map(|e| (h, e.state.clone())));
                 }
-                Some(Stage::Waiting(_) | Stage::Taken { .. }) => {
+                Some(Stage::Unclaimed(_) | Stage::Claimed { .. }) => {
                     self.account.overdue += 1;
                     self.expired.push(h.owner);
-                    self.leave(now, h);
+                    self.release(now, h);
                 }
                 _ => drop(self.due.remove(&(at, h))),
             }
--- a/crates/nickelgw-node/src/core/ledger_tests.rs
+++ b/crates/nickelgw-node/src/core/ledger_tests.rs
@@ -11,29 +11,29 @@
     Ledger::new(HOLD_S, 2.0)
 }
 
-fn state(n: u64) -> HeldState {
+fn state(n: u64) -> Reservation {
     let reader = Rc::new(Place { id: format!("r{}", n % 3), address: "a".into(), tls_name: None });
-    HeldState { name: format!("s{n}"), reader, shared: false }
+    Reservation { name: format!("s{n}"), reader, shared: false }
 }
 
-fn held(owner: u64) -> Held {
-    Held { owner, read: 0 }
+fn held(owner: u64) -> ReservationId {
+    ReservationId { owner, prefill: 0 }
 }
 
 fn waiting(l: &mut Ledger, now: f64, owner: u64) {
-    l.coming(now, held(owner), state(owner));
-    l.read(now, held(owner));
+    l.prefill_begins(now, held(owner), state(owner));
+    l.prefill_done(now, held(owner));
 }
 
 #[test]
 fn a_failed_call_is_repeated_then_given_up_in_time() {
     let mut l = ledger();
     waiting(&mut l, 1.0, 1);
-    l.let_go(1.0, 1);
+    l.release_all(1.0, 1);
     let (mut now, mut calls) = (1.0, 0);
     while !l.is_empty() {
         let (due, _) = l.due(now);
-        due.iter().for_each(|(h, _)| l.told(now, *h, false, false));
+        due.iter().for_each(|(h, _)| l.release_answered(now, *h, false, false));
         calls += due.len();
         now = l.due(now).1.unwrap_or(now).max(now + 0.001);
         assert!(now < 4.0);
@@ -43,9 +43,9 @@
 }
 
 /// A prefill of a request whose reservation bears the request's name, at an engine.
-fn shared(l: &mut Ledger, now: f64, read: u32) -> Held {
-    let id = Held { owner: 1, read };
-    l.coming(now, id, HeldState { shared: true, ..state(1) });
+fn shared(l: &mut Ledger, now: f64, prefill: u32) -> ReservationId {
+    let id = ReservationId { owner: 1, prefill };
+    l.prefill_begins(now, id, Reservation { shared: true, ..state(1) });
     id
 }
 
@@ -54,15 +54,15 @@
 fn what_a_failed_prefill_may_have_left_is_released_at_once() {
     let mut l = ledger();
     let first = shared(&mut l, 0.5, 0);
-    l.unread(1.0, first, false);
+    l.prefill_failed(1.0, first, false);
     assert!(l.is_releasing(1), "a further prefill has to wait");
     let (calls, _) = l.due(1.0);
     assert_eq!(calls.len(), 1);
-    l.told(1.01, first, false, false);
+    l.release_answered(1.01, first, false, false);
     assert!(l.is_releasing(1), "not confirmed");
     let (calls, _) = l.due(1.1);
     assert_eq!(calls.len(), 1);
-    l.told(1.11, first, true, false);
+    l.release_answered(1.11, first, true, false);
     assert!(!l.is_releasing(1) && l.is_empty());
 }
 
@@ -72,24 +72,24 @@
 fn a_claimed_reservation_is_released_as_its_lease_ends(begins: bool) {
     let mut l = ledger();
     let id = shared(&mut l, 0.5, 0);
-    l.read(1.0, id);
-    assert!(l.take(1.0, 1, 1).is_some());
+    l.prefill_done(1.0, id);
+    assert!(l.claim(1.0, 1, 1).is_some());
     let lease_s = LEASE_PART * HOLD_S;
     assert_eq!(l.due(1.0 + lease_s - 0.01).0, vec![]);
     let (calls, _) = l.due(1.0 + lease_s);
     assert_eq!((calls.len(), l.take_expired()), (1, vec![1]));
-    l.told(1.3, id, true, false);
+    l.release_answered(1.3, id, true, false);
     // The attempt may have claimed it before: its end decides.
-    assert!(!l.is_empty() && l.take(1.4, 1, 2).is_none());
+    assert!(!l.is_empty() && l.claim(1.4, 1, 2).is_none());
     if begins {
-        l.fetched(1.5, 1, 1);
+        l.claim_served(1.5, 1, 1);
         assert!(l.is_empty());
         return;
     }
-    l.given_back(1.5, 1, 1, false);
+    l.claim_ended(1.5, 1, 1, false);
     let (calls, _) = l.due(1.5);
     assert_eq!(calls.len(), 1, "what it had claimed stands again");
-    l.told(1.51, id, true, false);
+    l.release_answered(1.51, id, true, false);
     assert!(l.is_empty());
 }
 
@@ -99,9 +99,9 @@
 fn the_lease_is_renewed_by_answers_alone(answered: bool, until_s: f64) {
     let mut l = ledger();
     let id = shared(&mut l, 0.5, 0);
-    l.read(1.0, id);
-    l.take(1.1, 1, 1);
-    l.given_back(1.2, 1, 1, answered);
+    l.prefill_done(1.0, id);
+    l.claim(1.1, 1, 1);
+    l.claim_ended(1.2, 1, 1, answered);
     let (calls, wake) = l.due(1.2);
     assert_eq!(calls, vec![]);
     assert!((wake.unwrap() - 1.0 - until_s).abs() < 1e-9, "{wake:?}");
@@ -112,15 +112,15 @@
 fn one_call_releases_all_that_a_request_has_and_a_first_token_the_rest() {
     let mut l = ledger();
     let ids = [shared(&mut l, 0.5, 0), shared(&mut l, 0.5, 1)];
-    ids.iter().for_each(|id| l.read(1.0, *id));
-    l.let_go(1.1, 1);
+    ids.iter().for_each(|id| l.prefill_done(1.0, *id));
+    l.release_all(1.1, 1);
     assert_eq!(l.due(1.1).0.len(), 1);
-    l.told(1.11, ids[1], true, false);
+    l.release_answered(1.11, ids[1], true, false);
     assert!(l.is_empty());
     let ids = [shared(&mut l, 1.5, 2), shared(&mut l, 1.5, 3)];
-    ids.iter().for_each(|id| l.read(1.6, *id));
-    assert!(l.take(1.6, 1, 4).is_some());
-    l.fetched(1.7, 1, 4);
+    ids.iter().for_each(|id| l.prefill_done(1.6, *id));
+    assert!(l.claim(1.6, 1, 4).is_some());
+    l.claim_served(1.7, 1, 4);
     assert_eq!((l.due(9.0), l.is_empty()), ((vec![], None), true));
 }
 
@@ -131,7 +131,7 @@
     assert_eq!(l.due(1.2), (vec![], Some(1.5)));
     let (calls, _) = l.due(1.5);
     assert_eq!(calls, vec![(held(1), state(1))]);
-    l.told(1.6, held(1), true, false);
+    l.release_answered(1.6, held(1), true, false);
     assert_eq!((l.account.overdue, l.account.let_go, l.is_empty()), (1, 1, true));
     assert!((l.waited(1.0) - 0.5).abs() < 0.01);
 }
@@ -140,33 +140,33 @@
 fn what_a_gone_reader_held_is_accounted_for_and_not_called_for() {
     let mut l = ledger();
     (0..6).for_each(|n| waiting(&mut l, 1.0, n));
-    l.let_go(1.0, 0);
-    l.let_go(1.0, 3);
+    l.release_all(1.0, 0);
+    l.release_all(1.0, 3);
     let (calls, _) = l.due(1.0);
     assert_eq!(calls.len(), 2);
-    l.told(1.05, held(3), false, false);
+    l.release_answered(1.05, held(3), false, false);
     // 0 awaits an answer, 3 its next try; both were at r0, as was 6.
-    l.readers_gone(1.06, |s| s.reader.id == "r0");
+    l.engines_gone(1.06, |s| s.reader.id == "r0");
     assert_eq!((l.account.lost, l.len()), (1, 5));
-    l.told(1.2, held(0), false, false);
+    l.release_answered(1.2, held(0), false, false);
     assert_eq!(l.account.lost, 2);
     // Others are let go of by calls, as ever.
-    (0..6).for_each(|n| l.let_go(1.3, n));
+    (0..6).for_each(|n| l.release_all(1.3, n));
     assert_eq!(l.due(1.3).0.len(), 4);
 }
 
 #[test]
 fn the_table_of_calls_is_bounded() {
     let mut l = ledger();
-    for n in 0..MOST_LEAVING as u64 + 3 {
+    for n in 0..MOST_RELEASING as u64 + 3 {
         waiting(&mut l, 0.0, n);
-        l.let_go(0.0, n);
+        l.release_all(0.0, n);
     }
-    assert_eq!((l.len(), l.account.given_up), (MOST_LEAVING, 3));
+    assert_eq!((l.len(), l.account.given_up), (MOST_RELEASING, 3));
     let (calls, wake) = l.due(0.0);
-    assert_eq!((calls.len(), wake), (MOST_LEAVING, None));
-    calls.iter().for_each(|(h, _)| l.told(0.1, *h, true, false));
-    assert!(l.is_empty() && l.due.is_empty() && l.leaving.is_empty());
+    assert_eq!((calls.len(), wake), (MOST_RELEASING, None));
+    calls.iter().for_each(|(h, _)| l.release_answered(0.1, *h, true, false));
+    assert!(l.is_empty() && l.due.is_empty() && l.releasing.is_empty());
 }
 
 proptest! {
@@ -188,50 +188,50 @@
                 calls.push(h);
             }
             for e in l.states.values() {
-                if let Stage::Waiting(since) = e.stage {
+                if let Stage::Unclaimed(since) = e.stage {
                     prop_assert!(now < since + HOLD_S);
                 }
             }
             send += 1;
             match what {
                 0 | 1 => {
-                    let h = Held { owner: n, read: send };
-                    l.coming(now, h, state(u64::from(send)));
+                    let h = ReservationId { owner: n, prefill: send };
+                    l.prefill_begins(now, h, state(u64::from(send)));
                     match dt < 0.2 {
-                        true => l.read(now, h),
-                        false => l.unread(now, h, false),
+                        true => l.prefill_done(now, h),
+                        false => l.prefill_failed(now, h, false),
                     }
                     read += 1;
                 }
-                2 => l.unread(now, Held { owner: n, read: send - 1 }, true),
+                2 => l.prefill_failed(now, ReservationId { owner: n, prefill: send - 1 }, true),
                 3 => {
-                    if let Some(s) = l.take(now, n, send) {
+                    if let Some(s) = l.claim(now, n, send) {
                         prop_assert!(!taken.iter().any(|t| t.2 == s.name), "taken twice");
                         taken.push((n, send, s.name));
                     }
                 }
                 4 | 5 if !taken.is_empty() => {
                     let (owner, by, _) = taken.remove(n as usize % taken.len());
-                    if what == 4 { l.fetched(now, owner, by) } else { l.given_back(now, owner, by, n % 2 == 0) }
+                    if what == 4 { l.claim_served(now, owner, by) } else { l.claim_ended(now, owner, by, n % 2 == 0) }
                 }
-                6 => l.let_go(now, n),
-                7 => std::mem::take(&mut calls).into_iter().for_each(|h| l.told(now, h, n % 3 > 0, false)),
-                8 if n == 0 => l.readers_gone(now, |s| s.reader.id == "r1"),
+                6 => l.release_all(now, n),
+                7 => std::mem::take(&mut calls).into_iter().for_each(|h| l.release_answered(now, h, n % 3 > 0, false)),
+                8 if n == 0 => l.engines_gone(now, |s| s.reader.id == "r1"),
                 _ => {}
             }
             let by_time = l.states.values().filter(|e| Ledger::when(e, HOLD_S).is_some()).count();
             prop_assert_eq!(l.due.len(), by_time);
         }
-        taken.drain(..).for_each(|(owner, by, _)| l.given_back(now, owner, by, true));
+        taken.drain(..).for_each(|(owner, by, _)| l.claim_ended(now, owner, by, true));
         for _ in 0..400 {
             now += 0.01;
-            std::mem::take(&mut calls).into_iter().for_each(|h| l.told(now, h, true, false));
+            std::mem::take(&mut calls).into_iter().for_each(|h| l.release_answered(now, h, true, false));
             calls.extend(l.due(now).0.into_iter().map(|c| c.0));
         }
         let a = l.account;
         prop_assert_eq!(a.read, read);
         prop_assert_eq!(a.read, a.fetched + a.let_go + a.lost + a.given_up, "{:?}", a);
-        prop_assert!(l.is_empty() && l.leaving.is_empty());
+        prop_assert!(l.is_empty() && l.releasing.is_empty());
     }
 }
 
@@ -240,16 +240,16 @@
 fn a_release_that_may_have_overtaken_the_end_of_an_attempt_is_made_once_more() {
     let mut l = ledger();
     let id = shared(&mut l, 0.5, 0);
-    l.read(1.0, id);
-    l.take(1.0, 1, 1);
-    l.given_back(1.1, 1, 1, false);
-    l.let_go(1.1, 1);
+    l.prefill_done(1.0, id);
+    l.claim(1.0, 1, 1);
+    l.claim_ended(1.1, 1, 1, false);
+    l.release_all(1.1, 1);
     assert_eq!(l.due(1.1).0.len(), 1);
-    l.told(1.11, id, true, true);
+    l.release_answered(1.11, id, true, true);
     let again = 1.11 + FOLLOW_UP_PART * HOLD_S;
     assert_eq!(l.due(again - 0.01).0, vec![]);
     assert_eq!(l.due(again).0.len(), 1);
     assert!(l.take_overdue(9.0).is_empty(), "it was confirmed");
-    l.told(again, id, true, true);
+    l.release_answered(again, id, true, true);
     assert!(l.is_empty());
 }
--- a/crates/nickelgw-node/src/core/membership.rs
+++ b/crates/nickelgw-node/src/core/membership.rs
@@ -67,8 +67,9 @@
             (&mut self.places, lines.iter().map(|l| &*l.id).collect());
         places.retain(|id, _| listed.contains(id.as_str()));
         // Out of the list, or listed at another address: a process that has ended.
-        let ended = |s: &HeldState| places.get(&s.reader.id).is_none_or(|p| p.0.address != s.reader.address);
-        self.ledger.readers_gone(now, ended);
+        let ended =
+            |s: &Reservation| places.get(&s.reader.id).is_none_or(|p| p.0.address != s.reader.address);
+        self.ledger.engines_gone(now, ended);
         let readers = places.values().filter(|p| p.1 != Role::Write).map(|p| p.0.clone());
         self.sweep.listed(now, readers);
         self.router.list(now, &lines, true);
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -17,7 +17,7 @@
 pub use cause::Cause;
 pub use door::{Ask, Door, Refusal};
 use guard::{Attempt, Guard, Violation};
-use ledger::{Held, Ledger};
+use ledger::{Ledger, ReservationId};
 use nickelgw::decide::Router;
 use nickelgw::interface::{
     Arrival, Deployment, Ending, Eng, EngineLine, Inf, Learnt, Load, Outcome, Reason, Repeat, Role, Standing,
@@ -311,9 +311,9 @@
             self.unseen.insert((at.max(0.0).to_bits(), t));
         }
         self.note(now, t, Step::Began { send });
-        self.ledger.fetched(now, t.serial, send);
+        self.ledger.claim_served(now, t.serial, send);
         self.router.first_token(now, Inf(t.inf), send);
-        self.ledger.let_go(now, t.serial);
+        self.ledger.release_all(now, t.serial);
         true
     }
 
@@ -330,12 +330,12 @@
         let outcome = cause.outcome();
         let never = matches!(cause, Cause::TurnedAway | Cause::NoConnection | Cause::NotSent);
         s.may_have_run &= !never && cause != Cause::NoState;
-        let state = Held { owner: t.serial, read: send };
+        let state = ReservationId { owner: t.serial, prefill: send };
         match (s.read, cause) {
-            (true, Cause::Read) => self.ledger.read(now, state),
+            (true, Cause::Read) => self.ledger.prefill_done(now, state),
             // What a failed read may have left is let go at once: nobody will ever ask for it.
-            (true, _) => self.ledger.unread(now, state, never),
-            (false, _) => self.ledger.given_back(now, t.serial, send, cause.is_answer()),
+            (true, _) => self.ledger.prefill_failed(now, state, never),
+            (false, _) => self.ledger.claim_ended(now, t.serial, send, cause.is_answer()),
         }
         self.note(now, t, Step::Ended { send, cause });
         if began && cause == Cause::CalledOff {
@@ -351,7 +351,7 @@
         }
         let over = self.get(t).is_none_or(|x| x.stage == Stage::Over);
         if over {
-            self.ledger.let_go(now, t.serial);
+            self.ledger.release_all(now, t.serial);
         }
         let note = if cause == Cause::NoState { 1.0 } else { end.kept };
         // Time since the send: the Router learns from it how long reads and streams last.
@@ -394,7 +394,7 @@
             let answer = if harmless { Answer::Shed { come_back_s } } else { Answer::Errored(Why::Stopping) };
             self.answer(now, t, answer);
             self.router.left(Inf(inf));
-            self.ledger.let_go(now, t.serial);
+            self.ledger.release_all(now, t.serial);
         }
     }
 
@@ -403,7 +403,7 @@
         if self.leave(now, t) {
             self.call_off(t);
             self.router.left(Inf(t.inf));
-            self.ledger.let_go(now, t.serial);
+            self.ledger.release_all(now, t.serial);
         }
     }
 
@@ -449,10 +449,10 @@
     }
 
     /// A call that lets go of a state was answered, or was not.
-    pub fn let_go(&mut self, now: f64, call: Held, done: bool) {
+    pub fn let_go(&mut self, now: f64, call: ReservationId, done: bool) {
         let ticket = self.ticket_of(call.owner);
         let over = ticket.and_then(|t| self.get(t)).is_none_or(|x| x.stage == Stage::Over);
-        self.ledger.told(now, call, done, over);
+        self.ledger.release_answered(now, call, done, over);
         if let Some(t) = ticket {
             self.await_release(t);
         }
--- a/crates/nickelgw-node/src/core/tests.rs
+++ b/crates/nickelgw-node/src/core/tests.rs
@@ -123,7 +123,7 @@
     out: Vec<Order>,
     /// States that wait, and since when no send was out for them.
     states: BTreeMap<String, (Ticket, f64)>,
-    calls: Vec<Held>,
+    calls: Vec<ReservationId>,
     probes: Vec<String>,
     wake: Option<f64>,
 }
@@ -172,7 +172,7 @@
                     assert!(!shed || harmless, "shed though it may have run");
                     s.answers.push((self.now, answer));
                 }
-                Do::LetGo { call, state, .. } => {
+                Do::Release { call, state, .. } => {
                     self.states.remove(&state.name);
                     self.calls.push(call);
                 }
@@ -430,7 +430,7 @@
     let read = first_send(&mut c, 1.02);
     c.ended(1.1, t, read.send, end(cause));
     let todo = c.act(1.1).todo;
-    let named = |d: &Do| matches!(d, Do::LetGo { state, .. } if state.name == read.name);
+    let named = |d: &Do| matches!(d, Do::Release { state, .. } if state.name == read.name);
     assert_eq!(todo.iter().any(named), let_go);
 }
 
@@ -487,6 +487,6 @@
     let shed = Some(Answer::Shed { come_back_s: Some(1.0) });
     assert_eq!((answer(&read), answer(&held)), (shed, shed));
     assert_eq!(answer(&written), Some(Answer::Errored(Why::Stopping)));
-    assert!(todo.iter().any(|d| matches!(d, Do::LetGo { .. })), "what waited is let go of");
+    assert!(todo.iter().any(|d| matches!(d, Do::Release { .. })), "what waited is let go of");
     assert_eq!((c.take(1.4, &ask(0)), c.open()), (Err(Refusal::Leaving), 0));
 }
--- a/crates/nickelgw-node/src/core/words.rs
+++ b/crates/nickelgw-node/src/core/words.rs
@@ -2,7 +2,7 @@
 
 use super::cause::Cause;
 use super::guard::Violation;
-use super::ledger::{Held, Transition};
+use super::ledger::{ReservationId, Transition};
 use nickelgw::interface::{Grounds, Reason};
 use nickelgw_chat::core::grant::GrantKey;
 use nickelgw_protocol::load::LoadReport;
@@ -27,7 +27,7 @@
 
 /// A state that waits at a reader.
 #[derive(Clone, Debug, PartialEq)]
-pub struct HeldState {
+pub struct Reservation {
     pub name: String,
     pub reader: Rc<Place>,
     /// It bears its request's name: one call, to any engine, lets go of all that is held for the request.
@@ -55,7 +55,7 @@
     Read,
     /// With no state the writer reads the prompt itself. A stream silent for longer than `idle_s` is lost.
     Write {
-        state: Option<HeldState>,
+        state: Option<Reservation>,
         /// By which the writer may fetch it, where readers ask for one.
         grant: Option<String>,
         idle_s: f64,
@@ -96,9 +96,9 @@
         ticket: Ticket,
         answer: Answer,
     },
-    LetGo {
-        call: Held,
-        state: HeldState,
+    Release {
+        call: ReservationId,
+        state: Reservation,
         /// Where any engine takes the call: those at which it is tried, in this order.
         at: Vec<Rc<Place>>,
     },
--- a/crates/nickelgw-node/src/driver.rs
+++ b/crates/nickelgw-node/src/driver.rs
@@ -1,7 +1,7 @@
 //! The one task that owns the core: tells it what happened, does what it says, waits on no peer.
 
 use crate::admin::Counted;
-use crate::core::ledger::Held;
+use crate::core::ledger::ReservationId;
 use crate::core::life::{self, Exit, Left, Life};
 use crate::core::together::Round;
 use crate::core::trace::Story;
@@ -78,7 +78,7 @@
         load: Option<LoadReport>,
     },
     LetGo {
-        call: Held,
+        call: ReservationId,
         done: bool,
     },
     Swept {
@@ -479,7 +479,7 @@
                         again = true;
                     }
                     Do::Answer { ticket, answer } => self.answer(ticket, answer),
-                    Do::LetGo { call, state, .. } => {
+                    Do::Release { call, state, .. } => {
                         let task = self.engines.clone().let_go(call, state, self.to_core.clone());
                         self.ex.spawn(task).detach();
                     }
--- a/crates/nickelgw-node/src/engines.rs
+++ b/crates/nickelgw-node/src/engines.rs
@@ -1,8 +1,8 @@
 //! Sends to engines: what the core orders is put on the wire, and how it ended is read off it.
 
 use crate::client::{whole, Connection, Peer, Pool};
-use crate::core::ledger::Held;
-use crate::core::{Cause, End, HeldState, Order, Place, Work};
+use crate::core::ledger::ReservationId;
+use crate::core::{Cause, End, Order, Place, Reservation, Work};
 use crate::driver::{Sink, Word};
 use crate::{seconds, within, Limits};
 use async_channel::{bounded, Sender};
@@ -41,7 +41,7 @@
 }
 
 /// Where the writer finds the state, and what lets it fetch it.
-fn transfer(s: &HeldState, grant: &Option<String>) -> KvTransfer {
+fn transfer(s: &Reservation, grant: &Option<String>) -> KvTransfer {
     KvTransfer {
         do_remote_prefill: true,
         remote_request_id: Some(s.name.clone()),
@@ -235,7 +235,7 @@
         let _ = words.send(Word::new(crate::driver::Said::Swept { place, done })).await;
     }
 
-    pub async fn let_go(self: Rc<Self>, call: Held, state: HeldState, words: Sender<Word>) {
+    pub async fn let_go(self: Rc<Self>, call: ReservationId, state: Reservation, words: Sender<Word>) {
         let path = format!("/v1/states/{}", state.name);
         let answer = self.short(Method::DELETE, &state.reader, &path).await;
         // Not found is let go too: fetched, or never there.
--- a/crates/nickelgw-platform/src/node.rs
+++ b/crates/nickelgw-platform/src/node.rs
@@ -204,7 +204,7 @@
                 );
             }
             for t in &actions.transitions {
-                tracing::debug!(at = now, request = %t.name, prefill = t.id.read, from = ?t.from, to = ?t.to, after_s = t.after_s, "reservation");
+                tracing::debug!(at = now, request = %t.name, prefill = t.id.prefill, from = ?t.from, to = ?t.to, after_s = t.after_s, "reservation");
             }
             for d in actions.todo {
                 match d {
@@ -222,7 +222,7 @@
                         again = true;
                     }
                     Do::Answer { ticket, answer } => self.answer(ticket, answer),
-                    Do::LetGo { call, state, at } => {
+                    Do::Release { call, state, at } => {
                         let node = self.clone();
                         let task = async move {
                             let done = node.clone().release(&state.name, &at).await;
