--- a/crates/nickelgw-node/src/core/act.rs
+++ b/crates/nickelgw-node/src/core/act.rs
@@ -48,7 +48,7 @@
         for &inf in &d.released {
             if let Some(t) = self.ticket(inf) {
                 self.ledger.release_all(now, t.serial);
-                self.await_release(t);
+                self.update_release_pending(t);
             }
         }
         for &eng in &d.probes {
@@ -83,7 +83,7 @@
         for owner in self.ledger.take_expired() {
             if let Some(t) = self.ticket_of(owner) {
                 self.router.reservation_expired(now, Inf(t.inf));
-                self.await_release(t);
+                self.update_release_pending(t);
             }
         }
         for (call, state) in calls {
--- a/crates/nickelgw-node/src/core/mod.rs
+++ b/crates/nickelgw-node/src/core/mod.rs
@@ -358,7 +358,7 @@
         let after_s = now - self.router.sent_at(Inf(t.inf), send);
         let ending = Ending { outcome, after_s, over, note };
         self.router.settled(now, Inf(t.inf), send, ending, end.load.as_ref().map(load));
-        self.await_release(t);
+        self.update_release_pending(t);
     }
 
     /// Nothing more is taken from now on.
@@ -454,7 +454,7 @@
         let over = ticket.and_then(|t| self.get(t)).is_none_or(|x| x.stage == Stage::Over);
         self.ledger.release_answered(now, call, done, over);
         if let Some(t) = ticket {
-            self.await_release(t);
+            self.update_release_pending(t);
         }
     }
 
@@ -464,9 +464,9 @@
     }
 
     /// No further prefill goes out for the request while a release of an earlier one's reservation is not confirmed.
-    fn await_release(&mut self, t: Ticket) {
+    fn update_release_pending(&mut self, t: Ticket) {
         let releasing = self.ledger.is_releasing(t.serial);
-        self.router.await_release(Inf(t.inf), releasing);
+        self.router.set_release_pending(Inf(t.inf), releasing);
     }
 
     fn answer(&mut self, now: f64, t: Ticket, answer: Answer) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -288,7 +288,7 @@
         let mean_wait = waits.sum::<f64>() / readers.len().max(1) as f64;
         let pressed = busy >= ROOM || mean_wait > self.target / 4.0;
         for &i in &queue {
-            if self.asking(now, i) || self.infs[i].awaits_release {
+            if self.asking(now, i) || self.infs[i].release_pending {
                 continue;
             }
             let inf = &self.infs[i];
@@ -344,7 +344,7 @@
         queue.sort_by(|&x, &y| self.infs[x].arrived.total_cmp(&self.infs[y].arrived).then(x.cmp(&y)));
         queue.retain(|&i| writer_wait <= self.target / 2.0 && self.infs[i].stage == Stage::Queued);
         for &i in &queue {
-            if self.infs[i].over_share || self.infs[i].awaits_release || self.asking(now, i) {
+            if self.infs[i].over_share || self.infs[i].release_pending || self.asking(now, i) {
                 continue;
             }
             let idle = |e: &usize| self.engines[*e].batch_s == 0.0 && self.engines[*e].matures <= now;
--- a/src/decide/again.rs
+++ b/src/decide/again.rs
@@ -51,8 +51,8 @@
     }
 
     /// Whether letting go of what earlier reads left is still to be confirmed; until it is nothing is read for the inference.
-    pub fn await_release(&mut self, inf: Inf, awaited: bool) {
-        self.infs[inf.0 as usize].awaits_release = awaited;
+    pub fn set_release_pending(&mut self, inf: Inf, awaited: bool) {
+        self.infs[inf.0 as usize].release_pending = awaited;
     }
 
     /// Answers at once: shed where a repeat is harmless, else errored; lets go of what is held.
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,7 +162,7 @@
     pub state: Option<usize>,
     pub held_since: f64,
     /// A release of what an earlier read left is not confirmed: read again now, the new state would go with it.
-    pub awaits_release: bool,
+    pub release_pending: bool,
     /// The first writer send that may have run, and when it was sent.
     pub ran: Option<(usize, f64)>,
 }
