Soak: the harness measures its own lateness, and a play in which it was late is played again

What the harness says of others is no surer than its own clock: late by 0.05 s or more, the seed is played again, five times at most, and if it is always late the test fails.

--- a/crates/nickelgw-cli/tests/platform_soak.rs
+++ b/crates/nickelgw-cli/tests/platform_soak.rs
@@ -19,13 +19,17 @@
 mod world;
 
 use faults::Faults;
-use fleet::Fleet;
+use fleet::{Fleet, Report};
 use std::time::{Duration, Instant};
 
 /// Processes at once.
 const NODES: usize = 24;
 /// Time after the last fault in which all that is open comes to its end.
 const SETTLE: Duration = Duration::from_secs(5);
+/// Lateness of the harness up to which its word counts: a third of the tightest limit it judges by (0.15 s).
+const MOST_LATE: Duration = Duration::from_millis(50);
+/// Plays of a seed until the harness was not late.
+const PLAYS: usize = 5;
 
 fn setting(name: &str, usual: &str) -> String {
     std::env::var(name).unwrap_or_else(|_| usual.to_string())
@@ -36,22 +40,27 @@
     let seconds = setting("SOAK_SECONDS", "6").parse().expect("SOAK_SECONDS is a number");
     for seed in setting("SOAK_SEEDS", "1").split(',') {
         let seed: u64 = seed.trim().parse().expect("SOAK_SEEDS are numbers");
-        let fleet = Fleet::start(NODES, seed);
-        let mut faults = Faults::new(seed);
-        let until = Instant::now() + Duration::from_secs(seconds);
-        while Instant::now() < until {
-            faults.next(&fleet);
-        }
-        faults.end(&fleet);
-        std::thread::sleep(SETTLE);
-        let report = fleet.end();
-        println!("seed {seed}: {report}");
+        // A harness that ran late can tell nothing of what was late: that play is played again, and then it has to hold.
+        let judged = (0..PLAYS).map(|_| play(seed, seconds)).find(|(report, _)| report.late < MOST_LATE);
+        let (report, faults) = judged.expect("the machine is too busy to judge");
         assert!(report.served * 3 > report.asked, "hardly anything was served: {report}");
-        assert!(
-            report.violations.is_empty(),
-            "seed {seed}, faults {:?}: {:#?}",
-            faults.played,
-            report.violations
-        );
+        assert!(report.violations.is_empty(), "seed {seed}, faults {faults:?}: {:#?}", report.violations);
     }
 }
+
+fn play(seed: u64, seconds: u64) -> (Report, Vec<&'static str>) {
+    let fleet = Fleet::start(NODES, seed);
+    let mut faults = Faults::new(seed);
+    let until = Instant::now() + Duration::from_secs(seconds);
+    while Instant::now() < until {
+        faults.next(&fleet);
+    }
+    faults.end(&fleet);
+    std::thread::sleep(SETTLE);
+    let report = fleet.end();
+    println!("seed {seed}: {report}");
+    // No lateness explains that something ran twice.
+    let twice: Vec<_> = report.violations.iter().filter(|v| v.contains("RunTwice")).collect();
+    assert!(twice.is_empty(), "seed {seed}: {twice:?}");
+    (report, faults.played)
+}
--- a/crates/nickelgw-cli/tests/platform_soak/fleet.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/fleet.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
@@ -73,6 +73,33 @@
     on: Arc<AtomicBool>,
     clients: Vec<JoinHandle<Vec<(String, Outcome)>>>,
     ending: Mutex<Vec<JoinHandle<()>>>,
+    lateness: Arc<Lateness>,
+}
+
+/// How late the engines and clients of the soak themselves were, in microseconds at most: what they say of others is no surer than that.
+#[derive(Default)]
+struct Lateness(AtomicU64);
+
+impl Lateness {
+    /// Measures it on the executor that engines, proxies and clients run on, until the last other owner has gone.
+    fn measure() -> Arc<Lateness> {
+        let lateness = Arc::new(Lateness::default());
+        let measured = lateness.clone();
+        let every = Duration::from_millis(5);
+        smol::spawn(async move {
+            while Arc::strong_count(&measured) > 1 {
+                let due = Instant::now() + every;
+                smol::Timer::at(due).await;
+                measured.0.fetch_max(due.elapsed().as_micros() as u64, Relaxed);
+            }
+        })
+        .detach();
+        lateness
+    }
+
+    fn most(&self) -> Duration {
+        Duration::from_micros(self.0.load(Relaxed))
+    }
 }
 
 /// What a soak came to.
@@ -80,11 +107,18 @@
     pub asked: usize,
     pub served: usize,
     pub violations: Vec<String>,
+    /// How late the harness itself was at most.
+    pub late: Duration,
 }
 
 impl std::fmt::Display for Report {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        write!(f, "{} asked, {} served, {} violations", self.asked, self.served, self.violations.len())
+        let (asked, served, late) = (self.asked, self.served, self.late);
+        write!(
+            f,
+            "{asked} asked, {served} served, {} violations; harness late by {late:?}",
+            self.violations.len()
+        )
     }
 }
 
@@ -119,7 +153,7 @@
             spawn(move || asks(n, seed, &member, &table, &on))
         };
         let clients = members.iter().enumerate().map(client).collect();
-        Fleet { places, members, table, on, clients, ending: Mutex::default() }
+        Fleet { places, members, table, on, clients, ending: Mutex::default(), lateness: Lateness::measure() }
     }
 
     pub fn nodes(&self) -> usize {
@@ -189,7 +223,7 @@
         // The logs of a failed run are kept: a violation is followed by its request's id.
         println!("{judged} found outside of the nodes; logs: {}", self.members[0].log.display());
         let served = outcomes.iter().filter(|o| o.1 == Outcome::Served).count();
-        Report { asked: outcomes.len(), served, violations }
+        Report { asked: outcomes.len(), served, violations, late: self.lateness.most() }
     }
 }
 
