--- a/crates/nickelgw-standin/src/platform/proxy.rs
+++ b/crates/nickelgw-standin/src/platform/proxy.rs
@@ -16,6 +16,8 @@
     silent: AtomicBool,
     near: TcpStream,
     far: TcpStream,
+    /// The node has closed its side.
+    node_ended: AtomicBool,
     /// Id of the last request passed on.
     last: Mutex<Option<String>>,
     /// Id of a request whose answer nobody heard: its attempt is out until the node ends it.
@@ -34,6 +36,10 @@
 
     /// An answer is swallowed, or the engine's end of the connection.
     fn swallows(&self, engine: &Behind) {
+        // What the node has ended is not out any more, whatever its engine still says.
+        if self.node_ended.load(Relaxed) {
+            return;
+        }
         if let Some(id) = lock(&self.last).take() {
             engine.table.answer_unheard(&id, engine.decode);
             *lock(&self.unheard) = Some(id);
@@ -150,6 +156,7 @@
         silent,
         near: near.clone(),
         far: far.clone(),
+        node_ended: AtomicBool::new(false),
         last: Mutex::default(),
         unheard: Mutex::default(),
     });
@@ -193,6 +200,9 @@
         }
         buf.clear();
     }
+    if from_node {
+        connection.node_ended.store(true, Relaxed);
+    }
     if from_node || !connection.silent.load(Relaxed) {
         let _ = to.shutdown(Shutdown::Both);
         let _ = from.shutdown(Shutdown::Both);
