Chat front: a new connection keeps its time for a first request during shutdown

Cause: hyper's graceful_shutdown closes a connection that has read and written nothing at once (dispatch.rs, disable_keep_alive: has_initial_read_write_state); serve_http called it on all connections as the node stopped accepting (accept.rs, close_requested). Why it holds: a connection without a request is left 0.5 s from its accept; then hyper shuts it down as before. first_request_on_a_new_connection_is_answered_during_shutdown fails without it (empty response) and passes.

--- a/crates/nickelgw-node/src/server/accept.rs
+++ b/crates/nickelgw-node/src/server/accept.rs
@@ -10,12 +10,16 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::{Async, LocalExecutor, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
+/// A connection that has carried no request is not closed before it is so old: its client's first request is on its way.
+const FIRST_REQUEST_GRACE_S: f64 = 0.5;
 /// Delay after a failed accept.
 const ACCEPT_RETRY_S: f64 = 0.01;
 /// Largest head of a request.
@@ -94,8 +98,11 @@
 
     /// Serves requests one after the other; once idle connections are to close, no further one.
     async fn serve_http(self: Rc<Self>, stream: impl AsyncRead + AsyncWrite + Unpin) {
-        let server = self.clone();
+        let opened_at = Instant::now();
+        let has_carried_request = Rc::new(Cell::new(false));
+        let (server, carries_request) = (self.clone(), has_carried_request.clone());
         let service = service_fn(move |request| {
+            carries_request.set(true);
             let server = server.clone();
             async move { Ok::<_, Infallible>(server.serve(request).await) }
         });
@@ -106,6 +113,10 @@
         let close_idle = self.listener.close_idle.subscribe();
         let close_requested = async {
             let _ = close_idle.recv().await;
+            // hyper's graceful shutdown closes a connection that has read nothing at once, and its first request is lost.
+            if !has_carried_request.get() {
+                Timer::at(opened_at + seconds(FIRST_REQUEST_GRACE_S)).await;
+            }
             None
         };
         let mut ended =
--- a/crates/nickelgw-node/tests/shutdown.rs
+++ b/crates/nickelgw-node/tests/shutdown.rs
@@ -141,3 +141,52 @@
     }
     assert_eq!(response_status(get("/healthz").as_bytes()), 200);
 }
+
+const SHORT_REQUEST: &str = r#"{"model":"chat","max_tokens":2,"messages":[{"role":"user","content":"hi"}]}"#;
+
+/// The response to a request on this connection; empty: it was closed or reset with none.
+fn response_on(mut connection: TcpStream, request_id: &str) -> String {
+    let request = post(SHORT_REQUEST, &format!("x-request-id: {request_id}\r\nconnection: close\r\n"));
+    let _ = connection.write_all(request.as_bytes());
+    let mut response = Vec::new();
+    let _ = connection.read_to_end(&mut response);
+    String::from_utf8_lossy(&response).to_string()
+}
+
+/// A client connects before the node stops accepting and sends its first request a little later. It got no answer: hyper's
+/// graceful shutdown closes a connection that has read nothing at once. The platform's node had the same fault (soak, seed 509).
+#[test]
+fn first_request_on_a_new_connection_is_answered_during_shutdown() {
+    let mut cluster = test_cluster(5.0);
+    let connection = TcpStream::connect(&cluster.node).unwrap();
+    send_signal(&cluster, ProcessSignal::Drain);
+    thread::sleep(Duration::from_millis(350));
+    let response = response_on(connection, "late");
+    assert!(response.starts_with("HTTP/1.1 "), "closed with no answer: {response:?}");
+    assert_eq!(cluster.exit.take().unwrap().join().unwrap(), Exit::Clean);
+}
+
+/// Clients connect and send without a pause until connections are refused. One that the system has accepted is answered; the
+/// listener was closed over its backlog, which resets it.
+#[test]
+fn connections_accepted_by_the_system_are_answered_before_the_listener_closes() {
+    let cluster = test_cluster(5.0);
+    let clients: Vec<_> = (0..64)
+        .map(|client| {
+            let node = cluster.node.clone();
+            thread::spawn(move || {
+                let mut unanswered = 0;
+                for number in 0.. {
+                    let Ok(connection) = TcpStream::connect(&node) else { break };
+                    let response = response_on(connection, &format!("c{client}n{number}"));
+                    unanswered += usize::from(!response.starts_with("HTTP/1.1 "));
+                }
+                unanswered
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    send_signal(&cluster, ProcessSignal::Drain);
+    let unanswered: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert_eq!(unanswered, 0, "connected, and closed with no answer");
+}
