Chat front: what waits in the backlog is accepted before the listener closes

Cause: accept ended at the signal, whatever waited (accept.rs, None => return), and the kernel resets a listener's backlog with it. Why it holds: the listener leaves the reactor, then the backlog is accepted, then it closes, with no other call between the last accept and the close.

--- a/crates/nickelgw-node/src/server/accept.rs
+++ b/crates/nickelgw-node/src/server/accept.rs
@@ -29,7 +29,7 @@
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 impl ChatServer {
-    /// Accepts until dropped, or until the node stops listening.
+    /// Accepts until dropped, or until the node stops listening, and then what the system has accepted already.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
         let stop_listening = self.listener.stop_listening.subscribe();
         loop {
@@ -39,7 +39,7 @@
                 None
             };
             match futures_lite::future::or(stopped, accepted).await {
-                None => return,
+                None => return self.accept_backlog(listener, &executor),
                 Some(Ok((stream, _))) => self.accepted(stream, &executor),
                 // Out of descriptors, or the peer closed while it waited: the next may succeed.
                 Some(Err(error)) => {
@@ -50,6 +50,20 @@
         }
     }
 
+    /// Accepts what waits in the backlog, which the listener resets as it closes. After a handover the listener stays open in
+    /// the new process, and either may answer.
+    fn accept_backlog(self: &Rc<Self>, listener: Async<TcpListener>, executor: &LocalExecutor<'static>) {
+        // Taken from the reactor first: nothing but the close comes between the last accept and the close.
+        let Ok(listener) = listener.into_inner() else { return };
+        let mut accepted = Vec::new();
+        while let Ok((stream, _)) = listener.accept() {
+            accepted.push(stream);
+        }
+        drop(listener);
+        let streams = accepted.into_iter().filter_map(|stream| Async::new(stream).ok());
+        streams.for_each(|stream| self.accepted(stream, executor));
+    }
+
     fn accepted(self: &Rc<Self>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
         let limits = &self.submitter.limits;
         let _ = stream.get_ref().set_nodelay(true);
--- a/crates/nickelgw-node/tests/shutdown.rs
+++ b/crates/nickelgw-node/tests/shutdown.rs
@@ -147,9 +147,13 @@
 /// The response to a request on this connection; empty: it was closed or reset with none.
 fn response_on(mut connection: TcpStream, request_id: &str) -> String {
     let request = post(SHORT_REQUEST, &format!("x-request-id: {request_id}\r\nconnection: close\r\n"));
-    let _ = connection.write_all(request.as_bytes());
+    let sent_at = Instant::now();
+    let written = connection.write_all(request.as_bytes());
     let mut response = Vec::new();
-    let _ = connection.read_to_end(&mut response);
+    let read = connection.read_to_end(&mut response);
+    if response.is_empty() {
+        println!("{request_id} unanswered after {:?}: {written:?}, {read:?}", sent_at.elapsed());
+    }
     String::from_utf8_lossy(&response).to_string()
 }
 
