Release calls are scheduled: limits by engine, one call for all at a silent one

Cause: each unconfirmed release was repeated on its own clock, up to four calls each 0.02 to 0.57 s, all but the first on new connections, for 30 s, up to 8,192 at once (ledger.rs, release_answered; node/control_calls.rs, release). Calls that time out at a slow engine are made again and keep it slow: 484 calls a second rose to 9,475 and stayed; of 87,477 calls 897 were answered. The policy left the platform's shell. The chat front's calls are made as before.

--- a/crates/nickelgw-node-core/src/apply_decisions.rs
+++ b/crates/nickelgw-node-core/src/apply_decisions.rs
@@ -1,13 +1,13 @@
 //! Turns the decision module's decisions into commands for the shell.
 
-use crate::commands::{Command, CommandBatch, Endpoint, FailureReason, FinalAnswer, RequestId};
+use crate::commands::{Command, CommandBatch, Endpoint, FailureReason, FinalAnswer, ReleaseCall, RequestId};
 use crate::guard::Violation;
 use crate::node_core::NodeCore;
 use crate::trace::TraceEvent;
 use nickelgw::interface::{Decisions, EngineHandle, Outcome, RejectionReason, RequestHandle};
 use std::rc::Rc;
 
-/// Engines that a release call is tried at before it is repeated later.
+/// Engines that a release is tried at before it is repeated later.
 const RELEASE_ENDPOINTS: usize = 4;
 
 /// Ticks before its deadline from which a failed request counts as failed by it.
@@ -142,22 +142,35 @@
 
     /// Makes the release calls that the ledger asks for; gives the time when it asks again.
     fn poll_release_calls(&mut self, now: f64, commands: &mut Vec<Command>) -> Option<f64> {
-        let (release_calls, release_at) = self.ledger.poll_releases(now);
+        for id in self.releases.take_timed_out(now) {
+            self.release_answered(now, id, false);
+        }
+        let (due, release_at) = self.ledger.poll_releases(now);
         for owner in self.ledger.take_expired() {
             if let Some(request) = self.requests.id_by_serial(owner) {
                 self.router.reservation_expired(now, RequestHandle(request.slot));
                 self.update_release_pending(request);
             }
         }
-        for (reservation_id, reservation) in release_calls {
-            let endpoints = if reservation.named_after_request {
-                self.release_endpoints(&reservation.prefill_engine)
+        for (id, reservation) in due {
+            if reservation.named_after_request {
+                self.releases.enqueue(now, id, reservation);
             } else {
-                Vec::new()
-            };
-            commands.push(Command::Release { reservation_id, reservation, endpoints });
+                commands.push(Command::Release(self.releases.call_directly(now, id, reservation)));
+            }
         }
-        release_at
+        let calls = self.scheduled_release_calls(now);
+        commands.extend(calls.into_iter().map(Command::Release));
+        [release_at, self.releases.wake_at(now)].into_iter().flatten().min_by(f64::total_cmp)
+    }
+
+    fn scheduled_release_calls(&mut self, now: f64) -> Vec<ReleaseCall> {
+        let mut releases = std::mem::take(&mut self.releases);
+        let is_wanted = |id| self.ledger.awaits_release_call(id);
+        let choose = |prefill_engine: &Rc<Endpoint>| self.release_endpoints(prefill_engine);
+        let calls = releases.poll(now, is_wanted, choose);
+        self.releases = releases;
+        calls
     }
 
     /// Engines at which a release call that any engine takes is tried: those that answered last, or the prefill engine.
--- a/crates/nickelgw-node-core/src/attempts.rs
+++ b/crates/nickelgw-node-core/src/attempts.rs
@@ -1,7 +1,7 @@
 //! Events of attempts, probes and release calls.
 
 use crate::attempt_outcome::AttemptOutcome;
-use crate::commands::{AttemptResult, FailureReason, FinalAnswer, RequestId};
+use crate::commands::{AttemptResult, FailureReason, FinalAnswer, ReleaseCallId, ReleaseOutcome, RequestId};
 use crate::ledger::ReservationId;
 use crate::node_core::NodeCore;
 use crate::request_table::RequestStage;
@@ -88,7 +88,13 @@
     }
 
     /// A call that releases a reservation has ended.
-    pub fn release_finished(&mut self, now: f64, id: ReservationId, confirmed: bool) {
+    pub fn release_finished(&mut self, now: f64, call: ReleaseCallId, outcome: ReleaseOutcome) {
+        if let Some((id, confirmed)) = self.releases.call_ended(now, call, outcome) {
+            self.release_answered(now, id, confirmed);
+        }
+    }
+
+    pub(crate) fn release_answered(&mut self, now: f64, id: ReservationId, confirmed: bool) {
         let request = self.requests.id_by_serial(id.owner);
         let request_finished = request.is_none_or(|request| self.requests.is_finished(request));
         self.ledger.release_answered(now, id, confirmed, request_finished);
--- a/crates/nickelgw-node-core/src/commands.rs
+++ b/crates/nickelgw-node-core/src/commands.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt_outcome::AttemptOutcome;
 use crate::guard::Violation;
-use crate::ledger::{ReservationId, Transition};
+use crate::ledger::Transition;
 use nickelgw::interface::{DispatchRationale, RejectionReason};
 use nickelgw_protocol::load::LoadReport;
 use std::rc::Rc;
@@ -38,6 +38,43 @@
     pub named_after_request: bool,
 }
 
+/// Identifies a release call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReleaseCallId(pub(crate) u64);
+
+/// A call that releases a reservation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReleaseCall {
+    /// Names the call as it ends.
+    pub id: ReleaseCallId,
+    /// The reservation.
+    pub reservation: Reservation,
+    /// The engine to call.
+    pub endpoint: Rc<Endpoint>,
+    /// The connection to use.
+    pub connection: ReleaseConnection,
+}
+
+/// Which connection a release call may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReleaseConnection {
+    /// An idle one, if there is one.
+    Any,
+    /// A new one: idle ones may be silent.
+    New,
+}
+
+/// How a release call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReleaseOutcome {
+    /// The engine has released the reservation, or never had it.
+    Confirmed,
+    /// The engine answered, and has not.
+    Refused,
+    /// No answer came.
+    Unanswered,
+}
+
 /// An attempt that is to be made at an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptRequest {
@@ -122,14 +159,7 @@
         answer: FinalAnswer,
     },
     /// Call an engine to release a reservation.
-    Release {
-        /// The ledger's name for the call.
-        reservation_id: ReservationId,
-        /// The reservation.
-        reservation: Reservation,
-        /// Where any engine takes the call: those to try, in this order.
-        endpoints: Vec<Rc<Endpoint>>,
-    },
+    Release(ReleaseCall),
     /// Probe an engine.
     Probe(Rc<Endpoint>),
     /// Release whatever earlier processes of this node have reserved at the engine.
--- a/crates/nickelgw-node-core/src/ledger.rs
+++ b/crates/nickelgw-node-core/src/ledger.rs
@@ -276,6 +276,11 @@
         }
     }
 
+    /// Whether a release call is to be made, or its answer awaited.
+    pub fn awaits_release_call(&self, id: ReservationId) -> bool {
+        matches!(self.stage(id), Some(Stage::Releasing { next_call_at: None, .. }))
+    }
+
     /// Release calls to make now, and when to poll again.
     pub fn poll_releases(&mut self, now: f64) -> (Vec<(ReservationId, Reservation)>, Option<f64>) {
         let mut release_calls = Vec::new();
--- a/crates/nickelgw-node-core/src/lib.rs
+++ b/crates/nickelgw-node-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod membership;
 mod node_core;
 pub mod orphan_cleanup;
+mod release_scheduler;
 mod request_admission;
 mod request_table;
 pub mod shutdown;
--- a/crates/nickelgw-node-core/src/node_core.rs
+++ b/crates/nickelgw-node-core/src/node_core.rs
@@ -6,6 +6,7 @@
 use crate::guard::{Guard, Violation};
 use crate::ledger::Ledger;
 use crate::orphan_cleanup::OrphanCleanup;
+use crate::release_scheduler::ReleaseScheduler;
 use crate::request_table::RequestTable;
 use crate::trace::{RequestTrace, TraceBuffer, TraceEvent};
 use crate::unary_deadlines::UnaryDeadlines;
@@ -65,6 +66,8 @@
     pub(crate) concurrency_limit: ConcurrencyLimit,
     /// KV reservations that prefills have made.
     pub ledger: Ledger,
+    /// Calls that release them.
+    pub(crate) releases: ReleaseScheduler,
     /// Checks each attempt against the rules, and counts violations.
     pub guard: Guard,
     /// Listed engines that take no new work.
@@ -95,6 +98,7 @@
             can_cancel: deployment.can_cancel,
             routes: deployment.routes.iter().map(Route::from).collect(),
             ledger: Ledger::new(deployment.reservation_limit_s, config.release_timeout_s),
+            releases: ReleaseScheduler::new(deployment.seed),
             router: Router::new(deployment),
             endpoints: HashMap::new(),
             requests: RequestTable::default(),
--- /dev/null
+++ b/crates/nickelgw-node-core/src/release_scheduler/tests.rs
@@ -0,0 +1,280 @@
+use super::*;
+use test_case::test_case;
+
+fn endpoint(id: usize) -> Rc<Endpoint> {
+    Rc::new(Endpoint { id: format!("e{id}"), address: format!("10.0.0.1:{id}"), tls_name: None })
+}
+
+fn reservation(engine: usize) -> Reservation {
+    Reservation { name: "r".into(), prefill_engine: endpoint(engine), named_after_request: true }
+}
+
+fn id(owner: u64) -> ReservationId {
+    ReservationId { owner, prefill: 0 }
+}
+
+/// A scheduler with releases of so many requests, all reserved at the engine 0.
+fn scheduler(releases: u64) -> ReleaseScheduler {
+    let mut scheduler = ReleaseScheduler::new(1);
+    (0..releases).for_each(|owner| scheduler.enqueue(0.0, id(owner), reservation(0)));
+    scheduler
+}
+
+/// Polls with so many engines.
+fn poll(scheduler: &mut ReleaseScheduler, now: f64, engines: usize) -> Vec<ReleaseCall> {
+    scheduler.poll(now, |_| true, |_| (0..engines).map(endpoint).collect())
+}
+
+#[test]
+fn engine_that_does_not_answer_is_asked_by_one_call_for_all() {
+    let mut scheduler = scheduler(1000);
+    let mut calls_made = 0;
+    for step in 0..1000u32 {
+        let now = f64::from(step) * 0.005;
+        let calls = poll(&mut scheduler, now, 1);
+        calls_made += calls.len();
+        assert!(calls.len() <= 1);
+        for call in calls {
+            scheduler.call_ended(now + 0.25, call.id, ReleaseOutcome::Unanswered);
+        }
+    }
+    assert!((5..=20).contains(&calls_made), "{calls_made} calls in five seconds");
+}
+
+#[test]
+fn limit_on_calls_in_flight_grows_with_answers() {
+    let mut scheduler = scheduler(100);
+    let mut in_flight = Vec::new();
+    for (step, expected) in [1, 2, 4, 4].into_iter().enumerate() {
+        let now = 0.002 * step as f64;
+        for call in std::mem::take(&mut in_flight) {
+            scheduler.call_ended(now, call, ReleaseOutcome::Confirmed);
+        }
+        in_flight = poll(&mut scheduler, now, 1).into_iter().map(|call| call.id).collect();
+        assert_eq!(in_flight.len(), expected);
+    }
+}
+
+#[test]
+fn overdue_call_is_hedged_elsewhere_on_a_new_connection() {
+    let mut scheduler = scheduler(1);
+    let first = poll(&mut scheduler, 0.0, 2).remove(0);
+    assert_eq!((first.connection, &*first.endpoint.id), (ReleaseConnection::Any, "e0"));
+    assert!(poll(&mut scheduler, 0.04, 2).is_empty());
+    assert_eq!(scheduler.wake_at(0.04), Some(HEDGE_DELAY_S));
+    let second = poll(&mut scheduler, 0.051, 2).remove(0);
+    assert_eq!((second.connection, &*second.endpoint.id), (ReleaseConnection::New, "e1"));
+    assert_eq!(scheduler.call_ended(0.06, second.id, ReleaseOutcome::Confirmed), Some((id(0), true)));
+    assert_eq!(scheduler.call_ended(0.25, first.id, ReleaseOutcome::Unanswered), None);
+    assert!(poll(&mut scheduler, 0.3, 2).is_empty());
+}
+
+/// All open connections are silent, and there is no other engine.
+#[test]
+fn engine_is_called_on_a_new_connection_after_an_idle_one_failed() {
+    let mut scheduler = scheduler(1);
+    let first = poll(&mut scheduler, 0.0, 1).remove(0);
+    assert_eq!(scheduler.call_ended(0.25, first.id, ReleaseOutcome::Unanswered), None);
+    let second = poll(&mut scheduler, 0.25, 1).remove(0);
+    assert_eq!(second.connection, ReleaseConnection::New);
+    assert_eq!(
+        scheduler.call_ended(0.5, second.id, ReleaseOutcome::Unanswered),
+        Some((id(0), false)),
+        "the ledger retries it"
+    );
+}
+
+/// New connections come up too late, as on a busy machine, and open ones answer: they are used again.
+#[test]
+fn idle_connections_are_tried_again_after_a_new_one_failed() {
+    let mut scheduler = scheduler(3);
+    let mut now = 0.0;
+    let mut connections = Vec::new();
+    for _ in 0..3 {
+        now += 1.0;
+        let call = poll(&mut scheduler, now, 1).remove(0);
+        connections.push(call.connection);
+        scheduler.call_ended(now + 0.25, call.id, ReleaseOutcome::Unanswered);
+    }
+    assert_eq!(connections, [ReleaseConnection::Any, ReleaseConnection::New, ReleaseConnection::Any]);
+}
+
+#[test]
+fn slow_answers_halve_the_limit_on_calls_in_flight() {
+    let mut health = EngineHealth::default();
+    (0..3).for_each(|_| health.call_answered(1.0, 0.999));
+    let limit_at = |health: &mut EngineHealth| {
+        let mut started = 0;
+        while health.is_available(2.0) {
+            health.call_started(2.0);
+            started += 1;
+        }
+        (0..started).for_each(|_| health.call_answered(2.03, 2.0));
+        started
+    };
+    assert_eq!(limit_at(&mut health), 4);
+    health.call_started(1.0);
+    health.call_answered(1.2, 1.0);
+    assert_eq!(limit_at(&mut health), 2);
+}
+
+/// An attempt ended while the call was in flight: what the engine answers may be about the time before.
+#[test]
+fn answer_to_an_earlier_round_is_ignored() {
+    let mut scheduler = scheduler(1);
+    let earlier = poll(&mut scheduler, 0.0, 1).remove(0);
+    scheduler.enqueue(0.01, id(0), reservation(0));
+    assert_eq!(scheduler.call_ended(0.02, earlier.id, ReleaseOutcome::Confirmed), None);
+    let call = poll(&mut scheduler, 0.02, 1).remove(0);
+    assert_eq!(scheduler.call_ended(0.03, call.id, ReleaseOutcome::Confirmed), Some((id(0), true)));
+}
+
+#[test]
+fn refused_release_goes_back_to_the_ledger() {
+    let mut scheduler = scheduler(1);
+    let call = poll(&mut scheduler, 0.0, 3).remove(0);
+    assert_eq!(scheduler.call_ended(0.01, call.id, ReleaseOutcome::Refused), Some((id(0), false)));
+}
+
+#[test]
+fn release_that_finds_no_engine_goes_back_to_the_ledger() {
+    let mut scheduler = scheduler(2);
+    assert!(poll(&mut scheduler, 0.0, 0).is_empty());
+    assert!(scheduler.take_timed_out(MAX_WAIT_S - 0.01).is_empty());
+    assert_eq!(scheduler.take_timed_out(MAX_WAIT_S), [id(0), id(1)]);
+    assert_eq!(scheduler.wake_at(MAX_WAIT_S), None);
+}
+
+#[test]
+fn release_that_is_no_longer_wanted_makes_no_call() {
+    let mut scheduler = scheduler(1);
+    assert!(scheduler.poll(0.0, |_| false, |_| vec![endpoint(0)]).is_empty());
+    assert_eq!(scheduler.wake_at(0.0), None);
+}
+
+/// Work that a call costs an engine on a new connection, and on an open one.
+const NEW_CONNECTION_S: f64 = 0.02;
+const OPEN_CONNECTION_S: f64 = 0.0005;
+const CALL_TIMEOUT_S: f64 = 0.25;
+const STEP_S: f64 = 0.005;
+
+/// A call at a simulated engine.
+struct SimulatedCall {
+    node: usize,
+    call: ReleaseCall,
+    ends_at: f64,
+    outcome: ReleaseOutcome,
+}
+
+/// Nodes that release at engines which do one thing after the other, and finish what they have begun for a caller that has
+/// gone.
+struct SimulatedFleet {
+    nodes: Vec<ReleaseScheduler>,
+    /// Until when each engine is busy.
+    busy_until: Vec<f64>,
+    /// Open idle connections by node and engine.
+    idle: HashMap<(usize, String), usize>,
+    calls: Vec<SimulatedCall>,
+    calls_made: usize,
+    unconfirmed: usize,
+    is_reachable: bool,
+}
+
+impl SimulatedFleet {
+    /// A fleet with an engine for each two nodes, and so many releases at each node.
+    fn new(nodes: usize, releases: u64) -> SimulatedFleet {
+        let engines = nodes / 2;
+        let mut schedulers: Vec<ReleaseScheduler> =
+            (0..nodes).map(|node| ReleaseScheduler::new(node as u64)).collect();
+        for (node, scheduler) in schedulers.iter_mut().enumerate() {
+            for owner in 0..releases {
+                scheduler.enqueue(0.0, id(owner), reservation((node + owner as usize) % engines));
+            }
+        }
+        SimulatedFleet {
+            nodes: schedulers,
+            busy_until: vec![0.0; engines],
+            idle: HashMap::new(),
+            calls: Vec::new(),
+            calls_made: 0,
+            unconfirmed: nodes * releases as usize,
+            is_reachable: false,
+        }
+    }
+
+    fn step(&mut self, now: f64) {
+        let calls = std::mem::take(&mut self.calls);
+        let (ended, in_flight) = calls.into_iter().partition(|call: &SimulatedCall| call.ends_at <= now);
+        self.calls = in_flight;
+        ended.into_iter().for_each(|call| self.end_call(now, call));
+        let engines = self.busy_until.len();
+        for node in 0..self.nodes.len() {
+            // Another node asks another four engines.
+            let choose = |prefill: &Rc<Endpoint>| -> Vec<Rc<Endpoint>> {
+                let others = (0..3).map(|other| endpoint((node + 5 * other + 1) % engines));
+                std::iter::once(prefill.clone()).chain(others).collect()
+            };
+            let scheduler = &mut self.nodes[node];
+            let timed_out = scheduler.take_timed_out(now);
+            timed_out
+                .into_iter()
+                .for_each(|release| scheduler.enqueue(now, release, reservation(node % engines)));
+            let calls = scheduler.poll(now, |_| true, choose);
+            calls.into_iter().for_each(|call| self.start_call(now, node, call));
+        }
+    }
+
+    fn start_call(&mut self, now: f64, node: usize, call: ReleaseCall) {
+        self.calls_made += 1;
+        let timed_out = (now + CALL_TIMEOUT_S, ReleaseOutcome::Unanswered);
+        let (ends_at, outcome) = if self.is_reachable {
+            let idle = self.idle.entry((node, call.endpoint.id.clone())).or_default();
+            let is_reused = call.connection == ReleaseConnection::Any && *idle > 0;
+            *idle -= usize::from(is_reused);
+            let engine: usize = call.endpoint.id[1..].parse().unwrap();
+            let work_s = if is_reused { OPEN_CONNECTION_S } else { NEW_CONNECTION_S };
+            let done_at = self.busy_until[engine].max(now) + work_s;
+            self.busy_until[engine] = done_at;
+            if done_at < timed_out.0 {
+                (done_at, ReleaseOutcome::Confirmed)
+            } else {
+                timed_out
+            }
+        } else {
+            timed_out
+        };
+        self.calls.push(SimulatedCall { node, call, ends_at, outcome });
+    }
+
+    fn end_call(&mut self, now: f64, ended: SimulatedCall) {
+        let SimulatedCall { node, call, outcome, .. } = ended;
+        if outcome == ReleaseOutcome::Confirmed {
+            *self.idle.entry((node, call.endpoint.id.clone())).or_default() += 1;
+        }
+        match self.nodes[node].call_ended(now, call.id, outcome) {
+            Some((_, true)) => self.unconfirmed -= 1,
+            Some((release, false)) => self.nodes[node].enqueue(now, release, call.reservation),
+            None => {}
+        }
+    }
+}
+
+/// The state that the soak found (seeds 506, 522, 523): with every release on a clock of its own, the calls that were made
+/// again kept the engines from answering in time, for as long as they were made.
+#[test_case(24; "24 nodes")]
+#[test_case(48; "48 nodes")]
+#[test_case(96; "96 nodes")]
+fn releases_of_a_fleet_are_confirmed_within_a_second_after_an_outage(nodes: usize) {
+    const OUTAGE_STEPS: u32 = 400;
+    const RECOVERY_STEPS: u32 = 200;
+    let mut fleet = SimulatedFleet::new(nodes, 40);
+    (0..OUTAGE_STEPS).for_each(|step| fleet.step(f64::from(step) * STEP_S));
+    let during_outage = fleet.calls_made;
+    fleet.is_reachable = true;
+    (OUTAGE_STEPS..OUTAGE_STEPS + RECOVERY_STEPS).for_each(|step| fleet.step(f64::from(step) * STEP_S));
+    assert_eq!(fleet.unconfirmed, 0, "releases are not confirmed a second after the outage");
+    let per_node_s = during_outage as f64 / nodes as f64 / (f64::from(OUTAGE_STEPS) * STEP_S);
+    assert!(per_node_s < 100.0, "{per_node_s} calls a second at each node while nothing answers");
+    let after = fleet.calls_made - during_outage;
+    assert!(after < 2 * 40 * nodes, "{after} calls for {} releases", 40 * nodes);
+}
--- a/crates/nickelgw-node-core/src/tests.rs
+++ b/crates/nickelgw-node-core/src/tests.rs
@@ -190,7 +190,7 @@
     let prefill = next_attempt(&mut core, 1.02);
     core.attempt_ended(1.1, request, prefill.attempt, result(outcome));
     let commands = core.poll_commands(1.1).commands;
-    let releases_it = |command: &Command| matches!(command, Command::Release { reservation, .. } if *reservation.name == *prefill.name);
+    let releases_it = |command: &Command| matches!(command, Command::Release(call) if *call.reservation.name == *prefill.name);
     assert_eq!(commands.iter().any(releases_it), is_released);
 }
 
@@ -260,7 +260,7 @@
     assert_eq!((answer(&prefilling), answer(&reserved)), (rejected, rejected));
     assert_eq!(answer(&decoding), Some(FinalAnswer::Failed(FailureReason::ShuttingDown)));
     assert!(
-        commands.iter().any(|command| matches!(command, Command::Release { .. })),
+        commands.iter().any(|command| matches!(command, Command::Release(_))),
         "what was reserved is released"
     );
     assert_eq!((core.accept_request(1.4, &admitted(0)), core.open()), (Err(RejectReason::ShuttingDown), 0));
--- a/crates/nickelgw-node-core/src/tests/simulation.rs
+++ b/crates/nickelgw-node-core/src/tests/simulation.rs
@@ -3,7 +3,6 @@
 
 use super::*;
 use crate::guard::Violation;
-use crate::ledger::ReservationId;
 use crate::AttemptRequest;
 use nickelgw::interface::Outcome;
 use nickelgw_protocol::list::EngineState;
@@ -42,7 +41,7 @@
     attempts: Vec<AttemptRequest>,
     /// Reservations that stand, and since when no attempt of their request was in flight.
     reservations: BTreeMap<String, (RequestId, f64)>,
-    release_calls: Vec<ReservationId>,
+    release_calls: Vec<ReleaseCallId>,
     probes: Vec<String>,
     wake_at: Option<f64>,
 }
@@ -87,9 +86,9 @@
             Command::StartAttempt(attempt) => self.start_attempt(attempt),
             Command::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Command::Answer { request, answer } => self.record_answer(request, answer),
-            Command::Release { reservation_id, reservation, .. } => {
-                self.reservations.remove(&*reservation.name);
-                self.release_calls.push(reservation_id);
+            Command::Release(call) => {
+                self.reservations.remove(&*call.reservation.name);
+                self.release_calls.push(call.id);
             }
             Command::Probe(engine) => self.probes.push(engine.id.clone()),
             Command::PollEndpoints | Command::ReleaseOrphans(_) => {}
@@ -248,8 +247,9 @@
     }
 
     fn finish_release_calls(&mut self, confirmed: bool) {
-        for id in std::mem::take(&mut self.release_calls) {
-            self.core.release_finished(self.now, id, confirmed);
+        let outcome = if confirmed { ReleaseOutcome::Confirmed } else { ReleaseOutcome::Unanswered };
+        for call in std::mem::take(&mut self.release_calls) {
+            self.core.release_finished(self.now, call, outcome);
         }
     }
 
--- a/crates/nickelgw-node/src/engines/mod.rs
+++ b/crates/nickelgw-node/src/engines/mod.rs
@@ -15,8 +15,7 @@
 use hyper::header::{HeaderMap, HOST};
 use hyper::http::request::Builder;
 use hyper::{Method, Request};
-use nickelgw_node_core::ledger::ReservationId;
-use nickelgw_node_core::{AttemptOutcome, Endpoint, Reservation};
+use nickelgw_node_core::{AttemptOutcome, Endpoint, ReleaseCall, ReleaseOutcome};
 use nickelgw_protocol::load::LoadReport;
 use nickelgw_protocol::{LOAD_METRICS_FORMAT_HEADER, LOAD_METRICS_HEADER, NODE_HEADER, ZONE_HEADER};
 use std::cell::Cell;
@@ -110,11 +109,14 @@
     }
 
     /// Releases a reservation at its prefill engine.
-    pub async fn release(self: Rc<Self>, reservation_id: ReservationId, reservation: Reservation) {
-        let path = format!("/v1/states/{}", reservation.name);
-        let response = self.short_call(Method::DELETE, &reservation.prefill_engine, &path).await;
-        // Not found counts as released: it was fetched, or never there.
-        let done = matches!(response, Ok((200 | 204 | 404, _, _)));
-        self.report(Event::ReleaseFinished { reservation_id, done }).await;
+    pub async fn release(self: Rc<Self>, call: ReleaseCall) {
+        let path = format!("/v1/states/{}", call.reservation.name);
+        let outcome = match self.short_call(Method::DELETE, &call.endpoint, &path).await {
+            // Not found counts as released: it was fetched, or never there.
+            Ok((200 | 204 | 404, _, _)) => ReleaseOutcome::Confirmed,
+            Ok(_) => ReleaseOutcome::Refused,
+            Err(_) => ReleaseOutcome::Unanswered,
+        };
+        self.report(Event::ReleaseFinished { call: call.id, outcome }).await;
     }
 }
--- a/crates/nickelgw-node/src/event_loop/handle_event.rs
+++ b/crates/nickelgw-node/src/event_loop/handle_event.rs
@@ -27,9 +27,7 @@
             Event::ProbeFinished { endpoint, outcome, load } => {
                 self.probe_finished(now, &endpoint, outcome, load)
             }
-            Event::ReleaseFinished { reservation_id, done } => {
-                self.core.release_finished(now, reservation_id, done)
-            }
+            Event::ReleaseFinished { call, outcome } => self.core.release_finished(now, call, outcome),
             Event::OrphanCleanupFinished { endpoint, done } => {
                 self.core.orphan_cleanup_finished(now, &endpoint.address, done)
             }
--- a/crates/nickelgw-node/src/event_loop/run_commands.rs
+++ b/crates/nickelgw-node/src/event_loop/run_commands.rs
@@ -3,9 +3,8 @@
 use super::{EventLoop, RunningAttempt};
 use crate::engines::Attempt;
 use crate::latency_metrics::LatencyMetrics;
-use nickelgw_node_core::ledger::ReservationId;
 use nickelgw_node_core::{
-    AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult, Command, Endpoint, RequestId, Reservation,
+    AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult, Command, Endpoint, ReleaseCall, RequestId,
 };
 use std::cell::Cell;
 use std::rc::Rc;
@@ -47,7 +46,7 @@
                 return CoreState::Changed;
             }
             Command::Answer { request: ticket, answer } => self.send_final_answer(ticket, answer),
-            Command::Release { reservation_id, reservation, .. } => self.release(reservation_id, reservation),
+            Command::Release(call) => self.release(call),
             Command::Probe(endpoint) => self.probe(endpoint),
             Command::ReleaseOrphans(endpoint) => self.release_orphans(endpoint),
             Command::PollEndpoints => drop(self.channels.poll_endpoints.try_send(())),
@@ -90,8 +89,8 @@
         self.core.attempt_ended(now, request, number, result);
     }
 
-    fn release(&self, reservation_id: ReservationId, reservation: Reservation) {
-        self.executor.spawn(self.engines.clone().release(reservation_id, reservation)).detach();
+    fn release(&self, call: ReleaseCall) {
+        self.executor.spawn(self.engines.clone().release(call)).detach();
     }
 
     fn probe(&self, endpoint: Rc<Endpoint>) {
--- a/crates/nickelgw-node/src/events.rs
+++ b/crates/nickelgw-node/src/events.rs
@@ -4,9 +4,10 @@
 use crate::replies::{ClientRequest, ResponseSink};
 use async_channel::Sender;
 use nickelgw_gossip::core::PeerRecord;
-use nickelgw_node_core::ledger::ReservationId;
 use nickelgw_node_core::zone_failover::ZoneRound;
-use nickelgw_node_core::{AdmittedRequest, AttemptOutcome, AttemptResult, Endpoint, RequestId};
+use nickelgw_node_core::{
+    AdmittedRequest, AttemptOutcome, AttemptResult, Endpoint, ReleaseCallId, ReleaseOutcome, RequestId,
+};
 use nickelgw_protocol::list::EndpointList;
 use nickelgw_protocol::load::LoadReport;
 use nickelgw_registry::core::membership::FleetPosition;
@@ -87,10 +88,10 @@
     },
     /// A call that releases a reservation ended.
     ReleaseFinished {
-        /// The reservation.
-        reservation_id: ReservationId,
-        /// Whether it is released for certain.
-        done: bool,
+        /// The call.
+        call: ReleaseCallId,
+        /// How it ended.
+        outcome: ReleaseOutcome,
     },
     /// A call that releases an earlier process's reservations ended.
     OrphanCleanupFinished {
--- a/crates/nickelgw-platform/src/node/commands.rs
+++ b/crates/nickelgw-platform/src/node/commands.rs
@@ -6,10 +6,8 @@
 use crate::core::engine::ForwardedRequest;
 use crate::pool::ConnectionCloser;
 use nickelgw_node::seconds;
-use nickelgw_node_core::ledger::ReservationId;
 use nickelgw_node_core::{
-    AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult, Command, CommandBatch, Endpoint, FinalAnswer,
-    RequestId, Reservation,
+    AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult, Command, CommandBatch, FinalAnswer, RequestId,
 };
 use smol::Timer;
 use std::rc::Rc;
@@ -83,9 +81,7 @@
             Command::StartAttempt(attempt) => return !self.start_attempt(now, attempt),
             Command::CancelAttempt { request, attempt } => return self.cancel_attempt(now, request, attempt),
             Command::Answer { request, answer } => self.answer(request, answer),
-            Command::Release { reservation_id, reservation, endpoints } => {
-                self.start_release(reservation_id, reservation, endpoints);
-            }
+            Command::Release(call) => self.executor().spawn(self.clone().release(call)).detach(),
             Command::Probe(endpoint) => self.executor().spawn(self.clone().probe(endpoint)).detach(),
             // Reservations of earlier processes are released by the platform, and the list comes unasked.
             Command::ReleaseOrphans(_) | Command::PollEndpoints => {}
@@ -167,21 +163,6 @@
         };
         let _ = pending.reply.try_send(message);
     }
-
-    fn start_release(
-        self: &Rc<Self>,
-        reservation_id: ReservationId,
-        reservation: Reservation,
-        endpoints: Vec<Rc<Endpoint>>,
-    ) {
-        let node = self.clone();
-        let task = async move {
-            let released = node.clone().release(&reservation.name, &endpoints).await;
-            node.core.borrow_mut().release_finished(node.now(), reservation_id, released);
-            node.wake();
-        };
-        self.executor().spawn(task).detach();
-    }
 }
 
 fn log_attempt_started(now: f64, attempt: &AttemptRequest, forwarded: &ForwardedRequest) {
--- a/crates/nickelgw-platform/src/node/control_calls.rs
+++ b/crates/nickelgw-platform/src/node/control_calls.rs
@@ -4,14 +4,9 @@
 use crate::core::discovery_timing::ResponseTimeouts;
 use crate::core::{engine, names, MAX_BODY_BYTES};
 use crate::pool::{ConnectionUse, ShortCall};
-use nickelgw_node::seconds;
-use nickelgw_node_core::{AttemptOutcome, Endpoint};
-use smol::{Task, Timer};
+use nickelgw_node_core::{AttemptOutcome, Endpoint, ReleaseCall, ReleaseConnection, ReleaseOutcome};
 use std::rc::Rc;
 
-/// Seconds between the calls of one release to several engines: a usual response takes a few milliseconds.
-const RELEASE_CALL_INTERVAL_S: f64 = 0.05;
-
 impl Node {
     /// Probes an engine and passes what it answers to the core.
     pub(super) async fn probe(self: Rc<Self>, endpoint: Rc<Endpoint>) {
@@ -41,54 +36,38 @@
         self.wake();
     }
 
-    /// Releases all that is reserved for the request, at whichever of these engines confirms it first. They are called one
-    /// after the other without waiting for the calls before: an open connection may be silent.
-    pub(super) async fn release(self: Rc<Self>, id: &str, endpoints: &[Rc<Endpoint>]) -> bool {
-        let (confirm, confirmed) = async_channel::bounded(endpoints.len().max(1));
-        let start_call = |(position, endpoint): (usize, &Rc<Endpoint>)| {
-            let (node, id, endpoint, confirm) =
-                (self.clone(), id.to_string(), endpoint.clone(), confirm.clone());
-            self.executor().spawn(async move {
-                Timer::after(seconds(position as f64 * RELEASE_CALL_INTERVAL_S)).await;
-                let usage = if position > 0 { ConnectionUse::NewConnection } else { ConnectionUse::Control };
-                let released = node.send_release(&id, &endpoint, usage).await;
-                let _ = confirm.try_send(released);
-            })
-        };
-        // Dropped at the end: calls that are still under way are not awaited.
-        let calls: Vec<Task<()>> = endpoints.iter().enumerate().map(start_call).collect();
-        drop(confirm);
-        let mut released = false;
-        while let (false, Ok(confirmed)) = (released, confirmed.recv().await) {
-            released = confirmed;
-        }
-        drop(calls);
-        released
-    }
-
-    /// One release call. One on a new connection proves that the engine can be reached.
-    async fn send_release(&self, id: &str, endpoint: &Endpoint, usage: ConnectionUse) -> bool {
+    /// One call that releases all that is reserved for a request.
+    pub(super) async fn release(self: Rc<Self>, call: ReleaseCall) {
+        let id = &call.reservation.name;
         let target = format!("{}{id}", names::RESERVATIONS_PATH);
         let started_at = self.now();
-        let call = ShortCall {
+        let short_call = ShortCall {
             method: "DELETE",
             target: &target,
-            address: &endpoint.address,
-            usage,
+            address: &call.endpoint.address,
+            usage: match call.connection {
+                ReleaseConnection::Any => ConnectionUse::Control,
+                ReleaseConnection::New => ConnectionUse::NewConnection,
+            },
             timeouts: ResponseTimeouts::total(self.parts.control_timeout_s),
             max_body_bytes: MAX_BODY_BYTES,
         };
-        let response = self.parts.pool.call(&call).await;
-        let status = response.as_ref().map(|(head, _)| head.status);
+        let status = self.parts.pool.call(&short_call).await.map(|(head, _)| head.status);
         tracing::debug!(
             at = self.now(),
-            request = id,
-            engine = %endpoint.id,
+            request = %id,
+            engine = %call.endpoint.id,
             ?status,
-            new_connection = usage == ConnectionUse::NewConnection,
+            new_connection = call.connection == ReleaseConnection::New,
             after_s = self.now() - started_at,
             "release call"
         );
-        status.is_ok_and(|status| status < 300)
+        let outcome = match status {
+            Ok(status) if status < 300 => ReleaseOutcome::Confirmed,
+            Ok(_) => ReleaseOutcome::Refused,
+            Err(_) => ReleaseOutcome::Unanswered,
+        };
+        self.core.borrow_mut().release_finished(self.now(), call.id, outcome);
+        self.wake();
     }
 }
