--- a/crates/nickelgw-cli/tests/platform_soak.rs
+++ b/crates/nickelgw-cli/tests/platform_soak.rs
@@ -1,11 +1,14 @@
 //! Soak: two dozen nodes as processes, engines behind fault proxies, random faults that overlap; judged by what arrived at engines and
 //! clients, and by the violations that the nodes count themselves.
 //!
-//!     SOAK_SEEDS=1,2,3 SOAK_SECONDS=30 cargo test --release -p nickelgw-cli --test platform_soak -- --nocapture
+//!     SOAK_SEEDS=1,2,3 SOAK_SECONDS=30 cargo test --release -p nickelgw-cli --test platform_soak many -- --nocapture
 //!
-//! Without the variables some seeds are played for some seconds each. Every finding of every play is printed and written to a
+//! Clients keep their connections and go on using the open ones until SIGKILL, which comes at the platform's earliest moment.
+//! Seeds divisible by four have a crowd (`SOAK_CROWD_SEEDS`, `--test platform_soak crowd`). Without the variables some seeds are played for some seconds each. Every finding of every play is printed and written to a
 //! file (`SOAK_RECORD`), whether it counts or not.
 
+#[path = "platform_soak/clients.rs"]
+mod clients;
 #[allow(dead_code)]
 #[path = "../../nickelgw-platform/tests/common/mod.rs"]
 mod common;
@@ -19,6 +22,8 @@
 mod judge_tests;
 #[path = "platform_soak/lateness.rs"]
 mod lateness;
+#[path = "platform_soak/member.rs"]
+mod member;
 #[allow(dead_code)]
 mod processes;
 #[allow(dead_code)]
@@ -29,10 +34,11 @@
 use fleet::Fleet;
 use judge::{PlayRecord, Verdict};
 use std::fs::File;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Processes at once.
-const NODES: usize = 24;
+/// Processes at once, unless `SOAK_NODES` says otherwise.
+const NODES: &str = "24";
 /// Time after the last fault in which all that is open comes to its end.
 const SETTLE: Duration = Duration::from_secs(5);
 /// Threads of the executor that engines, proxies and clients run on: one alone was starved by what the nodes sent.
@@ -52,16 +58,31 @@
 
 #[test]
 fn random_faults_over_many_processes_break_no_rule() {
+    play_seeds(&setting("SOAK_SEEDS", "1,2,3,5,6"));
+}
+
+/// Some nodes have a crowd: idle clients that fill their descriptors, and slow ones.
+#[test]
+fn random_faults_beside_a_crowd_break_no_rule() {
+    play_seeds(&setting("SOAK_CROWD_SEEDS", "4"));
+}
+
+/// One play after the other, also of the two tests.
+static ONE_PLAY: Mutex<()> = Mutex::new(());
+
+fn play_seeds(seeds: &str) {
+    let _alone = ONE_PLAY.lock().unwrap_or_else(PoisonError::into_inner);
     if std::env::var_os("SMOL_THREADS").is_none() {
         std::env::set_var("SMOL_THREADS", HARNESS_THREADS);
     }
+    let nodes = setting("SOAK_NODES", NODES).parse().expect("SOAK_NODES is a number");
     let seconds = setting("SOAK_SECONDS", "6").parse().expect("SOAK_SECONDS is a number");
     let mut record = record_file();
-    let verdicts: Vec<(u64, Verdict)> = setting("SOAK_SEEDS", "1")
+    let verdicts: Vec<(u64, Verdict)> = seeds
         .split(',')
-        .map(|seed| seed.trim().parse().expect("SOAK_SEEDS are numbers"))
+        .map(|seed| seed.trim().parse().expect("seeds are numbers"))
         .enumerate()
-        .map(|(number, seed)| (seed, play(seed, number, seconds, &mut record)))
+        .map(|(number, seed)| (seed, play(seed, number, (nodes, seconds), &mut record)))
         .collect();
     let seeds_with = |wanted| -> Vec<u64> {
         verdicts.iter().filter(|(_, verdict)| *verdict == wanted).map(|(seed, _)| *seed).collect()
@@ -73,9 +94,9 @@
     assert!(!too_many, "the machine was too busy to judge seeds {inconclusive:?}");
 }
 
-fn play(seed: u64, number: usize, seconds: u64, record: &mut File) -> Verdict {
+fn play(seed: u64, number: usize, (nodes, seconds): (usize, u64), record: &mut File) -> Verdict {
+    let fleet = Fleet::start(nodes, seed);
     let started_at = Instant::now();
-    let fleet = Fleet::start(NODES, seed);
     let mut faults = Faults::new(seed, started_at);
     let deadline = Instant::now() + Duration::from_secs(seconds);
     while Instant::now() < deadline {
--- /dev/null
+++ b/crates/nickelgw-cli/tests/platform_soak/clients.rs
@@ -0,0 +1,190 @@
+//! A node's clients: they send requests all the time, on connections that they keep, and go on using the open ones while the
+//! node shuts down. Some nodes have a crowd besides: idle clients that fill its descriptors, and slow ones.
+
+use crate::member::Member;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use nanorand::{Rng, WyRand};
+use nickelgw_test_servers::platform::{send_on, ClientRequest, Exchange, Outcome, RequestTable, RuleLimits};
+use smol::net::TcpStream;
+use smol::Timer;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// Deadline of a request.
+const TIMEOUT: Duration = Duration::from_millis(2000);
+/// Gap between the requests of a node's clients, in the mean.
+const GAP: Duration = Duration::from_millis(60);
+/// Clients of a crowd that connect and send nothing, and that send a request byte by byte.
+const IDLE_CLIENTS: usize = 150;
+const SLOW_CLIENTS: usize = 10;
+/// Gap between the bytes of a slow client.
+const SLOW_BYTE_GAP: Duration = Duration::from_millis(200);
+/// Gap after which a client of a crowd connects again.
+const RECONNECT_GAP: Duration = Duration::from_millis(50);
+
+/// A request that ended without an answer, where that is allowed if the node never read it.
+pub struct UnreadRequest {
+    /// The request.
+    pub id: String,
+    /// When it was sent, and when it ended.
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    pub outcome: Outcome,
+}
+
+/// What all clients of a node share.
+pub struct Clients {
+    pub member: Arc<Member>,
+    pub table: Arc<RequestTable>,
+    /// The node has a crowd besides.
+    pub is_crowded: bool,
+    /// Connections that can carry a further request.
+    idle: Mutex<Vec<TcpStream>>,
+    /// Requests on connections that the node closed, which it must not have read.
+    pub unread: Mutex<Vec<UnreadRequest>>,
+}
+
+/// A connection and whether it has carried a request.
+struct ClientConnection {
+    stream: TcpStream,
+    is_used: bool,
+}
+
+impl Clients {
+    pub fn new(member: Arc<Member>, table: Arc<RequestTable>, is_crowded: bool) -> Arc<Clients> {
+        Arc::new(Clients { member, table, is_crowded, idle: Mutex::default(), unread: Mutex::default() })
+    }
+
+    /// Sends requests until told to stop; returns their outcomes.
+    pub fn send_requests(self: &Arc<Self>, node: usize, seed: u64, running: &AtomicBool) -> Vec<Outcome> {
+        let mut random = WyRand::new_seed(seed ^ ((node as u64 + 1) << 32));
+        let mut open = Vec::new();
+        let mut number = 0;
+        while running.load(Relaxed) {
+            sleep(GAP.mul_f64(0.5 + random.generate::<f64>()));
+            number += 1;
+            let at_most_once = random.generate_range(0..4u32) == 0;
+            let disconnects = random.generate_range(0..8u32) == 0;
+            let request = ClientRequest {
+                id: format!("s{node}x{number}"),
+                class: if at_most_once { "pay" } else { "chat" }.into(),
+                at_most_once,
+                timeout: TIMEOUT,
+                disconnect_after: disconnects
+                    .then(|| Duration::from_millis(random.generate_range(0..600u64))),
+            };
+            let clients = self.clone();
+            open.push(smol::spawn(async move { clients.send(request).await }));
+        }
+        open.into_iter().filter_map(smol::block_on).collect()
+    }
+
+    /// Sends a request, and once more if it crossed the close of a connection. None: the node takes no new connections.
+    async fn send(&self, mut request: ClientRequest) -> Option<Outcome> {
+        let first = self.connection().await?;
+        let was_used = first.is_used;
+        let outcome = self.exchange(first, &request).await;
+        if outcome != Outcome::ConnectionClosed || !was_used || !self.member.takes_connections() {
+            return Some(outcome);
+        }
+        request.id.push('r');
+        let Ok(stream) = TcpStream::connect(self.member.address).await else {
+            return Some(Outcome::ConnectionRefused);
+        };
+        Some(self.exchange(ClientConnection { stream, is_used: false }, &request).await)
+    }
+
+    async fn connection(&self) -> Option<ClientConnection> {
+        if let Some(stream) = self.lock_idle().pop() {
+            return Some(ClientConnection { stream, is_used: true });
+        }
+        if !self.member.takes_connections() {
+            return None;
+        }
+        let stream = TcpStream::connect(self.member.address).await.ok()?;
+        Some(ClientConnection { stream, is_used: false })
+    }
+
+    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn exchange(&self, connection: ClientConnection, request: &ClientRequest) -> Outcome {
+        let sent_at = Instant::now();
+        let slack = RuleLimits::default().answer_slack;
+        let Exchange { outcome, connection: kept } =
+            send_on(connection.stream, request, &self.table, slack).await;
+        self.lock_idle().extend(kept);
+        self.judge(request, sent_at, connection.is_used, &outcome);
+        outcome
+    }
+
+    /// Reports what the page does not allow.
+    fn judge(&self, request: &ClientRequest, sent_at: Instant, was_used: bool, outcome: &Outcome) {
+        let is_lost = match outcome {
+            Outcome::WrongContent(content) => {
+                self.table.wrong_content(&request.id, content.clone());
+                false
+            }
+            Outcome::ConnectionClosed | Outcome::TimedOut => true,
+            // A stream that breaks is an engine's fault, unless its node was killed under it.
+            Outcome::StreamBroken => self.member.cut_late(sent_at),
+            Outcome::Completed | Outcome::Status(_) => false,
+            Outcome::ConnectionRefused | Outcome::Disconnected => false,
+        };
+        if !is_lost || self.member.excuses(sent_at) {
+            return;
+        }
+        let may_be_unread = was_used && *outcome == Outcome::ConnectionClosed;
+        if may_be_unread || self.is_crowded {
+            // Allowed if the node has not read it, which its log tells.
+            let (id, ended_at, outcome) = (request.id.clone(), Instant::now(), outcome.clone());
+            let unread = UnreadRequest { id, sent_at, ended_at, outcome };
+            self.unread.lock().unwrap_or_else(PoisonError::into_inner).push(unread);
+        } else {
+            let after = sent_at.elapsed();
+            self.table.no_final_answer(&request.id, format!("{outcome:?} after {after:?}"));
+        }
+    }
+
+    /// Starts idle and slow clients that come again for as long as the flag is set.
+    pub fn start_crowd(&self, running: &Arc<AtomicBool>) {
+        for client in 0..IDLE_CLIENTS + SLOW_CLIENTS {
+            let (member, running) = (self.member.clone(), running.clone());
+            let is_slow = client >= IDLE_CLIENTS;
+            smol::spawn(async move {
+                while running.load(Relaxed) {
+                    if let Ok(stream) = TcpStream::connect(member.address).await {
+                        bother(stream, is_slow, &running).await;
+                    }
+                    Timer::after(RECONNECT_GAP).await;
+                }
+            })
+            .detach();
+        }
+    }
+}
+
+/// Holds a connection until the node closes it; a slow client sends a head that never ends.
+async fn bother(mut stream: TcpStream, is_slow: bool, running: &AtomicBool) {
+    let mut bytes = b"POST /v1/chat/completions HTTP/1.1\r\nX-Slow: ".iter().chain(std::iter::repeat(&b'x'));
+    while running.load(Relaxed) {
+        if is_slow {
+            let byte = bytes.next().copied().unwrap_or(b'x');
+            if stream.write_all(&[byte]).await.is_err() {
+                return;
+            }
+        }
+        let mut answer = [0; 64];
+        let ended = async { stream.read(&mut answer).await.unwrap_or(0) == 0 };
+        let pause = async {
+            Timer::after(SLOW_BYTE_GAP).await;
+            false
+        };
+        if futures_lite::future::or(ended, pause).await {
+            return;
+        }
+    }
+}
--- a/crates/nickelgw-cli/tests/platform_soak/faults.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/faults.rs
@@ -1,18 +1,28 @@
 //! Random faults that overlap: each is begun at a random moment and ends by itself some time later.
 
 use crate::fleet::Fleet;
+use crate::member::Member;
 use nanorand::{Rng, WyRand};
 use nickelgw_test_servers::platform::{Behaviour, Proxy};
 use rustix::process::Signal;
 use serde_json::{json, Value};
-use std::sync::atomic::Ordering::Relaxed;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Kinds of faults; those from the second number on hit a node, the others an engine or the way to it.
-const FAULT_KINDS: usize = 14;
-const FIRST_NODE_FAULT: usize = 10;
+const FAULT_KINDS: usize = 17;
+const FIRST_NODE_FAULT: usize = 11;
+/// Signals of one series, at most, and the longest gap between two.
+const MAX_SERIES: usize = 6;
+const MAX_SERIES_GAP: Duration = Duration::from_millis(250);
+/// A node is held up for less than 0.15 s, and runs on for this before the next time.
+const MAX_SUSPENSION_MS: usize = 140;
+const RUNS_BETWEEN: Duration = Duration::from_millis(60);
+/// An engine that drains leaves the list after the first time and more, and returns cold after the second.
+const DRAIN_TIME: Duration = Duration::from_millis(1300);
+const ABSENCE: Duration = Duration::from_millis(400);
 
 /// What ends a fault, and when.
 struct Ending {
@@ -20,8 +30,25 @@
     end: Box<dyn Fn(&Fleet) + Send>,
 }
 
+/// One step of a series of signals.
+struct SeriesStep {
+    gap: Duration,
+    suspended_for: Duration,
+    kind: usize,
+}
+
+/// Holds a process up.
+fn suspend(member: &Member, duration: Duration) {
+    member.signal(Signal::STOP);
+    sleep(duration);
+    member.signal(Signal::CONT);
+    sleep(RUNS_BETWEEN);
+}
+
 pub struct Faults {
     random: WyRand,
+    /// An engine drains, or is away.
+    draining: Arc<AtomicBool>,
     endings: Vec<Ending>,
     started_at: Instant,
     /// The faults so far: when each began and what it hit, and when it ends by itself.
@@ -32,7 +59,7 @@
     /// Faults of this seed, in a play that started then.
     pub fn new(seed: u64, started_at: Instant) -> Faults {
         let random = WyRand::new_seed(seed);
-        Faults { random, endings: Vec::new(), started_at, played: Vec::new() }
+        Faults { random, draining: Arc::default(), endings: Vec::new(), started_at, played: Vec::new() }
     }
 
     fn below(&mut self, n: usize) -> usize {
@@ -60,7 +87,8 @@
         let kind = self.below(FAULT_KINDS);
         let name = match kind {
             0..=5 => self.begin_connection_fault(kind, proxy),
-            6..FIRST_NODE_FAULT => self.begin_engine_fault(kind, behaviour),
+            6..=9 => self.begin_engine_fault(kind, behaviour),
+            10 => self.begin_drain(fleet, engine),
             _ => self.begin_node_fault(kind, fleet, node),
         };
         let ends_at = self.endings.get(open).map(|ending| self.seconds(ending.at));
@@ -125,30 +153,101 @@
         }
     }
 
+    /// An engine drains, leaves the list, and returns with a new start time; one at a time.
+    fn begin_drain(&mut self, fleet: &Fleet, engine: usize) -> &'static str {
+        if self.draining.swap(true, Relaxed) {
+            return "no drain, as another engine drains";
+        }
+        let drains_for = DRAIN_TIME + Duration::from_millis(self.below(700) as u64);
+        let (discovery, is_draining) = (fleet.discovery.clone(), self.draining.clone());
+        let behaviour = fleet.engines[engine].engine.behaviour.clone();
+        let id = json!(format!("e{engine}"));
+        fleet.run_beside(move || {
+            let set = |lifecycle: &str| {
+                discovery.announce(|instances| {
+                    let entry = instances.iter_mut().find(|entry| entry["instanceId"] == id);
+                    entry.into_iter().for_each(|entry| entry["lifecycle"] = lifecycle.into());
+                });
+            };
+            set("draining");
+            *behaviour.draining_since.lock().unwrap() = Some(Instant::now());
+            sleep(drains_for);
+            let entry = discovery.list()["instances"]
+                .as_array()
+                .and_then(|instances| instances.iter().find(|entry| entry["instanceId"] == id).cloned());
+            discovery.announce(|instances| instances.retain(|entry| entry["instanceId"] != id));
+            sleep(ABSENCE);
+            *behaviour.draining_since.lock().unwrap() = None;
+            let started_at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+            discovery.announce(|instances| {
+                instances.extend(entry.map(|mut entry| {
+                    entry["lifecycle"] = "up".into();
+                    entry["startedAtMs"] = started_at_ms.into();
+                    entry
+                }));
+            });
+            is_draining.store(false, Relaxed);
+        });
+        "an engine drains, leaves and returns cold"
+    }
+
     /// A fault of one node.
     fn begin_node_fault(&mut self, kind: usize, fleet: &Fleet, node: usize) -> &'static str {
         match kind {
-            10 => {
-                fleet.signal(node, Signal::STOP);
-                sleep(Duration::from_millis(self.below(140) as u64));
-                fleet.signal(node, Signal::CONT);
+            11 => {
+                suspend(&fleet.member(node), Duration::from_millis(self.below(MAX_SUSPENSION_MS) as u64));
                 "a node is suspended"
             }
-            11 => {
-                fleet.signal(node, Signal::HUP);
+            12 => {
+                fleet.member(node).signal(Signal::HUP);
                 "a configuration is reloaded"
             }
-            12 => {
+            13 => {
                 fleet.kill_and_restart(node);
                 "a node is killed"
             }
-            _ => {
-                fleet.shut_down_and_restart(node);
+            14 => {
+                fleet.shut_down_and_restart(node, self.random.generate());
                 "a node shuts down"
             }
+            _ => {
+                self.begin_series(fleet, node, kind == FAULT_KINDS - 1);
+                "a node gets a series of signals"
+            }
         }
     }
 
+    /// Several signals to one node in a row, in any order; with a shutdown among them, they go on behind it.
+    fn begin_series(&mut self, fleet: &Fleet, node: usize, with_shutdown: bool) {
+        let member = fleet.member(node);
+        let steps: Vec<SeriesStep> = (0..2 + self.below(MAX_SERIES - 1))
+            .map(|_| SeriesStep {
+                gap: MAX_SERIES_GAP.mul_f64(self.random.generate()),
+                suspended_for: Duration::from_millis(self.below(MAX_SUSPENSION_MS) as u64),
+                kind: self.below(3),
+            })
+            .collect();
+        let process = member.process();
+        if with_shutdown {
+            fleet.shut_down_and_restart(node, self.random.generate());
+        }
+        fleet.run_beside(move || {
+            for step in steps {
+                sleep(step.gap);
+                match step.kind {
+                    0 => member.signal(Signal::HUP),
+                    1 => suspend(&member, step.suspended_for),
+                    // Only to the process that shuts down: nobody would start another one again.
+                    _ if with_shutdown => member.signal_process(process, Signal::TERM),
+                    _ => {
+                        member.signal(Signal::HUP);
+                        member.signal(Signal::HUP);
+                    }
+                }
+            }
+        });
+    }
+
     fn end_expired(&mut self, fleet: &Fleet, now: Instant) {
         let (ended, later) =
             std::mem::take(&mut self.endings).into_iter().partition(|ending: &Ending| ending.at <= now);
@@ -156,8 +255,9 @@
         ended.iter().for_each(|ending: &Ending| (ending.end)(fleet));
     }
 
-    /// All faults end.
+    /// All faults end. Nodes that are being restarted serve again before that.
     pub fn end(&mut self, fleet: &Fleet) {
+        fleet.join_node_faults();
         let endings = std::mem::take(&mut self.endings);
         endings.iter().for_each(|ending| (ending.end)(fleet));
         fleet.engines.iter().for_each(|proxied| proxied.proxy.heal());
--- a/crates/nickelgw-cli/tests/platform_soak/fleet.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/fleet.rs
@@ -1,93 +1,57 @@
-//! Nodes as processes with a client each that sends requests all the time, and the violations found in the end.
+//! Nodes as processes with clients each that send requests all the time, and what was found wrong in the end.
 
-use crate::common::silent_discovery;
+use crate::clients::{Clients, UnreadRequest};
 use crate::judge::Finding;
 use crate::lateness::Lateness;
-use crate::processes::{start_process_with, write_config};
+use crate::member::Member;
+use crate::processes::write_config_for;
 use crate::world::{endpoints, start_engines, ProxiedEngine};
-use nanorand::{Rng, WyRand};
-use nickelgw_test_servers::platform::{send_request, ClientRequest, Outcome, RequestTable, RuleLimits};
-use rustix::process::{kill_process, Pid, Signal};
-use serde_json::json;
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Stdio};
+use nickelgw_test_servers::platform::{Discovery, Outcome, RequestTable, RuleLimits};
+use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Number of the first node in addresses of loopback.
+const FIRST_ADDRESS: u8 = 120;
 const PREFILLS: usize = 4;
 const DECODES: usize = 5;
-const DESCRIPTORS: usize = 256;
-const TIMEOUT: Duration = Duration::from_millis(2000);
-/// Gap between the requests of a node's client.
-const GAP: Duration = Duration::from_millis(60);
-/// After the request to shut down clients still come for so long; it is killed no sooner than its longest deadline and 0.7 s later.
-const ACCEPT_DURATION: Duration = Duration::from_millis(400);
-const KILL_AFTER: Duration = Duration::from_millis(3700);
-
+/// Longest deadline of the settings, in seconds.
+const DEADLINE_S: f64 = 2.0;
+/// Crowds come with one seed in so many, at so many nodes.
+const SEEDS_PER_CROWD: u64 = 4;
+const CROWDED_NODES: usize = 2;
+/// Time after the last request in which reservations that are being released end.
+const RELEASE_TIME: Duration = Duration::from_secs(1);
 /// The rule of a line that a node logs when a release was not confirmed in time.
 const OVERDUE_RULE: &str = "reservation_overdue";
 
+/// What a node logs of a client that sends a request without an end.
+const ENDLESS_REQUEST: &str = "source=\"client\" reason=\"a request that does not end\"";
+
 /// Plays that this process has started.
 static PLAYS_STARTED: AtomicUsize = AtomicUsize::new(0);
 
-/// One node over the lives of its processes.
-struct Member {
-    address: SocketAddr,
-    path: PathBuf,
-    log: PathBuf,
-    child: Mutex<Child>,
-    /// It is being restarted: clients send it nothing.
-    restarting: AtomicBool,
-    /// Requests that were open as it was killed are nobody's loss.
-    killed: Mutex<Vec<Instant>>,
-}
-
-impl Member {
-    fn child(&self) -> MutexGuard<'_, Child> {
-        self.child.lock().unwrap()
-    }
-
-    fn spawn(path: &std::path::Path, log: &std::path::Path) -> Child {
-        let file = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
-        start_process_with(path, DESCRIPTORS, |process| {
-            process.env("LEVEL", "--log-level debug").stderr(Stdio::from(file));
-        })
-    }
-
-    fn restart(&self) {
-        let mut child = self.child();
-        let _ = child.wait();
-        *child = Member::spawn(&self.path, &self.log);
-        self.restarting.store(false, Relaxed);
-    }
-
-    fn remove_files(self: &Arc<Self>) {
-        let _ = std::fs::remove_file(&self.log);
-        let _ = std::fs::remove_file(&self.path);
-    }
-
-    fn was_killed_since(&self, since: Instant) -> bool {
-        self.killed.lock().unwrap().iter().any(|killed_at| *killed_at >= since)
-    }
-}
-
 pub struct Fleet {
     pub engines: Vec<ProxiedEngine>,
+    pub discovery: Discovery,
+    pub lateness: Arc<Lateness>,
     members: Vec<Arc<Member>>,
     table: Arc<RequestTable>,
     running: Arc<AtomicBool>,
-    clients: Vec<JoinHandle<Vec<(String, Outcome)>>>,
-    shutdowns: Mutex<Vec<JoinHandle<()>>>,
-    pub lateness: Arc<Lateness>,
+    clients: Vec<Arc<Clients>>,
+    sending: Vec<JoinHandle<Vec<Outcome>>>,
+    /// Threads that run faults of nodes to their end.
+    node_faults: Mutex<Vec<JoinHandle<()>>>,
 }
 
 /// The result of a play.
 pub struct Report {
     pub asked: usize,
     pub served: usize,
+    /// Requests that crossed the close of a connection, and were not read.
+    pub unread: usize,
     /// Everything that was found wrong.
     pub findings: Vec<Finding>,
     pub lateness: Arc<Lateness>,
@@ -95,134 +59,160 @@
 
 impl std::fmt::Display for Report {
     fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
-        let (asked, served, found) = (self.asked, self.served, self.findings.len());
+        let (asked, served, unread, found) = (self.asked, self.served, self.unread, self.findings.len());
         write!(
             formatter,
-            "{asked} asked, {served} served, {found} findings; harness late by {:?}",
+            "{asked} asked, {served} served, {unread} unread, {found} findings; harness late by {:?}",
             self.lateness.max()
         )
     }
 }
 
+fn change_settings(config: &mut Value, nodes: usize, probes: bool) {
+    let settings = &mut config["settings"];
+    settings["balancers"] = nodes.into();
+    settings["limits"]["probes"] = probes.into();
+    settings["limits"]["most_tries"] = 6.into();
+    settings["classes"][0]["deadline_s"] = DEADLINE_S.into();
+    let once = json!({"name": "pay", "slo_s": 1.0, "deadline_s": DEADLINE_S, "idempotency": "side_effect", "worth": 1.0});
+    settings["classes"].as_array_mut().unwrap().push(once);
+    settings["family_info"]["aim_us_per_1000_prompt_tokens"] = json!([40000.0, 40000.0]);
+    settings["family_info"]["token_aim_s"] = json!([0.06, 0.06]);
+}
+
 impl Fleet {
     pub fn start(nodes: usize, seed: u64) -> Fleet {
         let table = Arc::new(RequestTable::new(RuleLimits::default()));
         let engines = start_engines(&table, PREFILLS, DECODES);
-        let discovery = silent_discovery();
-        // A play that counts is not judged by the logs of one that did not.
+        let discovery = smol::block_on(Discovery::start(endpoints(&engines))).unwrap();
         let play = PLAYS_STARTED.fetch_add(1, Relaxed);
-        let members: Vec<Arc<Member>> = (0..nodes)
-            .map(|n| {
-                let (address, path) =
-                    write_config(120 + n as u8, &discovery, endpoints(&engines), |config| {
-                        let settings = &mut config["settings"];
-                        settings["balancers"] = nodes.into();
-                        settings["limits"]["probes"] = seed.is_multiple_of(2).into();
-                        settings["limits"]["most_tries"] = 6.into();
-                        let once =
-                            json!({"name": "pay", "slo_s": 1.0, "idempotency": "side_effect", "worth": 1.0});
-                        settings["classes"].as_array_mut().unwrap().push(once);
-                        settings["family_info"]["aim_us_per_1000_prompt_tokens"] = json!([40000.0, 40000.0]);
-                        settings["family_info"]["token_aim_s"] = json!([0.06, 0.06]);
-                    });
-                let log = path.with_extension(format!("play-{play}.log"));
-                let child = Mutex::new(Member::spawn(&path, &log));
-                let (restarting, killed) = (AtomicBool::new(false), Mutex::default());
-                Arc::new(Member { address, path, log, child, restarting, killed })
+        let probes = seed.is_multiple_of(2);
+        let start_member = |n: usize| {
+            let (address, path) =
+                write_config_for(FIRST_ADDRESS + n as u8, discovery.address, endpoints(&engines), |config| {
+                    change_settings(config, nodes, probes);
+                });
+            // A play is not judged by the log of another.
+            let log = path.with_extension(format!("play-{play}.log"));
+            Member::start(address, path, log)
+        };
+        let members: Vec<Arc<Member>> = (0..nodes).map(start_member).collect();
+        members.iter().for_each(|member| member.wait_until_ready());
+        let running = Arc::new(AtomicBool::new(true));
+        let has_crowds = seed.is_multiple_of(SEEDS_PER_CROWD);
+        let clients: Vec<Arc<Clients>> = members
+            .iter()
+            .enumerate()
+            .map(|(n, member)| {
+                let is_crowded = has_crowds && n < CROWDED_NODES;
+                Clients::new(member.clone(), table.clone(), is_crowded)
             })
             .collect();
-        sleep(Duration::from_secs(1));
-        let running = Arc::new(AtomicBool::new(true));
-        let client = |(n, member): (usize, &Arc<Member>)| {
-            let (member, table, running) = (member.clone(), table.clone(), running.clone());
-            spawn(move || send_requests(n, seed, &member, &table, &running))
+        clients.iter().filter(|clients| clients.is_crowded).for_each(|clients| clients.start_crowd(&running));
+        let start_sending = |(n, clients): (usize, &Arc<Clients>)| {
+            let (clients, running) = (clients.clone(), running.clone());
+            spawn(move || clients.send_requests(n, seed, &running))
         };
-        let clients = members.iter().enumerate().map(client).collect();
-        Fleet {
-            engines,
-            members,
-            table,
-            running,
-            clients,
-            shutdowns: Mutex::default(),
-            lateness: Lateness::measure(),
-        }
+        let sending = clients.iter().enumerate().map(start_sending).collect();
+        let lateness = Lateness::measure();
+        let node_faults = Mutex::default();
+        Fleet { engines, discovery, lateness, members, table, running, clients, sending, node_faults }
     }
 
     pub fn nodes(&self) -> usize {
         self.members.len()
     }
 
-    pub fn signal(&self, node: usize, signal: Signal) {
-        let child = self.members[node].child();
-        let _ = kill_process(Pid::from_child(&child), signal);
+    pub fn member(&self, node: usize) -> Arc<Member> {
+        self.members[node].clone()
+    }
+
+    /// Runs a fault of a node beside the others.
+    pub fn run_beside(&self, fault: impl FnOnce() + Send + 'static) {
+        self.node_faults.lock().unwrap_or_else(PoisonError::into_inner).push(spawn(fault));
     }
 
     /// A node is killed; its reservations are released by the platform.
     pub fn kill_and_restart(&self, node: usize) {
-        let member = &self.members[node];
-        if member.restarting.swap(true, Relaxed) {
-            return;
+        let member = self.member(node);
+        if member.begin_end() {
+            let (table, discovery) = (self.table.clone(), self.discovery.clone());
+            self.run_beside(move || {
+                member.kill();
+                table.excuse_requests(&format!("s{node}x"));
+                member.restart(&discovery.list());
+            });
         }
-        member.killed.lock().unwrap().push(Instant::now());
-        let _ = member.child().kill();
-        self.table.excuse_requests(&format!("s{node}x"));
-        member.restart();
     }
 
-    /// A node shuts down, and is killed when its time is up.
-    pub fn shut_down_and_restart(&self, node: usize) {
-        let member = self.members[node].clone();
-        if member.restarting.load(Relaxed) {
-            return;
+    /// A node shuts down, is killed when its time is up, and starts again.
+    pub fn shut_down_and_restart(&self, node: usize, random: f64) {
+        let member = self.member(node);
+        if member.begin_end() {
+            let discovery = self.discovery.clone();
+            self.run_beside(move || {
+                member.shut_down(random);
+                member.restart(&discovery.list());
+            });
         }
-        self.signal(node, Signal::TERM);
-        self.shutdowns.lock().unwrap().push(spawn(move || {
-            sleep(ACCEPT_DURATION);
-            if member.restarting.swap(true, Relaxed) {
-                return;
-            }
-            let deadline = Instant::now() + KILL_AFTER;
-            while member.child().try_wait().unwrap().is_none() && Instant::now() < deadline {
-                sleep(Duration::from_millis(10));
-            }
-            let _ = member.child().kill();
-            member.restart();
-        }));
+    }
+
+    /// Waits until faults of nodes have run to their end.
+    pub fn join_node_faults(&self) {
+        let faults = std::mem::take(&mut *self.node_faults.lock().unwrap_or_else(PoisonError::into_inner));
+        faults.into_iter().for_each(|fault| fault.join().unwrap());
     }
 
     /// Ends all, and judges.
     pub fn end(self) -> Report {
         self.running.store(false, Relaxed);
-        let outcomes: Vec<(String, Outcome)> =
-            self.clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
-        self.shutdowns.into_inner().unwrap().into_iter().for_each(|thread| thread.join().unwrap());
-        sleep(Duration::from_secs(1));
+        let outcomes: Vec<Outcome> =
+            self.sending.into_iter().flat_map(|sending| sending.join().unwrap()).collect();
+        sleep(RELEASE_TIME);
         let limits = RuleLimits::default();
-        let mut findings: Vec<Finding> = self
-            .table
-            .observed_violations()
-            .iter()
-            .map(|observed| Finding::observed(observed, &limits))
-            .collect();
+        let observed = self.table.observed_violations();
+        let mut findings: Vec<Finding> =
+            observed.iter().map(|observed| Finding::observed(observed, &limits)).collect();
         let reserved = self.table.reserved_requests().into_iter();
         findings.extend(reserved.map(|(id, out)| stays_reserved(id, out)));
-        for member in &self.members {
-            let _ = member.child().kill();
-            let _ = member.child().wait();
-            findings.extend(findings_of_log(member));
+        let mut unread = 0;
+        for (member, clients) in self.members.iter().zip(&self.clients) {
+            member.end();
+            let log = std::fs::read_to_string(&member.log).unwrap_or_default();
+            let of_log = findings_of_log(&member.address.to_string(), &log);
+            // Slow clients send requests that never end, and the node has to say so.
+            let is_expected =
+                |finding: &Finding| clients.is_crowded && finding.what.contains(ENDLESS_REQUEST);
+            findings.extend(of_log.into_iter().filter(|finding| !is_expected(finding)));
+            let ended_unread = std::mem::take(&mut *clients.unread.lock().unwrap());
+            let read = ended_unread.iter().filter(|request| was_read(&log, &request.id));
+            findings.extend(read.map(read_and_unanswered));
+            unread += ended_unread.len();
         }
         if findings.is_empty() {
-            self.members.iter().for_each(Member::remove_files);
+            self.members.iter().for_each(|member| drop(std::fs::remove_file(&member.log)));
         } else {
             // The logs of a failed play are kept: a violation is followed by its request's id.
             println!("logs: {} and those of the other nodes", self.members[0].log.display());
         }
-        let served = outcomes.iter().filter(|(_, outcome)| *outcome == Outcome::Completed).count();
-        Report { asked: outcomes.len(), served, findings, lateness: self.lateness }
+        let served = outcomes.iter().filter(|outcome| **outcome == Outcome::Completed).count();
+        Report { asked: outcomes.len(), served, unread, findings, lateness: self.lateness }
     }
 }
 
+/// Whether a node has read a request, by its log.
+fn was_read(log: &str, id: &str) -> bool {
+    let accepted = format!(" request={id} ");
+    log.lines().any(|line| line.contains("request accepted") && line.contains(&accepted))
+}
+
+fn read_and_unanswered(request: &UnreadRequest) -> Finding {
+    let UnreadRequest { id, sent_at, ended_at, outcome } = request;
+    let what = format!("{id} was read, and ended with no answer: {outcome:?}");
+    let excess = (*outcome == Outcome::TimedOut).then_some(Duration::ZERO);
+    Finding { what, request: Some(id.clone()), from: *sent_at, until: *ended_at, excess }
+}
+
 fn stays_reserved(id: String, attempts: u32) -> Finding {
     let now = Instant::now();
     let what = format!("{id} stays reserved, {attempts} attempts out");
@@ -230,15 +220,14 @@
 }
 
 /// What a node finds wrong itself, and whatever else it logs that is no usual step.
-fn findings_of_log(member: &Member) -> Vec<Finding> {
-    let log = std::fs::read_to_string(&member.log).unwrap_or_default();
+fn findings_of_log(address: &str, log: &str) -> Vec<Finding> {
     let is_unusual = |line: &&str| !line.contains(" DEBUG ") && !line.contains(" INFO ");
     let finding = |line: &str| {
         let logged_at = time_of(line).unwrap_or_else(Instant::now);
         // Only that a release was not confirmed in time can be the harness's lateness.
         let excess = line.contains(OVERDUE_RULE).then_some(Duration::ZERO);
         let from = logged_at.checked_sub(RuleLimits::default().max_unattended).unwrap_or(logged_at);
-        let what = format!("{}: {line}", member.address);
+        let what = format!("{address}: {line}");
         Finding { what, request: None, from, until: logged_at, excess }
     };
     log.lines().filter(is_unusual).map(finding).collect()
@@ -256,44 +245,3 @@
     let ago_s = (now_s - second_of_day).rem_euclid(DAY_S);
     Instant::now().checked_sub(Duration::from_secs_f64(ago_s))
 }
-
-/// A client that sends requests to one node all the time, several at once.
-fn send_requests(
-    node: usize,
-    seed: u64,
-    member: &Arc<Member>,
-    table: &Arc<RequestTable>,
-    running: &AtomicBool,
-) -> Vec<(String, Outcome)> {
-    let mut random = WyRand::new_seed(seed ^ ((node as u64 + 1) << 32));
-    let mut open = Vec::new();
-    let mut number = 0;
-    while running.load(Relaxed) {
-        sleep(GAP.mul_f64(0.5 + random.generate::<f64>()));
-        if member.restarting.load(Relaxed) {
-            continue;
-        }
-        number += 1;
-        let once = random.generate_range(0..4u32) == 0;
-        let leaves = random.generate_range(0..8u32) == 0;
-        let asked = ClientRequest {
-            id: format!("s{node}x{number}"),
-            class: if once { "pay" } else { "chat" }.into(),
-            at_most_once: once,
-            timeout: TIMEOUT,
-            disconnect_after: leaves.then(|| Duration::from_millis(random.generate_range(0..600u64))),
-        };
-        let (member, table) = (member.clone(), table.clone());
-        open.push(smol::spawn(async move {
-            let sent_at = Instant::now();
-            let outcome =
-                send_request(member.address, &asked, &table, RuleLimits::default().answer_slack).await;
-            let lost = matches!(outcome, Outcome::ConnectionClosed | Outcome::TimedOut);
-            if lost && !member.was_killed_since(sent_at) {
-                table.no_final_answer(&asked.id, format!("{outcome:?} after {:?}", sent_at.elapsed()));
-            }
-            (asked.id, outcome)
-        }));
-    }
-    open.into_iter().map(smol::block_on).collect()
-}
--- a/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
@@ -57,3 +57,18 @@
     assert_eq!(Verdict::new(&[], 0.1), Verdict::Passed);
     assert!(too_many_inconclusive(1, 9) && !too_many_inconclusive(1, 10));
 }
+
+/// Samplers that started before all of them were counted ended at once, and nothing was late.
+#[test]
+fn lateness_is_sampled_until_its_owner_has_gone() {
+    let lateness = Lateness::measure();
+    let blocked_at = Instant::now();
+    for _ in 0..16 {
+        smol::spawn(async { std::thread::sleep(ms(200)) }).detach();
+    }
+    let deadline = Instant::now() + ms(10_000);
+    while lateness.max_between(blocked_at, Instant::now()) <= ms(50) {
+        assert!(Instant::now() < deadline, "no lateness is seen");
+        std::thread::sleep(ms(10));
+    }
+}
--- a/crates/nickelgw-cli/tests/platform_soak/lateness.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/lateness.rs
@@ -1,6 +1,6 @@
 //! How late the soak's own tasks and threads run, over time: what they say of others in that time is no surer than that.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -23,13 +23,13 @@
 pub struct Lateness(Mutex<Vec<Sample>>);
 
 impl Lateness {
-    /// Samples the executor, and a thread like the one that injects faults, until the last other owner has gone.
+    /// Samples the executor, and a thread like the one that injects faults, until the last owner has gone.
     pub fn measure() -> Arc<Lateness> {
         let lateness = Arc::new(Lateness::default());
         for _ in 0..SAMPLING_TASKS {
-            smol::spawn(sample_executor(lateness.clone())).detach();
+            smol::spawn(sample_executor(Arc::downgrade(&lateness))).detach();
         }
-        let sampled = lateness.clone();
+        let sampled = Arc::downgrade(&lateness);
         spawn(move || sample_thread(&sampled));
         lateness
     }
@@ -76,18 +76,20 @@
     }
 }
 
-async fn sample_executor(lateness: Arc<Lateness>) {
-    while Arc::strong_count(&lateness) > SAMPLING_TASKS + 1 {
+async fn sample_executor(lateness: Weak<Lateness>) {
+    loop {
         let due_at = Instant::now() + SAMPLE_INTERVAL;
         smol::Timer::at(due_at).await;
+        let Some(lateness) = lateness.upgrade() else { return };
         lateness.record(due_at, due_at.elapsed());
     }
 }
 
-fn sample_thread(lateness: &Arc<Lateness>) {
-    while Arc::strong_count(lateness) > SAMPLING_TASKS + 1 {
+fn sample_thread(lateness: &Weak<Lateness>) {
+    loop {
         let due_at = Instant::now() + SAMPLE_INTERVAL;
         sleep(SAMPLE_INTERVAL);
+        let Some(lateness) = lateness.upgrade() else { return };
         lateness.record(due_at, due_at.elapsed());
     }
 }
--- /dev/null
+++ b/crates/nickelgw-cli/tests/platform_soak/member.rs
@@ -0,0 +1,182 @@
+//! One node over the lives of its processes: started, signalled, killed and started again as the platform does it.
+
+use crate::common::TEST_TIMEOUT;
+use crate::processes::{is_ready, start_process_with};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// Descriptors of a node.
+pub const DESCRIPTORS: usize = 256;
+/// After the request to shut down new connections still come for a time in this range.
+const ACCEPT_RANGE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(400));
+/// SIGKILL comes so long after it, the platform's earliest moment: the longest deadline and 0.7 s.
+const KILL_AFTER: Duration = Duration::from_millis(2700);
+/// What is unanswered at SIGKILL is lost if it came later than this after the request to shut down.
+const UNANSWERED_EXCUSED: Duration = Duration::from_millis(700);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The time in which a process was killed: its connections end at some moment of it.
+struct Kill {
+    /// The request to shut down, where one came before.
+    shutdown_at: Option<Instant>,
+    /// None: the process may still be dying.
+    ended_at: Option<Instant>,
+}
+
+impl Kill {
+    /// Whether it cut a request that was sent then and is open now.
+    fn cuts(&self, sent_at: Instant) -> bool {
+        self.ended_at.is_none_or(|ended_at| ended_at >= sent_at)
+    }
+
+    /// Whether that is nobody's loss.
+    fn excuses(&self, sent_at: Instant) -> bool {
+        self.cuts(sent_at)
+            && self.shutdown_at.is_none_or(|shutdown_at| sent_at <= shutdown_at + UNANSWERED_EXCUSED)
+    }
+}
+
+/// One node.
+pub struct Member {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its log, of all its processes.
+    pub log: PathBuf,
+    config: PathBuf,
+    child: Mutex<Child>,
+    /// It takes no new connections: it shuts down, or is not ready yet.
+    closed: AtomicBool,
+    /// A shutdown or a kill is under way.
+    ending: AtomicBool,
+    kills: Mutex<Vec<Kill>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn spawn_process(config: &Path, log: &Path) -> Child {
+    let file = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+    start_process_with(config, DESCRIPTORS, |process| {
+        process.env("LEVEL", "--log-level debug").stderr(Stdio::from(file));
+    })
+}
+
+impl Member {
+    /// Starts the first process.
+    pub fn start(address: SocketAddr, config: PathBuf, log: PathBuf) -> Arc<Member> {
+        let child = Mutex::new(spawn_process(&config, &log));
+        let (closed, ending) = (AtomicBool::new(false), AtomicBool::new(false));
+        Arc::new(Member { address, log, config, child, closed, ending, kills: Mutex::default() })
+    }
+
+    /// Waits until it answers that it is ready.
+    pub fn wait_until_ready(&self) {
+        let started_at = Instant::now();
+        while !is_ready(self.address) {
+            assert!(started_at.elapsed() < 3 * TEST_TIMEOUT, "{} is not ready", self.address);
+            sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Whether new connections come now.
+    pub fn takes_connections(&self) -> bool {
+        !self.closed.load(Relaxed)
+    }
+
+    /// Whether a request that was sent then, and is open now, was cut by a kill and is nobody's loss.
+    pub fn excuses(&self, sent_at: Instant) -> bool {
+        lock(&self.kills).iter().any(|kill| kill.excuses(sent_at))
+    }
+
+    /// Whether a request that was sent then, and is open now, was cut by a kill that does not excuse it.
+    pub fn cut_late(&self, sent_at: Instant) -> bool {
+        lock(&self.kills).iter().any(|kill| kill.cuts(sent_at) && !kill.excuses(sent_at))
+    }
+
+    /// Sends a signal to its process.
+    pub fn signal(&self, signal: Signal) {
+        let child = lock(&self.child);
+        let _ = kill_process(Pid::from_child(&child), signal);
+    }
+
+    /// Its present process.
+    pub fn process(&self) -> u32 {
+        lock(&self.child).id()
+    }
+
+    /// Sends a signal to this process, if it is still the present one.
+    pub fn signal_process(&self, process: u32, signal: Signal) {
+        let child = lock(&self.child);
+        if child.id() == process {
+            let _ = kill_process(Pid::from_child(&child), signal);
+        }
+    }
+
+    /// Claims the end of its process; false if it is ending already.
+    pub fn begin_end(&self) -> bool {
+        !self.ending.swap(true, Relaxed)
+    }
+
+    /// Kills its process, which `begin_end` has claimed.
+    pub fn kill(&self) {
+        self.closed.store(true, Relaxed);
+        self.kill_process(None);
+    }
+
+    fn kill_process(&self, shutdown_at: Option<Instant>) {
+        let kill = {
+            let mut kills = lock(&self.kills);
+            kills.push(Kill { shutdown_at, ended_at: None });
+            kills.len() - 1
+        };
+        let mut child = lock(&self.child);
+        let _ = child.kill();
+        let _ = child.wait();
+        // Its sockets are closed only now: up to here the system accepted connections for a process that was dying.
+        lock(&self.kills)[kill].ended_at = Some(Instant::now());
+    }
+
+    /// Tells its process to shut down, and kills it at the platform's earliest moment. `random` is from 0 to 1.
+    pub fn shut_down(&self, random: f64) {
+        let shutdown_at = Instant::now();
+        self.signal(Signal::TERM);
+        sleep(ACCEPT_RANGE.0 + (ACCEPT_RANGE.1 - ACCEPT_RANGE.0).mul_f64(random));
+        self.closed.store(true, Relaxed);
+        let mut has_ended = false;
+        while !has_ended && shutdown_at.elapsed() < KILL_AFTER {
+            sleep(POLL_INTERVAL);
+            has_ended = lock(&self.child).try_wait().unwrap().is_some();
+        }
+        if !has_ended {
+            self.kill_process(Some(shutdown_at));
+        }
+    }
+
+    /// Starts a new process, which knows this list, after the end of the one before.
+    pub fn restart(&self, known: &Value) {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        let mut config: Value = serde_json::from_str(&text).unwrap();
+        config["known"] = known.clone();
+        std::fs::write(&self.config, config.to_string()).unwrap();
+        *lock(&self.child) = spawn_process(&self.config, &self.log);
+        self.wait_until_ready();
+        self.closed.store(false, Relaxed);
+        self.ending.store(false, Relaxed);
+    }
+
+    /// Ends its process for good.
+    pub fn end(&self) {
+        let mut child = lock(&self.child);
+        let _ = child.kill();
+        let _ = child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
--- a/crates/nickelgw-cli/tests/processes/mod.rs
+++ b/crates/nickelgw-cli/tests/processes/mod.rs
@@ -78,9 +78,19 @@
     discovery: &Peer,
     known: Value,
     change: impl Fn(&mut Value),
+) -> (SocketAddr, PathBuf) {
+    write_config_for(n, discovery.address, known, change)
+}
+
+/// The same, with discovery at this address.
+pub fn write_config_for(
+    n: u8,
+    discovery: SocketAddr,
+    known: Value,
+    change: impl Fn(&mut Value),
 ) -> (SocketAddr, PathBuf) {
     let address = loopback_address(n);
-    let mut config = node_config(&address.to_string(), &discovery.address.to_string(), known);
+    let mut config = node_config(&address.to_string(), &discovery.to_string(), known);
     change(&mut config);
     let path = std::env::temp_dir().join(format!("nickelgw-platform-{n}-{}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).unwrap();
@@ -101,14 +111,19 @@
     read_response(&mut client)
 }
 
+/// Whether a node is ready. Silent clients keep their places for half a second each: behind 200 of them in a table of 31
+/// this client is served after some 3 s.
+pub fn is_ready(address: SocketAddr) -> bool {
+    let Ok(mut client) = TcpStream::connect(address) else { return false };
+    client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").is_ok()
+        && read_response(&mut client).starts_with("HTTP/1.1 200")
+}
+
 impl Node {
-    /// Whether it is ready. Silent clients keep their places for half a second each: behind 200 of them in a table of 31
-    /// this client is served after some 3 s.
+    /// Whether it is ready.
     pub fn is_ready(&self) -> bool {
-        let Ok(mut client) = TcpStream::connect(self.address) else { return false };
-        client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-        client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").is_ok()
-            && read_response(&mut client).starts_with("HTTP/1.1 200")
+        is_ready(self.address)
     }
 
     /// Waits until it is ready, and returns how long that took.
--- a/crates/nickelgw-test-servers/src/platform/client.rs
+++ b/crates/nickelgw-test-servers/src/platform/client.rs
@@ -1,6 +1,6 @@
-//! A client of the platform: one request on a connection of its own, and what became of it.
+//! A client of the platform: sends requests on connections that it keeps, and reports what became of each.
 
-use super::http::{chunk, read_some, LAST_CHUNK};
+use super::http::{chunked_payload, read_some};
 use super::request_table::RequestTable;
 use futures_lite::{future, AsyncWriteExt};
 use smol::net::TcpStream;
@@ -10,8 +10,6 @@
 
 /// A node ends a stream that its engine no longer continues within 5 s; the rest is for the stream itself.
 const MAX_STREAM: Duration = Duration::from_secs(7);
-/// First event of every stream.
-const FIRST_EVENT: &str = "data: {\"n\":1}\n\n";
 const BODY: &str = r#"{"model":"chat","stream":true,"messages":[]}"#;
 
 /// A request, and how long its client stays.
@@ -36,10 +34,10 @@
     Completed,
     /// A status other than 200 came.
     Status(u16),
-    /// The stream has begun with these bytes.
-    Streaming(Vec<u8>),
     /// The stream began and broke.
     StreamBroken,
+    /// What came is not the stream that an engine made for this request.
+    WrongContent(String),
     /// The node could not be reached.
     ConnectionRefused,
     /// The connection ended without a response.
@@ -50,6 +48,24 @@
     Disconnected,
 }
 
+/// An exchange on a connection.
+#[derive(Debug)]
+pub struct Exchange {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// The connection, where it can carry a further request.
+    pub connection: Option<TcpStream>,
+}
+
+/// The events of the stream that a decode engine makes for a request.
+pub fn stream_events(id: &str) -> [String; 3] {
+    [
+        format!("data: {{\"id\":\"{id}\",\"n\":1}}\n\n"),
+        format!("data: {{\"id\":\"{id}\",\"n\":2}}\n\n"),
+        "data: [DONE]\n\n".into(),
+    ]
+}
+
 impl ClientRequest {
     fn encode(&self) -> String {
         format!(
@@ -64,34 +80,46 @@
     }
 }
 
-/// Sends a request to a node, enters it in the table, and returns what became of it.
+/// Sends a request to a node on a new connection, enters it in the table, and returns what became of it.
 pub async fn send_request(
     node: SocketAddr,
     request: &ClientRequest,
     table: &RequestTable,
     answer_slack: Duration,
 ) -> Outcome {
-    let Ok(mut stream) = TcpStream::connect(node).await else { return Outcome::ConnectionRefused };
+    let Ok(stream) = TcpStream::connect(node).await else { return Outcome::ConnectionRefused };
+    send_on(stream, request, table, answer_slack).await.outcome
+}
+
+/// Sends a request on an open connection, enters it in the table, and returns what became of both.
+pub async fn send_on(
+    mut stream: TcpStream,
+    request: &ClientRequest,
+    table: &RequestTable,
+    answer_slack: Duration,
+) -> Exchange {
     table.request_sent(&request.id, request.timeout, request.at_most_once);
     if stream.write_all(request.encode().as_bytes()).await.is_err() {
-        return Outcome::ConnectionClosed;
+        return Exchange { outcome: Outcome::ConnectionClosed, connection: None };
     }
+    let mut response = Response::new(&request.id);
     let timeout = outcome_after(Some(request.timeout + answer_slack), Outcome::TimedOut);
     let disconnect = outcome_after(request.disconnect_after, Outcome::Disconnected);
     let limits = future::or(disconnect, timeout);
-    let outcome = match future::or(read_first_event(&mut stream), limits).await {
+    let begun = async { response.read_beginning(&mut stream).await };
+    let mut outcome = future::or(begun, async { Some(limits.await) }).await;
+    if outcome.is_none() {
         // A stream that has begun has no deadline, but it has to end.
-        Outcome::Streaming(received) => {
-            let end = read_to_end(&mut stream, received);
-            future::or(end, outcome_after(Some(MAX_STREAM), Outcome::TimedOut)).await
-        }
-        other => other,
-    };
-    drop(stream);
+        let end = async { response.read_to_end(&mut stream).await };
+        outcome = Some(future::or(end, outcome_after(Some(MAX_STREAM), Outcome::TimedOut)).await);
+    }
+    let outcome = outcome.unwrap_or(Outcome::TimedOut);
+    let is_reusable = response.is_whole() && !response.closes_connection();
+    let connection = is_reusable.then_some(stream);
     if outcome == Outcome::Disconnected {
         table.client_disconnected(&request.id);
     }
-    outcome
+    Exchange { outcome, connection }
 }
 
 /// The outcome after a time; never without one.
@@ -103,30 +131,92 @@
     outcome
 }
 
-/// Reads up to the first event of a stream, or the whole of another response.
-async fn read_first_event(stream: &mut TcpStream) -> Outcome {
-    let mut received = Vec::new();
-    loop {
-        let text = String::from_utf8_lossy(&received);
-        let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
-        match status.filter(|_| text.contains("\r\n\r\n")) {
-            Some(200u16) if text.ends_with(LAST_CHUNK) => return Outcome::Completed,
-            Some(200) if text.contains(&chunk(FIRST_EVENT)) => return Outcome::Streaming(received.clone()),
-            Some(200) | None => {}
-            Some(status) => return Outcome::Status(status),
+/// A response as it arrives.
+struct Response {
+    received: Vec<u8>,
+    first_event: String,
+    expected: String,
+}
+
+impl Response {
+    fn new(id: &str) -> Response {
+        let events = stream_events(id);
+        Response { received: Vec::new(), expected: events.concat(), first_event: events[0].clone() }
+    }
+
+    /// Head and body, once the head is whole.
+    fn parts(&self) -> Option<(String, &[u8])> {
+        let head_end = self.received.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+        let head = String::from_utf8_lossy(&self.received[..head_end]).to_ascii_lowercase();
+        Some((head, &self.received[head_end..]))
+    }
+
+    fn status(&self) -> Option<u16> {
+        let (head, _) = self.parts()?;
+        head.split(' ').nth(1).and_then(|status| status.parse().ok())
+    }
+
+    fn closes_connection(&self) -> bool {
+        self.parts().is_none_or(|(head, _)| head.contains("connection: close"))
+    }
+
+    fn is_whole(&self) -> bool {
+        let Some((head, body)) = self.parts() else { return false };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+        match length {
+            Some(length) => body.len() >= length,
+            None => chunked_payload(body).is_some_and(|payload| payload.is_whole),
         }
-        if read_some(stream, &mut received).await == 0 {
-            return Outcome::ConnectionClosed;
+    }
+
+    /// The payload of a stream so far; an error if no engine made it.
+    fn checked_payload(&self) -> Result<String, Outcome> {
+        let Some((_, body)) = self.parts() else { return Ok(String::new()) };
+        let wrong = |payload: &str| Err(Outcome::WrongContent(payload.to_string()));
+        let Some(payload) = chunked_payload(body) else {
+            return wrong(&String::from_utf8_lossy(body));
+        };
+        let text = String::from_utf8_lossy(&payload.bytes).to_string();
+        let is_cut_short = payload.is_whole && text.len() < self.expected.len();
+        if self.expected.starts_with(&text) && !is_cut_short {
+            Ok(text)
+        } else {
+            wrong(&text)
+        }
+    }
+
+    /// Reads up to the first event of a stream, or the whole of another response. None: a stream has begun.
+    async fn read_beginning(&mut self, stream: &mut TcpStream) -> Option<Outcome> {
+        loop {
+            match self.status() {
+                Some(200) => match self.checked_payload() {
+                    Err(wrong) => return Some(wrong),
+                    Ok(payload) if payload.len() >= self.first_event.len() => return None,
+                    Ok(_) => {}
+                },
+                Some(status) if self.is_whole() => return Some(Outcome::Status(status)),
+                _ => {}
+            }
+            if read_some(stream, &mut self.received).await == 0 {
+                // An answer whose body breaks off is one all the same.
+                let status = self.status().filter(|status| *status != 200);
+                return Some(status.map_or(Outcome::ConnectionClosed, Outcome::Status));
+            }
         }
     }
-}
 
-/// Reads a stream that has begun to its end.
-async fn read_to_end(stream: &mut TcpStream, mut received: Vec<u8>) -> Outcome {
-    while !received.ends_with(LAST_CHUNK.as_bytes()) {
-        if read_some(stream, &mut received).await == 0 {
-            return Outcome::StreamBroken;
+    /// Reads a stream that has begun to its end.
+    async fn read_to_end(&mut self, stream: &mut TcpStream) -> Outcome {
+        loop {
+            if let Err(wrong) = self.checked_payload() {
+                return wrong;
+            }
+            if self.is_whole() {
+                return Outcome::Completed;
+            }
+            if read_some(stream, &mut self.received).await == 0 {
+                return Outcome::StreamBroken;
+            }
         }
     }
-    Outcome::Completed
 }
--- /dev/null
+++ b/crates/nickelgw-test-servers/src/platform/discovery.rs
@@ -0,0 +1,97 @@
+//! A discovery service that announces changes of its list of engines.
+
+use super::http::{read_message, response};
+use futures_lite::AsyncWriteExt;
+use serde_json::{json, Value};
+use smol::net::{TcpListener, TcpStream};
+use smol::Timer;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Time between checks for a newer list.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A discovery service that serves until the process ends.
+#[derive(Clone)]
+pub struct Discovery {
+    /// Where it listens.
+    pub address: SocketAddr,
+    list: Arc<Mutex<Value>>,
+}
+
+impl Discovery {
+    /// Starts a service on a free port with this list, which has a generation.
+    pub async fn start(list: Value) -> std::io::Result<Discovery> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let discovery = Discovery { address: listener.local_addr()?, list: Arc::new(Mutex::new(list)) };
+        smol::spawn(discovery.clone().accept(listener)).detach();
+        Ok(discovery)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Value> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The list as it is announced now.
+    pub fn list(&self) -> Value {
+        self.lock().clone()
+    }
+
+    /// Announces a change of the list's instances.
+    pub fn announce(&self, change: impl FnOnce(&mut Vec<Value>)) {
+        let mut list = self.lock();
+        if let Some(instances) = list["instances"].as_array_mut() {
+            change(instances);
+        }
+        list["generation"] = (generation(&list) + 1).into();
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                smol::spawn(self.clone().serve(stream)).detach();
+            }
+        }
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(request) = read_message(&mut stream, &mut buffer).await {
+            let body = match parameter(request.path(), "since=") {
+                None => self.list(),
+                Some(since) => {
+                    let timeout_ms = parameter(request.path(), "timeout_ms=").unwrap_or(0);
+                    self.wait_for_change(since, Duration::from_millis(timeout_ms)).await
+                }
+            };
+            let bytes = response("200 OK", "", &body.to_string());
+            if stream.write_all(bytes.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The list once it is newer than this generation, or no change after the timeout.
+    async fn wait_for_change(&self, since: u64, timeout: Duration) -> Value {
+        let deadline = Instant::now() + timeout;
+        while Instant::now() < deadline {
+            let list = self.list();
+            if generation(&list) > since {
+                return list;
+            }
+            Timer::after(POLL_INTERVAL).await;
+        }
+        json!({"generation": since, "reset": false, "instances": []})
+    }
+}
+
+fn generation(list: &Value) -> u64 {
+    list["generation"].as_u64().unwrap_or(0)
+}
+
+/// A number in a path's query.
+fn parameter(path: &str, name: &str) -> Option<u64> {
+    let (_, query) = path.split_once('?')?;
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse().ok())
+}
--- a/crates/nickelgw-test-servers/src/platform/engine.rs
+++ b/crates/nickelgw-test-servers/src/platform/engine.rs
@@ -1,16 +1,16 @@
 //! A prefill or decode engine of the platform, with times and faults as a test sets them.
 
+use super::client::stream_events;
 use super::http::{chunk, read_message, read_some, response, Message, LAST_CHUNK};
 use super::request_table::RequestTable;
 use super::Role;
 use futures_lite::{future, AsyncWriteExt};
-use smol::lock::Mutex;
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 /// Path of release calls, before the request's id.
 const RELEASE_PATH: &str = "/internal/reservations/";
@@ -38,6 +38,8 @@
     pub is_full: AtomicBool,
     /// Work that a new connection costs the engine, one after the other, whether or not the far side still waits.
     pub connection_work_ms: AtomicU64,
+    /// Since when discovery announces that it takes no new work.
+    pub draining_since: Mutex<Option<Instant>>,
     /// Release calls that have arrived.
     pub release_calls: AtomicU64,
     /// Release calls answered.
@@ -57,7 +59,11 @@
     pub behaviour: Arc<Behaviour>,
     table: Arc<RequestTable>,
     index: usize,
-    connection_work: Arc<Mutex<()>>,
+    connection_work: Arc<smol::lock::Mutex<()>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Engine {
@@ -123,6 +129,9 @@
         let id = request.header("x-call-id")?.to_string();
         let budget_ms = request.header("x-budget-ms").and_then(|value| value.parse().ok());
         self.behaviour.attempts.fetch_add(1, Relaxed);
+        if let Some(since) = *lock(&self.behaviour.draining_since) {
+            self.table.attempt_at_draining(&id, since);
+        }
         let attempt = OpenAttempt::new(self, id, budget_ms.map(Duration::from_millis));
         if self.behaviour.is_full.load(Relaxed) {
             return Some(response("503 Service Unavailable", REJECTED_HEADER, ""));
@@ -166,10 +175,14 @@
         if !self.table.claim_reservations(id) {
             return Some(response("410 Gone", REJECTED_HEADER, ""));
         }
-        let begin = format!("{STREAM_HEAD}{}", chunk("data: {\"n\":1}\n\n"));
+        let [first, second, last] = stream_events(id);
+        let begin = format!("{STREAM_HEAD}{}", chunk(&first));
         stream.write_all(begin.as_bytes()).await.ok()?;
-        Timer::after(Duration::from_millis(self.behaviour.stream_ms.load(Relaxed))).await;
-        Some(format!("{}{LAST_CHUNK}", chunk("data: [DONE]\n\n")))
+        let half = Duration::from_millis(self.behaviour.stream_ms.load(Relaxed)) / 2;
+        Timer::after(half).await;
+        stream.write_all(chunk(&second).as_bytes()).await.ok()?;
+        Timer::after(half).await;
+        Some(format!("{}{LAST_CHUNK}", chunk(&last)))
     }
 }
 
--- a/crates/nickelgw-test-servers/src/platform/http.rs
+++ b/crates/nickelgw-test-servers/src/platform/http.rs
@@ -70,3 +70,35 @@
 pub(super) fn chunk(data: &str) -> String {
     format!("{:x}\r\n{data}\r\n", data.len())
 }
+
+/// The payload of a chunked body as far as it has arrived.
+pub(super) struct ChunkedPayload {
+    pub bytes: Vec<u8>,
+    /// The last chunk has come.
+    pub is_whole: bool,
+}
+
+/// Removes the framing of a chunked body; none: it is malformed.
+pub(super) fn chunked_payload(mut body: &[u8]) -> Option<ChunkedPayload> {
+    let mut bytes = Vec::new();
+    loop {
+        let Some(line_end) = body.windows(2).position(|window| window == b"\r\n") else {
+            return Some(ChunkedPayload { bytes, is_whole: false });
+        };
+        let size = std::str::from_utf8(&body[..line_end]).ok()?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        let data = &body[line_end + 2..];
+        if data.len() < size + 2 {
+            bytes.extend_from_slice(&data[..data.len().min(size)]);
+            return Some(ChunkedPayload { bytes, is_whole: false });
+        }
+        if &data[size..size + 2] != b"\r\n" {
+            return None;
+        }
+        if size == 0 {
+            return Some(ChunkedPayload { bytes, is_whole: true });
+        }
+        bytes.extend_from_slice(&data[..size]);
+        body = &data[size + 2..];
+    }
+}
--- a/crates/nickelgw-test-servers/src/platform/mod.rs
+++ b/crates/nickelgw-test-servers/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! collects violations of the platform's rules. No node's log is read.
 
 mod client;
+mod discovery;
 mod engine;
 mod http;
 mod proxy;
@@ -11,7 +12,8 @@
 mod violation;
 
 pub use crate::engine_config::Role;
-pub use client::{send_request, ClientRequest, Outcome};
+pub use client::{send_on, send_request, ClientRequest, Exchange, Outcome};
+pub use discovery::Discovery;
 pub use engine::{Behaviour, Engine};
 pub use proxy::Proxy;
 pub use request_table::RequestTable;
--- a/crates/nickelgw-test-servers/src/platform/request_table.rs
+++ b/crates/nickelgw-test-servers/src/platform/request_table.rs
@@ -160,6 +160,22 @@
         }
     }
 
+    /// An attempt arrived at an engine that is announced as draining since then.
+    pub fn attempt_at_draining(&self, id: &str, since: Instant) {
+        let now = Instant::now();
+        let late = now - since;
+        if late > self.limits.max_dispatch_to_draining {
+            self.report(Violation::AttemptAtDraining { id: id.to_string(), late }, since, now);
+        }
+    }
+
+    /// A client got a stream that no engine made for its request.
+    pub fn wrong_content(&self, id: &str, content: String) {
+        let now = Instant::now();
+        let sent_at = self.update(id, |request| request.sent_at).unwrap_or(now);
+        self.report(Violation::WrongContent { id: id.to_string(), content }, sent_at, now);
+    }
+
     /// A response was lost on its way to the node, for which the attempt stays open until the node ends it.
     pub fn response_lost(&self, id: &str, role: Role) {
         self.update(id, |request| request.add_attempt(role));
--- a/crates/nickelgw-test-servers/src/platform/violation.rs
+++ b/crates/nickelgw-test-servers/src/platform/violation.rs
@@ -11,17 +11,20 @@
     pub disconnect_slack: Duration,
     /// The time budget of an attempt may exceed what its client has left by so much.
     pub deadline_slack: Duration,
+    /// An attempt may arrive so long after its engine was announced as draining.
+    pub max_dispatch_to_draining: Duration,
     /// A final answer may come so long after the client's deadline.
     pub answer_slack: Duration,
 }
 
 impl Default for RuleLimits {
-    /// The limits in the platform's documents, with `release_s` 0.5.
+    /// The limits in the platform's documents, with `release_s` 0.5 and `stop_sending_within_s` 1.0.
     fn default() -> RuleLimits {
         RuleLimits {
             max_unattended: Duration::from_millis(800),
             disconnect_slack: Duration::from_millis(100),
             deadline_slack: Duration::from_millis(150),
+            max_dispatch_to_draining: Duration::from_millis(1050),
             answer_slack: Duration::from_millis(500),
         }
     }
@@ -56,6 +59,20 @@
         /// By how much.
         excess: Duration,
     },
+    /// An attempt arrived at an engine that was announced as draining.
+    AttemptAtDraining {
+        /// The request.
+        id: String,
+        /// How long after.
+        late: Duration,
+    },
+    /// A client got a stream that no engine made for its request.
+    WrongContent {
+        /// The request.
+        id: String,
+        /// What it got.
+        content: String,
+    },
     /// A client got no final answer in time.
     NoFinalAnswer {
         /// The request.
@@ -73,6 +90,8 @@
             | Violation::DuplicateRun { id }
             | Violation::AttemptAfterDisconnect { id, .. }
             | Violation::BudgetPastDeadline { id, .. }
+            | Violation::AttemptAtDraining { id, .. }
+            | Violation::WrongContent { id, .. }
             | Violation::NoFinalAnswer { id, .. } => id,
         }
     }
@@ -89,7 +108,12 @@
             Violation::BudgetPastDeadline { excess, .. } => {
                 Some(excess.saturating_sub(limits.deadline_slack))
             }
-            Violation::DuplicateRun { .. } | Violation::NoFinalAnswer { .. } => None,
+            Violation::AttemptAtDraining { late, .. } => {
+                Some(late.saturating_sub(limits.max_dispatch_to_draining))
+            }
+            Violation::DuplicateRun { .. }
+            | Violation::NoFinalAnswer { .. }
+            | Violation::WrongContent { .. } => None,
         }
     }
 }
