Failing tests: connections come up after the node stopped listening, and nobody accepts them

Seen: nickelgw serve, SIGTERM with a stream running, 0.4 s after the end of its notice: a client's connection comes up, waits in the backlog and is reset as the process ends, up to the whole drain timeout later. The same in a process that took the socket over.

--- a/crates/nickelgw-cli/tests/lifecycle/main.rs
+++ b/crates/nickelgw-cli/tests/lifecycle/main.rs
@@ -172,3 +172,46 @@
         kill(&mut node);
     }
 }
+
+/// A client connects after the node has stopped listening, while a stream still runs. Its connection came up, waited in the
+/// backlog, and was reset as the process ended: a copy of the listening socket, kept for a handover, was open to the end.
+#[test]
+fn connection_is_refused_once_the_node_has_stopped_listening() {
+    let site = Arc::new(TestSite::new("refuse", 0.3));
+    let start_stream = || {
+        let site = site.clone();
+        thread::spawn(move || site.chat("q"))
+    };
+    let mut node = site.start_node();
+    let stream = start_stream();
+    thread::sleep(Duration::from_millis(300));
+    send_signal(&node, Signal::TERM);
+    // 0.3 s are for the notice.
+    thread::sleep(Duration::from_millis(700));
+    assert!(node.try_wait().unwrap().is_none(), "the stream still runs");
+    let connection = std::net::TcpStream::connect(site.address());
+    assert!(connection.is_err(), "it came up, and nobody accepts it");
+    assert!(stream.join().unwrap().is_some_and(|seen| seen.outcome == "completed"));
+    assert_eq!(exit_code(&mut node), 0);
+}
+
+/// The same in a process that took the socket over from another, as its standard input.
+#[test]
+fn connection_is_refused_once_a_successor_has_stopped_listening() {
+    let site = Arc::new(TestSite::new("refuse2", 0.3));
+    let mut old_node = site.start_node();
+    send_signal(&old_node, Signal::HUP);
+    assert_eq!(exit_code(&mut old_node), 0);
+    let stream = {
+        let site = site.clone();
+        thread::spawn(move || site.chat("q"))
+    };
+    thread::sleep(Duration::from_millis(300));
+    site.signal_successor(Signal::TERM);
+    thread::sleep(Duration::from_millis(700));
+    let connection = std::net::TcpStream::connect(site.address());
+    let outcome = stream.join().unwrap().map(|seen| seen.outcome);
+    site.kill_successor();
+    assert!(connection.is_err(), "it came up, and nobody accepts it");
+    assert_eq!(outcome.as_deref(), Some("completed"));
+}
--- a/crates/nickelgw-cli/tests/lifecycle/test_site.rs
+++ b/crates/nickelgw-cli/tests/lifecycle/test_site.rs
@@ -138,14 +138,24 @@
         }
     }
 
-    /// Kills the node that serves now where it is no child of the test: found by its settings file.
+    /// Where the node listens.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Kills the node that serves now where it is no child of the test.
     pub fn kill_successor(&self) {
+        self.signal_successor(Signal::KILL);
+    }
+
+    /// Sends a signal to the node that serves now where it is no child of the test: found by its settings file.
+    pub fn signal_successor(&self, signal: Signal) {
         let settings = self.dir.join("node.txtpb").display().to_string();
         for process in std::fs::read_dir("/proc").into_iter().flatten().flatten() {
             let Ok(pid) = process.file_name().to_string_lossy().parse::<i32>() else { continue };
             let command_line = std::fs::read_to_string(process.path().join("cmdline")).unwrap_or_default();
             if command_line.contains(&settings) {
-                let _ = kill_process(Pid::from_raw(pid).unwrap(), Signal::KILL);
+                let _ = kill_process(Pid::from_raw(pid).unwrap(), signal);
             }
         }
     }
--- a/crates/nickelgw-node/tests/stalled.rs
+++ b/crates/nickelgw-node/tests/stalled.rs
@@ -24,8 +24,9 @@
     (wanted as usize / 10).min(250)
 }
 
-/// Engines that are never full.
-fn wide_cluster() -> TestCluster {
+/// Engines that are never full. The node's admin port is returned as well.
+fn wide_cluster() -> (TestCluster, String) {
+    let (admin_listener, admin) = common::listener();
     let wide = |id| engine_config::EngineConfig {
         slots: 4000,
         mean_output_tokens: 240,
@@ -36,14 +37,23 @@
         memory_tokens: 1e8,
         ..engine_config(id)
     };
-    TestCluster::with_options(ENGINES.map(wide).to_vec(), |options| {
+    let cluster = TestCluster::with_options(ENGINES.map(wide).to_vec(), |options| {
+        options.admin = Some(admin_listener);
         options.limits.max_connections = 3000;
         options.core_config.max_open_requests = 3000;
         options.limits.client_stall_timeout_s = 4.0;
         options.limits.max_queued = 1024;
         options.deployment.routes[0].ttft_objective_s = 8.0;
         options.admission.models[0].timeout_s = 20.0;
-    })
+    });
+    (cluster, admin)
+}
+
+/// The node's trace of a request.
+fn request_trace(admin: &str, id: &str) -> String {
+    let request = format!("GET /why/{id} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let response = smol::block_on(client::send_raw(admin, &[request.as_bytes()], 0.0, 5.0));
+    String::from_utf8_lossy(&response).to_string()
 }
 
 /// A client that asks for a stream and has a small receive buffer.
@@ -92,7 +102,7 @@
 #[test]
 fn hundreds_of_stalled_clients_are_disconnected_and_delay_nobody() {
     let clients = max_clients();
-    let cluster = wide_cluster();
+    let (cluster, admin) = wide_cluster();
     // A stream is longer than what the system buffers for a client that reads nothing.
     for engine in ["w0a", "w1a"] {
         cluster.control(engine, json!({"fault": "pad", "bytes": 32_768}));
@@ -105,7 +115,10 @@
         max_tokens: Some(20),
         ..cluster.chat_request("quick", "chat")
     };
-    assert_eq!(cluster.send(request).outcome, "completed");
+    let started_at = Instant::now();
+    let outcome = cluster.send(request).outcome;
+    let trace = || request_trace(&admin, "quick");
+    assert_eq!(outcome, "completed", "after {:?}: {}", started_at.elapsed(), trace());
     let health = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     wait_until("all connections but this one are closed", 60.0, Duration::from_millis(50), || {
         let response = smol::block_on(client::send_raw(&cluster.node, &[health], 0.0, 5.0));
