serve: copies of the listening socket are closed as the node drains

Callers saw: after nickelgw serve had stopped listening their connections still came up, waited in the backlog and were reset as the process ended. Cause: Serve::run kept a copy of the listening socket for a handover until the process ended (serve.rs, handover_listener), and a process that takes over has the socket as its standard input, too (Serve::listener). Why it holds: forward_signals owns the copy and drops it with the first request to drain; standard input is led to /dev/null once the socket is cloned.

--- a/crates/nickelgw-cli/src/serve.rs
+++ b/crates/nickelgw-cli/src/serve.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use nickelgw_node::{LatencyMetrics, NodeOptions, ProcessSignal};
 use nickelgw_settings::Node;
+use std::fs::File;
 use std::io::Write;
 use std::net::{TcpListener, UdpSocket};
 use std::os::fd::AsFd;
@@ -66,7 +67,7 @@
         options.signals = signals;
         options.on_serving = Some(Box::new(|| announce(SERVING)));
         let signal_listener = SignalListener::new()?;
-        let forwarding = forward_signals(signal_listener, signal_sender, &handover_listener);
+        let forwarding = forward_signals(signal_listener, signal_sender, handover_listener);
         let serving = nickelgw_node::run(listener, options);
         let exit = smol::block_on(futures_lite::future::or(serving, forwarding))?;
         if let (Some(path), Some(latency)) = (&self.meter, &latency) {
@@ -77,7 +78,10 @@
 
     fn listener(&self, node: &Node) -> Result<TcpListener, CommandError> {
         if self.inherited {
-            return Ok(TcpListener::from(std::io::stdin().as_fd().try_clone_to_owned()?));
+            let listener = TcpListener::from(std::io::stdin().as_fd().try_clone_to_owned()?);
+            // As standard input the socket would listen on after the node has closed its own.
+            rustix::stdio::dup2_stdin(File::open("/dev/null")?).map_err(std::io::Error::from)?;
+            return Ok(listener);
         }
         let address = node.listen();
         TcpListener::bind(address).map_err(about(format!("{address}: cannot listen")))
@@ -116,19 +120,20 @@
     Ok(())
 }
 
-/// Passes the process's signals on to the node, for as long as it runs.
+/// Passes the process's signals on to the node, for as long as it runs. The copy of the listening socket is for a handover,
+/// and closed once the node drains: connections came up as long as it was open, and nobody accepted them.
 async fn forward_signals<T>(
     mut signals: SignalListener,
     node: Sender<ProcessSignal>,
-    listener: &TcpListener,
+    listener: TcpListener,
 ) -> std::io::Result<T> {
-    let mut is_draining = false;
+    let mut listener = Some(listener);
     loop {
-        let signal = match (signals.next().await?, is_draining) {
-            (Signal::Terminate, false) => ProcessSignal::Drain,
-            (Signal::Terminate, true) => ProcessSignal::SkipStage,
-            (Signal::Reload, true) => continue,
-            (Signal::Reload, false) => match handover::hand_over(&node, listener).await {
+        let signal = match (signals.next().await?, &listener) {
+            (Signal::Terminate, Some(_)) => ProcessSignal::Drain,
+            (Signal::Terminate, None) => ProcessSignal::SkipStage,
+            (Signal::Reload, None) => continue,
+            (Signal::Reload, Some(listener)) => match handover::hand_over(&node, listener).await {
                 Ok(()) => ProcessSignal::DrainHandedOver,
                 Err(CommandError(reason)) => {
                     let _ = node.send(ProcessSignal::ResumeStore).await;
@@ -137,7 +142,7 @@
                 }
             },
         };
-        is_draining = true;
+        listener = None;
         let _ = node.send(signal).await;
     }
 }
