A release that spared an ended attempt's claim is repeated before the request goes on

Node's log: its decode attempt at a hung engine is cancelled, the release is confirmed 1.1 ms later, the next prefill is written at 2.1769 and lost in a connection that fell silent; nothing is called until that ends at 3.338. Cause: the release reached its engine before the end of the attempt's connection did, and spared what the attempt claimed; only requests that were over had their release repeated (ledger.rs, release_answered: request_finished && needs_follow_up). Change: where a decode attempt that may have claimed the reservation ended without an answer, the release is repeated after 0.05 s, and the next prefill waits for that. After a failed prefill as before.

--- a/crates/nickelgw-node-core/src/ledger.rs
+++ b/crates/nickelgw-node-core/src/ledger.rs
@@ -11,7 +11,7 @@
 
 use crate::backoff::exponential_backoff_s;
 use crate::Reservation;
-use entry::{Entry, ReleaseState, Stage};
+use entry::{Entry, FollowUp, ReleaseState, Stage};
 use hdrhistogram::Histogram;
 use indexes::{time_key, Indexes};
 use std::collections::BTreeMap;
@@ -31,6 +31,9 @@
 const MAX_RELEASING: usize = 8192;
 /// Share of the reservation limit after which a release is repeated that may have overtaken the end of an attempt.
 const FOLLOW_UP_SHARE: f64 = 0.25;
+/// Seconds after which it is repeated where the request goes on, whose next prefill waits for it: that prefill may be lost, and
+/// then nothing would release what the first call spared.
+const RETRY_FOLLOW_UP_S: f64 = 0.05;
 /// Seconds before a failed release call is repeated, at first and at most.
 const INITIAL_BACKOFF_S: f64 = 0.02;
 const MAX_BACKOFF_S: f64 = 0.32;
@@ -136,7 +139,7 @@
         self.counters.prefilled += 1;
         self.renew_lease(now, id);
         self.release(now, id);
-        self.expect_follow_up(id);
+        self.expect_follow_up(id, FollowUp::OnceFinished);
     }
 
     /// The newest unclaimed reservation of the request goes to this decode attempt; none: its engine has to prefill.
@@ -167,7 +170,7 @@
     pub fn claim_ended(&mut self, now: f64, owner: u64, attempt: u32, answered: bool) {
         for id in self.reservations_of(owner, |stage| stage.claimed_by() == Some(attempt)) {
             if !answered {
-                self.expect_follow_up(id);
+                self.expect_follow_up(id, FollowUp::Always);
             }
             match self.stage(id) {
                 Some(Stage::Claimed { .. }) => {
@@ -233,10 +236,17 @@
         let Some(entry) = self.entries.get(&id) else { return };
         let Stage::Releasing { since, calls, next_call_at: None, claimed_by } = entry.stage else { return };
         let engine_gone = entry.engine_gone;
-        let follow_up = confirmed && request_finished && entry.release.needs_follow_up();
+        let follow_up = confirmed && entry.release.needs_follow_up(request_finished);
         match (confirmed, claimed_by) {
             (true, Some(attempt)) => return self.transition(now, id, Stage::Released { attempt }),
-            (true, None) if follow_up => return self.schedule_follow_up(now, id),
+            (true, None) if follow_up => {
+                let delay_s = if request_finished {
+                    FOLLOW_UP_SHARE * self.reservation_limit_s
+                } else {
+                    RETRY_FOLLOW_UP_S
+                };
+                return self.schedule_follow_up(now + delay_s, now, id);
+            }
             (true, None) => self.counters.released += 1,
             (false, _) if engine_gone => self.counters.lost += 1,
             (false, _) => {
@@ -336,15 +346,15 @@
     }
 
     /// The release is confirmed, but may have overtaken the end of an attempt: it is repeated once.
-    fn schedule_follow_up(&mut self, now: f64, id: ReservationId) {
+    fn schedule_follow_up(&mut self, call_at: f64, now: f64, id: ReservationId) {
         self.update(id, |entry| entry.release = ReleaseState::Confirmed);
-        let next_call_at = Some(now + FOLLOW_UP_SHARE * self.reservation_limit_s);
+        let next_call_at = Some(call_at);
         self.transition(now, id, Stage::Releasing { since: now, calls: 0, next_call_at, claimed_by: None });
     }
 
-    fn expect_follow_up(&mut self, id: ReservationId) {
-        if let Some(entry) = self.entries.get_mut(&id) {
-            entry.release.set_follow_up(entry.reservation.named_after_request);
+    fn expect_follow_up(&mut self, id: ReservationId, follow_up: FollowUp) {
+        if let Some(entry) = self.entries.get_mut(&id).filter(|entry| entry.reservation.named_after_request) {
+            entry.release.expect_follow_up(follow_up);
         }
     }
 
--- a/crates/nickelgw-node-core/src/ledger/entry.rs
+++ b/crates/nickelgw-node-core/src/ledger/entry.rs
@@ -47,14 +47,26 @@
     }
 }
 
+/// Whether a confirmed release is repeated. An engine may learn of the end of an attempt after the release, which spares what an
+/// attempt claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FollowUp {
+    /// No attempt ended without an answer.
+    Unneeded,
+    /// A prefill did: a further one of the request takes over what it has left.
+    OnceFinished,
+    /// A decode attempt that may have claimed the reservation did. The request's next prefill may be lost, and then nothing
+    /// would release what was spared.
+    Always,
+}
+
 /// How far the release of a reservation has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReleaseState {
     /// No release call has settled it.
     Unconfirmed {
-        /// An attempt that may have claimed it ended without an answer. The engine may learn of that after the release, which
-        /// spares what an attempt claims: the release is repeated once it is confirmed.
-        needs_follow_up: bool,
+        /// Whether the release is repeated once it is confirmed.
+        follow_up: FollowUp,
         /// It was reported as overdue.
         reported_overdue: bool,
     },
@@ -64,20 +76,27 @@
 
 impl ReleaseState {
     const INITIAL: ReleaseState =
-        ReleaseState::Unconfirmed { needs_follow_up: false, reported_overdue: false };
+        ReleaseState::Unconfirmed { follow_up: FollowUp::Unneeded, reported_overdue: false };
 
     /// Whether the reservation is reported once its limit has passed.
     fn is_watched(self) -> bool {
         matches!(self, ReleaseState::Unconfirmed { reported_overdue: false, .. })
     }
 
-    pub(super) fn needs_follow_up(self) -> bool {
-        matches!(self, ReleaseState::Unconfirmed { needs_follow_up: true, .. })
+    pub(super) fn needs_follow_up(self, request_finished: bool) -> bool {
+        match self {
+            ReleaseState::Unconfirmed { follow_up, .. } => match follow_up {
+                FollowUp::Unneeded => false,
+                FollowUp::OnceFinished => request_finished,
+                FollowUp::Always => true,
+            },
+            ReleaseState::Confirmed => false,
+        }
     }
 
-    pub(super) fn set_follow_up(&mut self, needed: bool) {
-        if let ReleaseState::Unconfirmed { needs_follow_up, .. } = self {
-            *needs_follow_up = needed;
+    pub(super) fn expect_follow_up(&mut self, expected: FollowUp) {
+        if let ReleaseState::Unconfirmed { follow_up, .. } = self {
+            *follow_up = expected;
         }
     }
 
