Release scheduler: direct calls apart, one rule for hedging, no copy taken on each poll

Found on reading the change again; behaviour is as it was. - NodeCore::scheduled_release_calls took the scheduler out and left a default one on each poll, only to borrow the router beside it; release_endpoints is a function of router and endpoints now, and the Default is gone. - Calls to the one engine that can release (the chat front's) stood among the scheduled ones, so that each poll walked over them and each engine was an Option; they have a map of their own. - When a release is hedged was written in wake_at and in hedged_calls; hedge_at serves both. register_call, with one caller left, is part of start_call. The two delays of a follow-up are chosen in schedule_follow_up. - Ledger::awaits_release_call is needs_release_call: the check for I/O in a core took its name for an await. 71 tests of node-core pass, unchanged.

--- a/crates/nickelgw-node-core/src/apply_decisions.rs
+++ b/crates/nickelgw-node-core/src/apply_decisions.rs
@@ -4,7 +4,9 @@
 use crate::guard::Violation;
 use crate::node_core::NodeCore;
 use crate::trace::TraceEvent;
-use nickelgw::interface::{Decisions, EngineHandle, Outcome, RejectionReason, RequestHandle};
+use nickelgw::decide::Router;
+use nickelgw::interface::{Decisions, EngineHandle, EngineRole, Outcome, RejectionReason, RequestHandle};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 /// Engines that a release is tried at before it is repeated later.
@@ -156,7 +158,7 @@
             if reservation.named_after_request {
                 self.releases.enqueue(now, id, reservation);
             } else {
-                commands.push(Command::Release(self.releases.call_directly(now, id, reservation)));
+                commands.push(Command::Release(self.releases.call_directly(id, reservation)));
             }
         }
         let calls = self.scheduled_release_calls(now);
@@ -165,25 +167,26 @@
     }
 
     fn scheduled_release_calls(&mut self, now: f64) -> Vec<ReleaseCall> {
-        let mut releases = std::mem::take(&mut self.releases);
-        let is_wanted = |id| self.ledger.awaits_release_call(id);
-        let choose = |prefill_engine: &Rc<Endpoint>| self.release_endpoints(prefill_engine);
-        let calls = releases.poll(now, is_wanted, choose);
-        self.releases = releases;
-        calls
+        let is_wanted = |id| self.ledger.needs_release_call(id);
+        let choose =
+            |prefill_engine: &Rc<Endpoint>| release_endpoints(&self.router, &self.endpoints, prefill_engine);
+        self.releases.poll(now, is_wanted, choose)
     }
+}
 
-    /// Engines at which a release call that any engine takes is tried: those that answered last, or the prefill engine.
-    fn release_endpoints(&self, prefill_engine: &Rc<Endpoint>) -> Vec<Rc<Endpoint>> {
-        let engines = self.router.engines_by_last_response(&prefill_engine.id, RELEASE_ENDPOINTS);
-        let endpoint_of = |engine: &EngineHandle| {
-            self.endpoints.get(self.router.engine_id(*engine)).map(|known| known.0.clone())
-        };
-        let endpoints: Vec<_> = engines.iter().filter_map(endpoint_of).collect();
-        if endpoints.is_empty() {
-            vec![prefill_engine.clone()]
-        } else {
-            endpoints
-        }
+/// Engines at which a release call that any engine takes is tried: those that answered last, or the prefill engine.
+fn release_endpoints(
+    router: &Router,
+    known: &HashMap<String, (Rc<Endpoint>, EngineRole)>,
+    prefill_engine: &Rc<Endpoint>,
+) -> Vec<Rc<Endpoint>> {
+    let engines = router.engines_by_last_response(&prefill_engine.id, RELEASE_ENDPOINTS);
+    let endpoint_of =
+        |engine: &EngineHandle| known.get(router.engine_id(*engine)).map(|known| known.0.clone());
+    let endpoints: Vec<_> = engines.iter().filter_map(endpoint_of).collect();
+    if endpoints.is_empty() {
+        vec![prefill_engine.clone()]
+    } else {
+        endpoints
     }
 }
--- a/crates/nickelgw-node-core/src/ledger.rs
+++ b/crates/nickelgw-node-core/src/ledger.rs
@@ -239,14 +239,7 @@
         let follow_up = confirmed && entry.release.needs_follow_up(request_finished);
         match (confirmed, claimed_by) {
             (true, Some(attempt)) => return self.transition(now, id, Stage::Released { attempt }),
-            (true, None) if follow_up => {
-                let delay_s = if request_finished {
-                    FOLLOW_UP_SHARE * self.reservation_limit_s
-                } else {
-                    RETRY_FOLLOW_UP_S
-                };
-                return self.schedule_follow_up(now + delay_s, now, id);
-            }
+            (true, None) if follow_up => return self.schedule_follow_up(now, id, request_finished),
             (true, None) => self.counters.released += 1,
             (false, _) if engine_gone => self.counters.lost += 1,
             (false, _) => {
@@ -287,7 +280,7 @@
     }
 
     /// Whether a release call is to be made, or its answer awaited.
-    pub fn awaits_release_call(&self, id: ReservationId) -> bool {
+    pub fn needs_release_call(&self, id: ReservationId) -> bool {
         matches!(self.stage(id), Some(Stage::Releasing { next_call_at: None, .. }))
     }
 
@@ -346,9 +339,10 @@
     }
 
     /// The release is confirmed, but may have overtaken the end of an attempt: it is repeated once.
-    fn schedule_follow_up(&mut self, call_at: f64, now: f64, id: ReservationId) {
+    fn schedule_follow_up(&mut self, now: f64, id: ReservationId, request_finished: bool) {
         self.update(id, |entry| entry.release = ReleaseState::Confirmed);
-        let next_call_at = Some(call_at);
+        let finished_delay_s = FOLLOW_UP_SHARE * self.reservation_limit_s;
+        let next_call_at = Some(now + if request_finished { finished_delay_s } else { RETRY_FOLLOW_UP_S });
         self.transition(now, id, Stage::Releasing { since: now, calls: 0, next_call_at, claimed_by: None });
     }
 
--- a/crates/nickelgw-node-core/src/release_scheduler.rs
+++ b/crates/nickelgw-node-core/src/release_scheduler.rs
@@ -56,8 +56,7 @@
 struct CallInFlight {
     reservation: ReservationId,
     round: u64,
-    /// The engine, where its health is followed.
-    engine: Option<String>,
+    engine: String,
     connection: ReleaseConnection,
     started_at: f64,
 }
@@ -94,18 +93,14 @@
     /// Those with no call in flight, the oldest first.
     waiting: VecDeque<(ReservationId, u64)>,
     calls: BTreeMap<ReleaseCallId, CallInFlight>,
+    /// Calls in flight to the one engine that can release a reservation.
+    direct_calls: BTreeMap<ReleaseCallId, ReservationId>,
     engines: HashMap<String, EngineHealth>,
     hedge_budget: HedgeBudget,
     random: WyRand,
     next_number: u64,
 }
 
-impl Default for ReleaseScheduler {
-    fn default() -> ReleaseScheduler {
-        ReleaseScheduler::new(0)
-    }
-}
-
 impl ReleaseScheduler {
     /// An empty scheduler; `seed` is that of the jitter.
     pub(crate) fn new(seed: u64) -> ReleaseScheduler {
@@ -113,6 +108,7 @@
             pending: BTreeMap::new(),
             waiting: VecDeque::new(),
             calls: BTreeMap::new(),
+            direct_calls: BTreeMap::new(),
             engines: HashMap::new(),
             hedge_budget: HedgeBudget { tokens: HEDGE_BURST, refilled_at: 0.0 },
             random: WyRand::new_seed(seed),
@@ -121,16 +117,10 @@
     }
 
     /// A call to the one engine that can release the reservation; nothing limits it here.
-    pub(crate) fn call_directly(
-        &mut self,
-        now: f64,
-        id: ReservationId,
-        reservation: Reservation,
-    ) -> ReleaseCall {
-        let round = self.new_number();
+    pub(crate) fn call_directly(&mut self, id: ReservationId, reservation: Reservation) -> ReleaseCall {
+        let call = ReleaseCallId(self.new_number());
+        self.direct_calls.insert(call, id);
         let endpoint = reservation.prefill_engine.clone();
-        self.pending.insert(id, PendingRelease::new(now, round, reservation.clone()));
-        let call = self.register_call(now, id, round, None, ReleaseConnection::Any);
         ReleaseCall { id: call, reservation, endpoint, connection: ReleaseConnection::Any }
     }
 
@@ -176,13 +166,9 @@
     /// When to poll again, if nothing happens before.
     pub(crate) fn wake_at(&self, now: f64) -> Option<f64> {
         let blocked = (!self.waiting.is_empty()).then_some(now + BLOCKED_POLL_INTERVAL_S);
-        let in_flight = self.calls.values().filter_map(|call| {
-            let pending = self.pending_round(call.reservation, call.round)?;
-            let hedge_at = pending.last_call_at + HEDGE_DELAY_S;
-            let may_hedge = call.engine.is_some() && pending.calls_made < MAX_CALLS_PER_ROUND;
-            may_hedge.then_some(if hedge_at > now { hedge_at } else { now + BLOCKED_POLL_INTERVAL_S })
-        });
-        in_flight.chain(blocked).min_by(f64::total_cmp)
+        let hedges = self.calls.values().filter_map(|call| self.hedge_at(call));
+        let hedges = hedges.map(|at| if at > now { at } else { now + BLOCKED_POLL_INTERVAL_S });
+        hedges.chain(blocked).min_by(f64::total_cmp)
     }
 
     /// A call has ended. Returns the reservation whose release it decides, and whether that is confirmed.
@@ -192,6 +178,9 @@
         id: ReleaseCallId,
         outcome: ReleaseOutcome,
     ) -> Option<(ReservationId, bool)> {
+        if let Some(reservation) = self.direct_calls.remove(&id) {
+            return Some((reservation, outcome == ReleaseOutcome::Confirmed));
+        }
         let call = self.calls.remove(&id)?;
         self.update_health(now, &call, outcome);
         let reservation = call.reservation;
@@ -203,13 +192,13 @@
         }
         if call.connection == ReleaseConnection::Any {
             // An idle connection that fails says nothing of the engine, which may be called on a new one.
-            pending.tried.retain(|tried| Some(tried) != call.engine.as_ref());
+            pending.tried.retain(|tried| *tried != call.engine);
         }
         if pending.calls_in_flight > 0 {
             return None;
         }
         let has_further = pending.calls_made < MAX_CALLS_PER_ROUND && pending.untried().next().is_some();
-        if has_further && call.engine.is_some() && outcome == ReleaseOutcome::Unanswered {
+        if has_further && outcome == ReleaseOutcome::Unanswered {
             self.waiting.push_front((reservation, call.round));
             return None;
         }
@@ -226,6 +215,12 @@
         self.pending.get(&id).filter(|pending| pending.round == round)
     }
 
+    /// When the release of this call is tried at a further engine; none: the call decides nothing any more, or enough were made.
+    fn hedge_at(&self, call: &CallInFlight) -> Option<f64> {
+        let pending = self.pending_round(call.reservation, call.round)?;
+        (pending.calls_made < MAX_CALLS_PER_ROUND).then_some(pending.last_call_at + HEDGE_DELAY_S)
+    }
+
     /// Starts calls for releases that have none in flight, as far as engines are available.
     fn first_calls(
         &mut self,
@@ -260,13 +255,7 @@
         now: f64,
         choose: impl Fn(&Rc<Endpoint>) -> Vec<Rc<Endpoint>>,
     ) -> Vec<ReleaseCall> {
-        let is_overdue = |call: &&CallInFlight| {
-            let pending = self.pending_round(call.reservation, call.round);
-            call.engine.is_some()
-                && pending.is_some_and(|pending| {
-                    pending.calls_made < MAX_CALLS_PER_ROUND && now >= pending.last_call_at + HEDGE_DELAY_S
-                })
-        };
+        let is_overdue = |call: &&CallInFlight| self.hedge_at(call).is_some_and(|at| now >= at);
         let mut overdue: Vec<ReservationId> =
             self.calls.values().filter(is_overdue).map(|call| call.reservation).collect();
         overdue.dedup();
@@ -301,37 +290,22 @@
         let connection = health.connection(now, is_hedge);
         health.call_started(now);
         pending.tried.push(endpoint.id.clone());
+        pending.calls_made += 1;
+        pending.calls_in_flight += 1;
+        pending.last_call_at = now;
         let (round, reservation) = (pending.round, pending.reservation.clone());
         if is_hedge {
             self.hedge_budget.take();
         }
-        let call = self.register_call(now, id, round, Some(endpoint.id.clone()), connection);
-        Some(ReleaseCall { id: call, reservation, endpoint, connection })
-    }
-
-    fn register_call(
-        &mut self,
-        now: f64,
-        id: ReservationId,
-        round: u64,
-        engine: Option<String>,
-        connection: ReleaseConnection,
-    ) -> ReleaseCallId {
-        if let Some(pending) = self.pending.get_mut(&id) {
-            pending.calls_made += 1;
-            pending.calls_in_flight += 1;
-            pending.last_call_at = now;
-        }
         let call = ReleaseCallId(self.new_number());
+        let engine = endpoint.id.clone();
         let in_flight = CallInFlight { reservation: id, round, engine, connection, started_at: now };
         self.calls.insert(call, in_flight);
-        call
+        Some(ReleaseCall { id: call, reservation, endpoint, connection })
     }
 
     fn update_health(&mut self, now: f64, call: &CallInFlight, outcome: ReleaseOutcome) {
-        let Some(health) = call.engine.as_ref().and_then(|engine| self.engines.get_mut(engine)) else {
-            return;
-        };
+        let Some(health) = self.engines.get_mut(&call.engine) else { return };
         match outcome {
             ReleaseOutcome::Confirmed | ReleaseOutcome::Refused => {
                 health.call_answered(now, call.started_at);
