--- a/crates/nickelgw-cli/tests/lifecycle/main.rs
+++ b/crates/nickelgw-cli/tests/lifecycle/main.rs
@@ -71,21 +71,23 @@
     assert_eq!((code, after.map(|seen| seen.outcome)), (0, Some("completed".into())));
 }
 
+/// A client that sends a streamed request in a thread of its own.
+fn start_stream(site: &Arc<TestSite>) -> thread::JoinHandle<Option<client::CallResult>> {
+    let site = site.clone();
+    thread::spawn(move || site.chat("q"))
+}
+
 #[test]
 fn sigterm_lets_streams_end_and_further_ones_skip_stages() {
     let site = Arc::new(TestSite::new("term", 0.1));
-    let start_stream = || {
-        let site = site.clone();
-        thread::spawn(move || site.chat("q"))
-    };
     let mut node = site.start_node();
-    let stream = start_stream();
+    let stream = start_stream(&site);
     thread::sleep(Duration::from_millis(300));
     send_signal(&node, Signal::TERM);
     assert!(stream.join().unwrap().is_some_and(|seen| seen.outcome == "completed"));
     assert_eq!(exit_code(&mut node), 0);
     let mut node = site.start_node();
-    let stream = start_stream();
+    let stream = start_stream(&site);
     thread::sleep(Duration::from_millis(300));
     for _ in 0..3 {
         send_signal(&node, Signal::TERM);
@@ -178,12 +180,8 @@
 #[test]
 fn connection_is_refused_once_the_node_has_stopped_listening() {
     let site = Arc::new(TestSite::new("refuse", 0.3));
-    let start_stream = || {
-        let site = site.clone();
-        thread::spawn(move || site.chat("q"))
-    };
     let mut node = site.start_node();
-    let stream = start_stream();
+    let stream = start_stream(&site);
     thread::sleep(Duration::from_millis(300));
     send_signal(&node, Signal::TERM);
     // 0.3 s are for the notice.
@@ -202,10 +200,7 @@
     let mut old_node = site.start_node();
     send_signal(&old_node, Signal::HUP);
     assert_eq!(exit_code(&mut old_node), 0);
-    let stream = {
-        let site = site.clone();
-        thread::spawn(move || site.chat("q"))
-    };
+    let stream = start_stream(&site);
     thread::sleep(Duration::from_millis(300));
     site.signal_successor(Signal::TERM);
     thread::sleep(Duration::from_millis(700));
--- a/crates/nickelgw-cli/tests/platform_soak/clients.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/clients.rs
@@ -4,11 +4,13 @@
 use crate::member::Member;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use nanorand::{Rng, WyRand};
-use nickelgw_test_servers::platform::{send_on, ClientRequest, Exchange, Outcome, RequestTable, RuleLimits};
+use nickelgw_test_servers::platform::{
+    lock, send_on, ClientRequest, Exchange, Outcome, RequestTable, RuleLimits,
+};
 use smol::net::TcpStream;
 use smol::Timer;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -119,7 +121,7 @@
     }
 
     async fn connection(&self) -> Option<ClientConnection> {
-        if let Some(stream) = self.lock_idle().pop() {
+        if let Some(stream) = lock(&self.idle).pop() {
             return Some(ClientConnection { stream, opened_at: None });
         }
         if !self.member.takes_connections() {
@@ -128,16 +130,12 @@
         Some(ClientConnection::new(TcpStream::connect(self.member.address).await.ok()?))
     }
 
-    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     async fn exchange(&self, connection: ClientConnection, request: &ClientRequest) -> Outcome {
         let sent_at = Instant::now();
         let slack = RuleLimits::default().answer_slack;
         let Exchange { outcome, connection: kept } =
             send_on(connection.stream, request, &self.table, slack).await;
-        self.lock_idle().extend(kept);
+        lock(&self.idle).extend(kept);
         self.judge(request, sent_at, connection.opened_at, &outcome);
         outcome
     }
@@ -170,7 +168,7 @@
             // Allowed if the node has not read it, which its log tells.
             let (id, ended_at, outcome) = (request.id.clone(), Instant::now(), outcome.clone());
             let unread = UnreadRequest { id, sent_at, ended_at, outcome };
-            self.unread.lock().unwrap_or_else(PoisonError::into_inner).push(unread);
+            lock(&self.unread).push(unread);
         } else {
             let after = sent_at.elapsed();
             self.table.no_final_answer(&request.id, format!("{outcome:?} after {after:?}"));
--- a/crates/nickelgw-cli/tests/platform_soak/faults.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/faults.rs
@@ -3,7 +3,7 @@
 use crate::fleet::Fleet;
 use crate::member::Member;
 use nanorand::{Rng, WyRand};
-use nickelgw_test_servers::platform::{Behaviour, Proxy};
+use nickelgw_test_servers::platform::{lock, Behaviour, Proxy};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -184,14 +184,14 @@
                 });
             };
             set("draining");
-            *behaviour.draining_since.lock().unwrap() = Some(Instant::now());
+            *lock(&behaviour.draining_since) = Some(Instant::now());
             sleep(drains_for);
             let entry = discovery.list()["instances"]
                 .as_array()
                 .and_then(|instances| instances.iter().find(|entry| entry["instanceId"] == id).cloned());
             discovery.announce(|instances| instances.retain(|entry| entry["instanceId"] != id));
             sleep(ABSENCE);
-            *behaviour.draining_since.lock().unwrap() = None;
+            *lock(&behaviour.draining_since) = None;
             let started_at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
             discovery.announce(|instances| {
                 instances.extend(entry.map(|mut entry| {
--- a/crates/nickelgw-cli/tests/platform_soak/fleet.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/fleet.rs
@@ -6,10 +6,10 @@
 use crate::member::Member;
 use crate::processes::write_config_for;
 use crate::world::{endpoints, start_engines, ProxiedEngine};
-use nickelgw_test_servers::platform::{Discovery, Outcome, RequestTable, RuleLimits};
+use nickelgw_test_servers::platform::{lock, Discovery, Outcome, RequestTable, RuleLimits};
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -129,7 +129,7 @@
 
     /// Runs a fault of a node beside the others.
     pub fn run_beside(&self, fault: impl FnOnce() + Send + 'static) {
-        self.node_faults.lock().unwrap_or_else(PoisonError::into_inner).push(spawn(fault));
+        lock(&self.node_faults).push(spawn(fault));
     }
 
     /// A node is killed; its reservations are released by the platform.
@@ -159,7 +159,7 @@
 
     /// Waits until faults of nodes have run to their end.
     pub fn join_node_faults(&self) {
-        let faults = std::mem::take(&mut *self.node_faults.lock().unwrap_or_else(PoisonError::into_inner));
+        let faults = std::mem::take(&mut *lock(&self.node_faults));
         faults.into_iter().for_each(|fault| fault.join().unwrap());
     }
 
@@ -184,10 +184,11 @@
             let is_expected =
                 |finding: &Finding| clients.is_crowded && finding.what.contains(ENDLESS_REQUEST);
             findings.extend(of_log.into_iter().filter(|finding| !is_expected(finding)));
-            let ended_unread = std::mem::take(&mut *clients.unread.lock().unwrap());
-            let read = ended_unread.iter().filter(|request| was_read(&log, &request.id));
-            findings.extend(read.map(read_and_unanswered));
-            unread += ended_unread.len();
+            let ended_unread = std::mem::take(&mut *lock(&clients.unread));
+            let (read, not_read): (Vec<_>, Vec<_>) =
+                ended_unread.iter().partition(|request| was_read(&log, &request.id));
+            findings.extend(read.into_iter().map(read_and_unanswered));
+            unread += not_read.len();
         }
         if findings.is_empty() {
             self.members.iter().for_each(|member| drop(std::fs::remove_file(&member.log)));
--- a/crates/nickelgw-cli/tests/platform_soak/judge.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/judge.rs
@@ -118,11 +118,14 @@
 
     /// Judges all findings, and prints and writes each with what is known of it.
     pub fn report(&self, findings: &[Finding], file: &mut impl Write) -> Vec<Judgement> {
-        let judgements: Vec<Judgement> = findings.iter().map(|finding| self.judge(finding)).collect();
-        for (finding, judgement) in findings.iter().zip(&judgements) {
-            let line = self.line(finding, *judgement);
+        let mut judgements = Vec::new();
+        for finding in findings {
+            let lateness = self.lateness.max_between(finding.from, finding.until);
+            let judgement = judge(finding.excess, lateness);
+            let line = self.line(finding, lateness, judgement);
             println!("{line}");
             writeln!(file, "{line}").expect("the record can be written");
+            judgements.push(judgement);
         }
         if !findings.is_empty() {
             let faults = json!({"seed": self.seed, "play": self.play, "faults": self.faults});
@@ -131,12 +134,7 @@
         judgements
     }
 
-    fn judge(&self, finding: &Finding) -> Judgement {
-        judge(finding.excess, self.lateness.max_between(finding.from, finding.until))
-    }
-
-    fn line(&self, finding: &Finding, judgement: Judgement) -> Value {
-        let lateness = self.lateness.max_between(finding.from, finding.until);
+    fn line(&self, finding: &Finding, lateness: Duration, judgement: Judgement) -> Value {
         json!({
             "seed": self.seed,
             "play": self.play,
--- a/crates/nickelgw-cli/tests/platform_soak/lateness.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/lateness.rs
@@ -1,6 +1,7 @@
 //! How late the soak's own tasks and threads run, over time: what they say of others in that time is no surer than that.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use nickelgw_test_servers::platform::lock;
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -35,7 +36,7 @@
     }
 
     fn samples(&self) -> MutexGuard<'_, Vec<Sample>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 
     /// A sampler that was due at this moment has woken up.
--- a/crates/nickelgw-cli/tests/platform_soak/member.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/member.rs
@@ -2,18 +2,19 @@
 
 use crate::common::TEST_TIMEOUT;
 use crate::processes::{is_ready, start_process_with};
+use nickelgw_test_servers::platform::lock;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 /// Descriptors of a node.
-pub const DESCRIPTORS: usize = 256;
+const DESCRIPTORS: usize = 256;
 /// After the request to shut down new connections still come for a time in this range.
 const ACCEPT_RANGE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(400));
 /// SIGKILL comes so long after it, the platform's earliest moment: the longest deadline and 0.7 s.
@@ -62,10 +63,6 @@
     ready_at: Mutex<Option<Instant>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn spawn_process(config: &Path, log: &Path) -> Child {
     let file = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
     start_process_with(config, DESCRIPTORS, |process| {
--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -31,6 +31,13 @@
     )
 }
 
+/// The whole response to a GET of this path; empty if none comes within this time.
+pub fn http_get(address: &str, path: &str, timeout_s: f64) -> String {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let response = smol::block_on(client::send_raw(address, &[request.as_bytes()], 0.0, timeout_s));
+    String::from_utf8(response).unwrap()
+}
+
 pub fn listener() -> (TcpListener, String) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
--- a/crates/nickelgw-node/tests/shutdown.rs
+++ b/crates/nickelgw-node/tests/shutdown.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{engine_config, post, TestCluster};
+use common::{engine_config, http_get, post, TestCluster};
 use nickelgw_node::{Exit, ProcessSignal};
 use nickelgw_test_servers::client::{self, response_status, ChatCall};
 use nickelgw_test_servers::engine_config;
@@ -113,11 +113,7 @@
     });
     cluster.control("w0a", json!({"fault": "lose", "for_s": 60.0, "share": 1.0}));
     assert_eq!(cluster.send(cluster.chat_request("lost-one", "booking")).outcome, "errored");
-    let get = |path: &str| {
-        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-        let response = smol::block_on(client::send_raw(&admin, &[request.as_bytes()], 0.0, 2.0));
-        String::from_utf8(response).unwrap()
-    };
+    let get = |path: &str| http_get(&admin, path, 2.0);
     let trace = get("/why/lost-one");
     for expected in [
         "model booking",
--- a/crates/nickelgw-node/tests/stalled.rs
+++ b/crates/nickelgw-node/tests/stalled.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{engine_config, post, wait_until, TestCluster};
+use common::{engine_config, http_get, post, wait_until, TestCluster};
 use nickelgw_test_servers::client::{self, ChatCall};
 use nickelgw_test_servers::engine_config;
 use serde_json::json;
@@ -49,13 +49,6 @@
     (cluster, admin)
 }
 
-/// The node's trace of a request.
-fn request_trace(admin: &str, id: &str) -> String {
-    let request = format!("GET /why/{id} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-    let response = smol::block_on(client::send_raw(admin, &[request.as_bytes()], 0.0, 5.0));
-    String::from_utf8_lossy(&response).to_string()
-}
-
 /// A client that asks for a stream and has a small receive buffer.
 fn connect(cluster: &TestCluster, number: usize) -> TcpStream {
     let body =
@@ -117,7 +110,7 @@
     };
     let started_at = Instant::now();
     let outcome = cluster.send(request).outcome;
-    let trace = || request_trace(&admin, "quick");
+    let trace = || http_get(&admin, "/why/quick", 5.0);
     assert_eq!(outcome, "completed", "after {:?}: {}", started_at.elapsed(), trace());
     let health = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     wait_until("all connections but this one are closed", 60.0, Duration::from_millis(50), || {
--- a/crates/nickelgw-test-servers/src/platform/discovery.rs
+++ b/crates/nickelgw-test-servers/src/platform/discovery.rs
@@ -1,12 +1,13 @@
 //! A discovery service that announces changes of its list of engines.
 
 use super::http::{read_message, response};
+use super::lock;
 use futures_lite::AsyncWriteExt;
 use serde_json::{json, Value};
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time between checks for a newer list.
@@ -29,18 +30,14 @@
         Ok(discovery)
     }
 
-    fn lock(&self) -> MutexGuard<'_, Value> {
-        self.list.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The list as it is announced now.
     pub fn list(&self) -> Value {
-        self.lock().clone()
+        lock(&self.list).clone()
     }
 
     /// Announces a change of the list's instances.
     pub fn announce(&self, change: impl FnOnce(&mut Vec<Value>)) {
-        let mut list = self.lock();
+        let mut list = lock(&self.list);
         if let Some(instances) = list["instances"].as_array_mut() {
             change(instances);
         }
--- a/crates/nickelgw-test-servers/src/platform/engine.rs
+++ b/crates/nickelgw-test-servers/src/platform/engine.rs
@@ -3,16 +3,14 @@
 use super::client::stream_events;
 use super::http::{chunk, read_message, read_some, response, Message, LAST_CHUNK};
 use super::request_table::RequestTable;
-use super::Role;
+use super::{lock, Role};
 use futures_lite::{future, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Path of release calls, before the request's id.
@@ -45,8 +43,6 @@
     pub draining_since: Mutex<Option<Instant>>,
     /// Release calls that have arrived.
     pub release_calls: AtomicU64,
-    /// Release calls answered.
-    pub releases: AtomicU64,
     /// Attempts that have arrived.
     pub attempts: AtomicU64,
 }
@@ -78,10 +74,6 @@
     future::or(work, closed).await
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Engine {
     /// Starts an engine on a free port.
     pub async fn start(index: usize, role: Role, table: Arc<RequestTable>) -> std::io::Result<Engine> {
@@ -124,11 +116,14 @@
         let work_ms = self.behaviour.connection_work_ms.load(Relaxed);
         if is_new && work_ms > 0 {
             let connection_work = self.connection_work.clone();
-            let work = smol::spawn(async move {
+            let (done, finished) = async_channel::bounded::<()>(1);
+            smol::spawn(async move {
                 let _one_at_a_time = connection_work.lock().await;
                 Timer::after(Duration::from_millis(work_ms)).await;
-            });
-            DetachOnDrop(Some(work)).await;
+                drop(done);
+            })
+            .detach();
+            let _ = finished.recv().await;
         }
     }
 
@@ -144,7 +139,6 @@
             self.behaviour.release_calls.fetch_add(1, Relaxed);
             self.table.release(id);
             self.open_connection(is_new).await;
-            self.behaviour.releases.fetch_add(1, Relaxed);
             return Some(response("204 No Content", "", ""));
         }
         if request.first_line.starts_with("GET") {
@@ -215,26 +209,6 @@
     }
 }
 
-/// A task that goes on when nobody waits for it any more.
-struct DetachOnDrop(Option<smol::Task<()>>);
-
-impl Future for DetachOnDrop {
-    type Output = ();
-
-    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        match &mut self.0 {
-            Some(task) => Pin::new(task).poll(context),
-            None => Poll::Ready(()),
-        }
-    }
-}
-
-impl Drop for DetachOnDrop {
-    fn drop(&mut self) {
-        self.0.take().into_iter().for_each(smol::Task::detach);
-    }
-}
-
 /// An attempt at an engine; it ends when dropped.
 struct OpenAttempt {
     table: Arc<RequestTable>,
--- a/crates/nickelgw-test-servers/src/platform/proxy.rs
+++ b/crates/nickelgw-test-servers/src/platform/proxy.rs
@@ -3,12 +3,12 @@
 use super::engine::Engine;
 use super::http::read_some;
 use super::request_table::RequestTable;
-use super::Role;
+use super::{lock, Role};
 use futures_lite::AsyncWriteExt;
 use smol::net::{TcpListener, TcpStream};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Header with a request's id, at the beginning of its line.
@@ -67,10 +67,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Open connections, and the faults of new ones.
 #[derive(Default)]
 struct ProxyState {
--- a/crates/nickelgw-test-servers/src/platform/request_table.rs
+++ b/crates/nickelgw-test-servers/src/platform/request_table.rs
@@ -1,8 +1,8 @@
 //! What all engines know together: reservations and attempts by request, and the violations found.
 
-use super::{ObservedViolation, Role, RuleLimits, Violation};
+use super::{lock, ObservedViolation, Role, RuleLimits, Violation};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// What is known of one request.
@@ -18,8 +18,6 @@
     decode_attempts: u32,
     /// Since when a reservation stands with no attempt at an engine.
     unattended_since: Option<Instant>,
-    /// The longest such time that has ended.
-    longest_unattended: Duration,
     /// Decode attempts that were not rejected.
     runs: u32,
     at_most_once: bool,
@@ -50,9 +48,7 @@
             self.unattended_since.get_or_insert(now);
             return None;
         }
-        let span = UnattendedSpan { from: self.unattended_since.take()?, until: now };
-        self.longest_unattended = self.longest_unattended.max(span.duration());
-        Some(span)
+        Some(UnattendedSpan { from: self.unattended_since.take()?, until: now })
     }
 
     fn add_attempt(&mut self, role: Role) {
@@ -64,11 +60,6 @@
         self.attempts = self.attempts.saturating_sub(1);
         self.decode_attempts = self.decode_attempts.saturating_sub(u32::from(role == Role::Decode));
     }
-
-    fn longest_unattended(&self) -> Duration {
-        let current = self.unattended_since.map_or(Duration::ZERO, |since| since.elapsed());
-        self.longest_unattended.max(current)
-    }
 }
 
 /// Requests by their id, and violations.
@@ -86,11 +77,11 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, RequestState>> {
-        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.requests)
     }
 
     fn lock_violations(&self) -> MutexGuard<'_, Vec<ObservedViolation>> {
-        self.violations.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.violations)
     }
 
     fn report(&self, violation: Violation, from: Instant, until: Instant) {
@@ -225,11 +216,6 @@
         });
     }
 
-    /// The longest time for which a reservation of the request was unattended, up to now.
-    pub fn longest_unattended(&self, id: &str) -> Duration {
-        self.lock().get(id).map_or(Duration::ZERO, RequestState::longest_unattended)
-    }
-
     /// Whether the request has a reservation.
     pub fn is_reserved(&self, id: &str) -> bool {
         self.lock().get(id).is_some_and(|request| !request.reserved_at.is_empty())
@@ -283,7 +269,6 @@
         for (id, request) in self.lock().iter_mut() {
             let since = request.unattended_since.filter(|since| now - *since > self.limits.max_unattended);
             if let Some(since) = since {
-                request.longest_unattended = request.longest_unattended.max(now - since);
                 request.unattended_since = Some(now);
                 spans.push((id.clone(), UnattendedSpan { from: since, until: now }));
             }
