A request's time counts from the arrival of its last byte, not from its admission

Callers: engines were given more time than the client had left and worked for clients that had given up; a request read after its deadline still went to engines.

Cause: NodeCore::accept_request started the time at the node's clock. While the table of clients is full a connection waits in the backlog with its request.

The same fault elsewhere: on open connections of a held-up process, and behind an open request on one connection.

Fix: ArrivalTimes asks the kernel at each read how long ago data came last (TCP_INFO: a monotonic clock, no step of the wall clock matters), bounded by the last read that found nothing. Deadline, objective, queue order and the time for a whole request count from there. TCP_INFO needs one getsockopt by hand: no crate of the tree has it, and nix asserts the length that the system returns.

--- a/crates/nickelgw-cli/tests/platform.rs
+++ b/crates/nickelgw-cli/tests/platform.rs
@@ -332,3 +332,39 @@
     assert_eq!(ids(&prefill), ["fa10", "fb01", "fb10"]);
     assert_eq!(ids(&decode), ["fa10", "fb10"]);
 }
+
+/// A request that arrived on an open connection while the node was held up had its whole time from the moment it was read.
+#[test]
+fn time_in_which_the_node_was_held_up_counts_against_the_deadline() {
+    const HELD_UP: Duration = Duration::from_millis(600);
+    const BUDGET: Duration = Duration::from_millis(1500);
+    const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+    let (prefill, decode) = (prefill_engine(), peer(|_, _| PeerAction::Respond(stream_response())));
+    let known = endpoint_list(&[&prefill], &[&decode]);
+    let node = start_node_with(64, &silent_discovery(), known, 128, |config| {
+        // No request is rejected because it has waited.
+        config["settings"]["classes"][0]["slo_s"] = 4.0.into();
+    });
+    node.wait_until_ready();
+    let mut client = connect(node.address);
+    client.write_all(chat_request("fd01").as_bytes()).unwrap();
+    assert!(read_response(&mut client).starts_with("HTTP/1.1 200"));
+    node.suspend();
+    let sent_at = Instant::now();
+    let budget_header = format!("X-Budget-Ms: {}", BUDGET.as_millis());
+    let request = chat_request("fd02").replace("X-Budget-Ms: 4000", &budget_header);
+    client.write_all(request.as_bytes()).unwrap();
+    sleep(HELD_UP);
+    node.resume();
+    assert!(read_response(&mut client).starts_with("HTTP/1.1 200"));
+    // It was sent to the engine no sooner than the node ran again.
+    let left = BUDGET.saturating_sub(HELD_UP);
+    let attempt = prefill.received("POST").into_iter().find(|request| request.contains("fd02")).unwrap();
+    let given = attempt.lines().find_map(|line| line.strip_prefix("x-budget-ms: ")).unwrap();
+    let given = Duration::from_millis(given.parse().unwrap());
+    assert!(
+        given <= left + DEADLINE_SLACK,
+        "given {given:?} with {left:?} left, sent {:?} ago",
+        sent_at.elapsed()
+    );
+}
--- a/crates/nickelgw-node-core/src/admission.rs
+++ b/crates/nickelgw-node-core/src/admission.rs
@@ -39,7 +39,9 @@
     pub route: usize,
     /// Number of the tenant.
     pub tenant: Option<usize>,
-    /// Longest that its client waits for the first token.
+    /// When its last byte arrived at this machine, by the node's clock; none: as it is accepted.
+    pub arrived_at: Option<f64>,
+    /// Longest that its client waits for the first token, from its arrival.
     pub timeout_s: f64,
     /// For a client that does not stream: longest that it waits for the whole answer.
     pub unary_timeout_s: Option<f64>,
@@ -158,6 +160,7 @@
             name: None,
             route,
             tenant,
+            arrived_at: None,
             timeout_s: client_timeout_s.map_or(timeout_s, |client_s| client_s.clamp(0.0, timeout_s)),
             unary_timeout_s: (!chat.stream).then_some(unary_timeout_s),
             prompt_tokens: chat.prompt_tokens,
--- a/crates/nickelgw-node-core/src/request_admission.rs
+++ b/crates/nickelgw-node-core/src/request_admission.rs
@@ -24,8 +24,9 @@
         if let Some((tenant, weight)) = self.tenant_weight(admitted.tenant) {
             self.fair_share.request_opened(tenant, weight);
         }
-        let deadline = now + admitted.timeout_s;
-        let handle = self.router.admit_request(now, &incoming_request(admitted, deadline));
+        let arrived_at = admitted.arrived_at.unwrap_or(now);
+        let deadline = arrived_at + admitted.timeout_s;
+        let handle = self.router.admit_request(now, &incoming_request(admitted, arrived_at, deadline));
         self.open_requests += 1;
         if let Some(open) = admitted.tenant.and_then(|tenant| self.open_by_tenant.get_mut(tenant)) {
             *open += 1;
@@ -37,10 +38,12 @@
             name: admitted.name.clone(),
             trace: None,
             tenant: admitted.tenant,
-            late_after: now + LATE_FIRST_TOKEN_SHARE * self.ttft_objective_s(admitted),
+            late_after: arrived_at + LATE_FIRST_TOKEN_SHARE * self.ttft_objective_s(admitted),
             stage: RequestStage::Waiting,
             deadline,
-            unary_deadline: admitted.unary_timeout_s.map_or(f64::INFINITY, |timeout_s| now + timeout_s),
+            unary_deadline: admitted
+                .unary_timeout_s
+                .map_or(f64::INFINITY, |timeout_s| arrived_at + timeout_s),
             attempts: Vec::new(),
         };
         Ok(self.requests.insert(handle, request))
@@ -84,10 +87,11 @@
     }
 }
 
-fn incoming_request(admitted: &AdmittedRequest, deadline: f64) -> IncomingRequest {
+fn incoming_request(admitted: &AdmittedRequest, arrived_at: f64, deadline: f64) -> IncomingRequest {
     IncomingRequest {
         route: admitted.route,
         tenant: admitted.tenant,
+        arrived_at,
         deadline,
         prompt_tokens: admitted.prompt_tokens,
         prefix_tokens: admitted.prefix_tokens,
--- a/crates/nickelgw-node-core/src/tests.rs
+++ b/crates/nickelgw-node-core/src/tests.rs
@@ -92,6 +92,7 @@
         name: None,
         route,
         tenant: Some(0),
+        arrived_at: None,
         timeout_s: 2.0,
         unary_timeout_s: None,
         prompt_tokens: 200.0,
--- a/crates/nickelgw-node/examples/fleet/main.rs
+++ b/crates/nickelgw-node/examples/fleet/main.rs
@@ -215,6 +215,7 @@
         let request = IncomingRequest {
             route: 0,
             tenant: None,
+            arrived_at: now,
             deadline: now + 6.0,
             prompt_tokens: 1000.0,
             prefix_tokens: 0.0,
--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -2,6 +2,7 @@
 //! All of a node runs on one thread; `docs/design-node.md` says why.
 
 mod admin;
+mod arrival;
 mod background;
 pub mod client;
 mod clock;
@@ -26,6 +27,7 @@
 mod submission;
 mod tls_reload;
 
+pub use arrival::ArrivalTimes;
 pub use clock::{seconds, within, Clock};
 pub use deferred::{DeferredQueueConfig, MAX_ATTEMPTS};
 pub use events::ProcessSignal;
--- a/crates/nickelgw-platform-config/tests/settings.rs
+++ b/crates/nickelgw-platform-config/tests/settings.rs
@@ -106,6 +106,7 @@
         let incoming = IncomingRequest {
             route: 0,
             tenant: Some(tenant),
+            arrived_at: 1.0,
             deadline: 6.0,
             prompt_tokens: 500.0,
             prefix_tokens: 0.0,
--- a/crates/nickelgw-platform/src/clients/mod.rs
+++ b/crates/nickelgw-platform/src/clients/mod.rs
@@ -22,6 +22,7 @@
 use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 /// A connection that has been idle for so long after a response is closed; sooner where others need its place.
 const KEEP_ALIVE_TIMEOUT_S: f64 = 30.0;
@@ -32,6 +33,8 @@
     known_names: KnownNames,
     memory: Rc<MemoryBudget>,
     table: Rc<ConnectionTable>,
+    /// When the listener's backlog was seen empty: what is accepted later had not arrived by then.
+    backlog_empty_at: Cell<Instant>,
     /// Each response is the last of its connection.
     draining: Cell<bool>,
 }
@@ -45,7 +48,14 @@
         memory: Rc<MemoryBudget>,
     ) -> Rc<ClientServer> {
         let table = ConnectionTable::new(max_connections);
-        Rc::new(ClientServer { node, known_names, memory, table, draining: Cell::new(false) })
+        Rc::new(ClientServer {
+            node,
+            known_names,
+            memory,
+            table,
+            backlog_empty_at: Cell::new(Instant::now()),
+            draining: Cell::new(false),
+        })
     }
 
     /// Accepts until told to stop, and then what the system has accepted already: a request on such a connection counts as
@@ -57,10 +67,12 @@
             while self.table.is_full() {
                 self.make_room().await;
             }
+            let accepted_at = Instant::now();
             match listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
                 Ok(stream) => self.start_connection(stream),
                 Err(error) if error.kind() == ErrorKind::WouldBlock && stopping => return,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.backlog_empty_at.set(accepted_at);
                     let stopped = async {
                         let _ = stop.recv().await;
                         stopping = true;
@@ -94,7 +106,7 @@
             peer = stream.get_ref().peer_addr().map(tracing::field::display).ok(),
             "client connection accepted"
         );
-        let serving = self.clone().serve_connection(stream, entry, closing);
+        let serving = self.clone().serve_connection(stream, entry, closing, self.backlog_empty_at.get());
         self.node.executor().spawn(serving).detach();
     }
 
@@ -118,8 +130,9 @@
         stream: Async<TcpStream>,
         entry: ConnectionEntry,
         closing: Receiver<()>,
+        empty_at: Instant,
     ) {
-        let socket = ClientSocket::new(stream, &self.memory);
+        let socket = ClientSocket::new(stream, empty_at, &self.memory);
         let mut buffer = BytesMut::new();
         let mut limits = IdleLimits { timeout_s: REQUEST_TIMEOUT_S, closing: &closing };
         loop {
@@ -169,11 +182,11 @@
                 self.node.log_malformed("client", reason);
                 NodeResponse::new(status, reason, true).write(socket).await
             }
-            Ok((head, body)) => {
+            Ok(request) => {
                 state.has_carried_request.set(true);
-                let close = head.closes_connection || self.draining.get();
-                socket.begin_request(body.len(), buffer.split());
-                let next = self.serve_request(socket, head, body, close).await;
+                let close = request.head.closes_connection || self.draining.get();
+                socket.begin_request(request.body.len(), buffer.split());
+                let next = self.serve_request(socket, request, close).await;
                 *buffer = socket.end_request();
                 next
             }
--- a/crates/nickelgw-platform/src/clients/receive.rs
+++ b/crates/nickelgw-platform/src/clients/receive.rs
@@ -9,10 +9,21 @@
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::future::or;
 use nickelgw_node::within;
+use std::time::Instant;
 
 /// A request arrives whole within this, from its first byte.
 pub const REQUEST_TIMEOUT_S: f64 = 2.4;
 
+/// A request that has arrived whole.
+pub struct ReceivedRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Bytes,
+    /// When its last byte arrived at this machine.
+    pub arrived_at: Instant,
+}
+
 /// Why no request came.
 pub enum NoRequest {
     /// The connection ended.
@@ -53,15 +64,19 @@
     limits: &IdleLimits<'_>,
     state: &ConnectionState,
     now: impl Fn() -> f64,
-) -> Result<(RequestHead, Bytes), NoRequest> {
+) -> Result<ReceivedRequest, NoRequest> {
     if buffer.is_empty() {
         state.idle_since.set(Some(now()));
         wait_for_first_byte(socket, buffer, limits).await?;
     }
     // From its first byte a request is on its way: its connection is not closed to make room.
     state.idle_since.set(None);
-    let request = within(REQUEST_TIMEOUT_S, receive_whole_request(socket, buffer)).await;
-    request.unwrap_or(Err(NoRequest::Refused(408, "a request that does not end")))
+    let first_byte_at = socket.arrival_before(buffer.len().saturating_sub(1));
+    let remaining_s = REQUEST_TIMEOUT_S - first_byte_at.elapsed().as_secs_f64();
+    // What has arrived is read also when no time remains.
+    let request = within(remaining_s, receive_whole_request(socket, buffer)).await;
+    let (head, body) = request.unwrap_or(Err(NoRequest::Refused(408, "a request that does not end")))?;
+    Ok(ReceivedRequest { head, body, arrived_at: socket.arrival_before(buffer.len()) })
 }
 
 async fn wait_for_first_byte(
@@ -69,7 +84,7 @@
     buffer: &mut BytesMut,
     limits: &IdleLimits<'_>,
 ) -> Result<(), NoRequest> {
-    let first_read = async { Some(within(limits.timeout_s, read(&socket.stream, buffer)).await) };
+    let first_read = async { Some(within(limits.timeout_s, read(socket, buffer)).await) };
     let closing = async {
         let _ = limits.closing.recv().await;
         None
@@ -93,7 +108,7 @@
             head
         }))
     };
-    let head = receive(&socket.stream, buffer, parse_head).await?;
+    let head = receive(socket, buffer, parse_head).await?;
     let expected = match head.framing {
         Framing::Unspecified => 0,
         Framing::Length(length) => length.min(MAX_BODY_BYTES),
@@ -102,7 +117,7 @@
     if !socket.memory.set(buffer.len().max(expected)) {
         return Err(NoRequest::Refused(503, "no memory for a request"));
     }
-    let body = receive_body(&socket.stream, buffer, head.framing, MAX_BODY_BYTES).await?;
+    let body = receive_body(socket, buffer, head.framing, MAX_BODY_BYTES).await?;
     socket.memory.set(buffer.len() + body.len());
     Ok((head, body))
 }
--- a/crates/nickelgw-platform/src/clients/serve.rs
+++ b/crates/nickelgw-platform/src/clients/serve.rs
@@ -1,14 +1,14 @@
 //! Serving one request: admission, and the response that the node or an engine gives.
 
+use super::receive::ReceivedRequest;
 use super::response::{connection_header, write_all, NextStep, NodeResponse};
 use super::socket::{ClientSocket, Disconnection};
 use super::ClientServer;
 use crate::core::engine::ForwardedRequest;
 use crate::core::event_stream::StreamPiece;
-use crate::core::request::{RequestHead, CHAT_PATH, READINESS_PATH};
+use crate::core::request::{CHAT_PATH, READINESS_PATH};
 use crate::node::{Reply, RequestGuard};
 use async_channel::Receiver;
-use bytes::Bytes;
 use nickelgw_node_core::AdmittedRequest;
 use std::rc::Rc;
 
@@ -28,13 +28,13 @@
     pub(super) async fn serve_request(
         self: &Rc<Self>,
         socket: &Rc<ClientSocket>,
-        head: RequestHead,
-        body: Bytes,
+        request: ReceivedRequest,
         close: bool,
     ) -> NextStep {
+        let head = &request.head;
         let response = match (head.method.as_str(), head.path()) {
             ("GET", READINESS_PATH) => self.readiness(),
-            ("POST", CHAT_PATH) => match self.admit(socket, &head, body, close) {
+            ("POST", CHAT_PATH) => match self.admit(socket, request, close) {
                 Ok((guard, reply)) => return self.respond(socket, guard, reply, close).await,
                 Err(NotAdmitted::Disconnected) => return NextStep::Disconnected,
                 Err(NotAdmitted::Refused(response)) => response,
@@ -57,15 +57,16 @@
     fn admit(
         &self,
         socket: &Rc<ClientSocket>,
-        head: &RequestHead,
-        body: Bytes,
+        received: ReceivedRequest,
         close: bool,
     ) -> Result<(RequestGuard, Receiver<Reply>), NotAdmitted> {
-        let request = head.to_admitted(&self.known_names, &body).map_err(|error| {
+        let ReceivedRequest { head, body, arrived_at } = received;
+        let mut request = head.to_admitted(&self.known_names, &body).map_err(|error| {
             let reason = error.to_string();
             self.node.log_malformed("client", &reason);
             NotAdmitted::Refused(NodeResponse::new(400, reason, true))
         })?;
+        request.arrived_at = Some(self.node.seconds_at(arrived_at));
         let id = request.name.as_deref().unwrap_or_default();
         if self.node.is_open(id) {
             let response = NodeResponse::new(409, "a request with this id is open", true);
@@ -78,7 +79,7 @@
         if head.is_resumption() {
             tracing::debug!(at = self.node.now(), request = id, "stream resumption requested");
         }
-        self.accept_request(socket, &request, ForwardedRequest::new(head, id, body), close)
+        self.accept_request(socket, &request, ForwardedRequest::new(&head, id, body), close)
     }
 
     fn accept_request(
--- a/crates/nickelgw-platform/src/clients/socket.rs
+++ b/crates/nickelgw-platform/src/clients/socket.rs
@@ -2,15 +2,16 @@
 
 use super::memory::{MemoryBudget, MemoryUse};
 use crate::core::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use crate::stream_io::{read, read_available};
+use crate::stream_io::{self, read, Readable};
 use bytes::BytesMut;
-use nickelgw_node::within;
+use nickelgw_node::{within, ArrivalTimes};
 use smol::Async;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Bytes buffered of a client that does not wait for its response: as many as one request may have. One that sends more
 /// is refused, since unread bytes hide whether it has disconnected.
@@ -33,6 +34,8 @@
 pub struct ClientSocket {
     /// The stream itself.
     pub stream: Async<TcpStream>,
+    /// When what was read had arrived.
+    arrivals: RefCell<ArrivalTimes>,
     /// What arrived while a response was awaited.
     pipelined: RefCell<BytesMut>,
     disconnection: Cell<Option<Disconnection>>,
@@ -43,12 +46,13 @@
 }
 
 impl ClientSocket {
-    /// A socket on this stream.
-    pub fn new(stream: Async<TcpStream>, budget: &Rc<MemoryBudget>) -> Rc<ClientSocket> {
+    /// A socket on this stream, on which nothing had arrived by `empty_at`.
+    pub fn new(stream: Async<TcpStream>, empty_at: Instant, budget: &Rc<MemoryBudget>) -> Rc<ClientSocket> {
         let _ = stream.get_ref().set_nodelay(true);
         let memory = MemoryUse::new(budget);
         Rc::new(ClientSocket {
             stream,
+            arrivals: RefCell::new(ArrivalTimes::new(empty_at)),
             pipelined: RefCell::default(),
             disconnection: Cell::new(None),
             memory,
@@ -56,6 +60,11 @@
         })
     }
 
+    /// When the last byte before the `unused` ones at the end arrived.
+    pub fn arrival_before(&self, unused: usize) -> Instant {
+        self.arrivals.borrow_mut().arrival_before(unused)
+    }
+
     /// A request of so many bytes is open; what has arrived behind it is buffered.
     pub fn begin_request(&self, bytes: usize, pipelined: BytesMut) {
         self.pipelined.replace(pipelined);
@@ -73,7 +82,7 @@
     pub fn disconnection(&self) -> Option<Disconnection> {
         while self.disconnection.get().is_none() {
             let mut pipelined = self.pipelined.borrow_mut();
-            match read_available(self.stream.get_ref(), &mut pipelined) {
+            match self.read_available(&mut pipelined) {
                 Ok(0) => self.disconnection.set(Some(Disconnection::Closed)),
                 Ok(_) => {
                     let fits = self.memory.set(self.open_request_bytes.get() + pipelined.len());
@@ -106,7 +115,7 @@
 
     /// Reads what arrived in the very moment in which the connection was to be closed: a request that counts as received.
     pub fn read_before_close(&self, buffer: &mut BytesMut) -> bool {
-        matches!(read_available(self.stream.get_ref(), buffer), Ok(length) if length > 0)
+        matches!(self.read_available(buffer), Ok(length) if length > 0)
     }
 
     /// Closes so that the last response arrives. What is received after this is discarded.
@@ -115,7 +124,7 @@
         let drain = async {
             let (mut buffer, mut discarded) = (BytesMut::new(), 0);
             while discarded < LINGER_BYTES {
-                match read(&self.stream, &mut buffer).await {
+                match read(self, &mut buffer).await {
                     Ok(length) if length > 0 => discarded += length,
                     _ => return,
                 }
@@ -125,3 +134,21 @@
         within(LINGER_S, drain).await;
     }
 }
+
+impl Readable for ClientSocket {
+    fn stream(&self) -> &Async<TcpStream> {
+        &self.stream
+    }
+
+    fn read_available(&self, buffer: &mut BytesMut) -> io::Result<usize> {
+        let (stream, read_at) = (self.stream.get_ref(), Instant::now());
+        let read = stream_io::read_available(stream, buffer);
+        let mut arrivals = self.arrivals.borrow_mut();
+        match &read {
+            Ok(length) if *length > 0 => arrivals.record_read(read_at, stream, *length),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => arrivals.record_empty(read_at),
+            _ => {}
+        }
+        read
+    }
+}
--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -130,7 +130,7 @@
                     head
                 }))
             };
-            let head = receive(&self.stream, &mut self.buffer, parse).await?;
+            let head = receive(&*self.stream, &mut self.buffer, parse).await?;
             if head.status >= 200 {
                 return Ok(head);
             }
@@ -143,7 +143,7 @@
         &mut self,
         decoder: &mut EventStreamDecoder,
     ) -> Result<StreamPiece, AttemptOutcome> {
-        Ok(receive(&self.stream, &mut self.buffer, |buffer| decoder.next(buffer)).await?)
+        Ok(receive(&*self.stream, &mut self.buffer, |buffer| decoder.next(buffer)).await?)
     }
 
     /// A whole body, and whether the connection can carry a further request.
@@ -155,7 +155,7 @@
         if head.status == 204 || head.status == 304 {
             return Ok((Bytes::new(), !head.closes_connection));
         }
-        let body = receive_body(&self.stream, &mut self.buffer, head.framing, max_bytes).await?;
+        let body = receive_body(&*self.stream, &mut self.buffer, head.framing, max_bytes).await?;
         Ok((body, !head.closes_connection && head.framing != Framing::Unspecified))
     }
 }
--- a/crates/nickelgw-platform/src/core/request.rs
+++ b/crates/nickelgw-platform/src/core/request.rs
@@ -202,6 +202,7 @@
             name: Some(id.to_string()),
             route,
             tenant,
+            arrived_at: None,
             timeout_s,
             unary_timeout_s: None,
             prompt_tokens: 0.0,
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -113,7 +113,16 @@
 
     /// Seconds since the process started.
     pub fn now(&self) -> f64 {
-        self.parts.started_at.elapsed().as_secs_f64()
+        self.seconds_at(Instant::now())
+    }
+
+    /// The same at another moment; less than zero before the start.
+    pub fn seconds_at(&self, moment: Instant) -> f64 {
+        let started_at = self.parts.started_at;
+        match moment.checked_duration_since(started_at) {
+            Some(since) => since.as_secs_f64(),
+            None => -(started_at - moment).as_secs_f64(),
+        }
     }
 
     /// The executor of all of the node's tasks.
@@ -162,6 +171,7 @@
         tracing::debug!(
             at = self.now(),
             request = %id,
+            waited_s = request.arrived_at.map(|arrived_at| self.now() - arrived_at),
             route = request.route,
             timeout_s = request.timeout_s,
             ttft_objective_s = self.core.borrow().ttft_objective_s(request),
--- a/crates/nickelgw-platform/src/stream_io.rs
+++ b/crates/nickelgw-platform/src/stream_io.rs
@@ -25,9 +25,26 @@
     Ok(length)
 }
 
+/// A connection that is read.
+pub trait Readable {
+    /// Its stream.
+    fn stream(&self) -> &Async<TcpStream>;
+
+    /// Appends what has arrived to the buffer, without waiting; 0 at the end of the stream.
+    fn read_available(&self, buffer: &mut BytesMut) -> io::Result<usize> {
+        read_available(self.stream().get_ref(), buffer)
+    }
+}
+
+impl Readable for Async<TcpStream> {
+    fn stream(&self) -> &Async<TcpStream> {
+        self
+    }
+}
+
 /// Appends what arrives to the buffer; 0 at the end of the stream. Dropped while it waits, it has read nothing.
-pub async fn read(stream: &Async<TcpStream>, buffer: &mut BytesMut) -> io::Result<usize> {
-    stream.read_with(|stream| read_available(stream, buffer)).await
+pub async fn read(connection: &impl Readable, buffer: &mut BytesMut) -> io::Result<usize> {
+    connection.stream().read_with(|_| connection.read_available(buffer)).await
 }
 
 /// Writes all of the bytes; a call that a signal interrupts is repeated.
@@ -65,7 +82,7 @@
 
 /// Reads until `parse` finds what it looks for in the buffer, and removes it there.
 pub async fn receive<T>(
-    stream: &Async<TcpStream>,
+    connection: &impl Readable,
     buffer: &mut BytesMut,
     mut parse: impl FnMut(&mut BytesMut) -> Result<Option<T>, MalformedMessage>,
 ) -> Result<T, ReceiveError> {
@@ -73,7 +90,7 @@
         if let Some(found) = parse(buffer)? {
             return Ok(found);
         }
-        if !matches!(read(stream, buffer).await, Ok(length) if length > 0) {
+        if !matches!(read(connection, buffer).await, Ok(length) if length > 0) {
             return Err(ReceiveError::ConnectionEnded);
         }
     }
@@ -81,7 +98,7 @@
 
 /// Reads a message's whole body; none longer than allowed.
 pub async fn receive_body(
-    stream: &Async<TcpStream>,
+    connection: &impl Readable,
     buffer: &mut BytesMut,
     framing: Framing,
     max_bytes: usize,
@@ -93,14 +110,14 @@
             let body = |buffer: &mut BytesMut| {
                 Ok((buffer.len() >= length).then(|| buffer.split_to(length).freeze()))
             };
-            receive(stream, buffer, body).await
+            receive(connection, buffer, body).await
         }
-        Framing::Chunked => receive_chunked_body(stream, buffer, max_bytes).await,
+        Framing::Chunked => receive_chunked_body(connection, buffer, max_bytes).await,
     }
 }
 
 async fn receive_chunked_body(
-    stream: &Async<TcpStream>,
+    connection: &impl Readable,
     buffer: &mut BytesMut,
     max_bytes: usize,
 ) -> Result<Bytes, ReceiveError> {
@@ -116,5 +133,5 @@
             DecodeStep::BodyEnd => return Ok(Some(body.split().freeze())),
         }
     };
-    receive(stream, buffer, decode).await
+    receive(connection, buffer, decode).await
 }
--- /dev/null
+++ b/crates/nickelgw-platform/tests/cases/arrival.rs
@@ -0,0 +1,116 @@
+//! The time of a request counts from the arrival of its last byte, wherever the request waits before it is read.
+
+use crate::common::*;
+use serde_json::json;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// What the time that an engine is given may exceed what its client has left (the platform's page).
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// A wait that shows whether it is counted.
+const MIN_WAIT: Duration = Duration::from_millis(250);
+/// What a client waits for its first token: less than an attempt may take by itself, so that it limits the attempt.
+const BUDGET: Duration = Duration::from_millis(1500);
+/// The class's objective, in seconds: no request is rejected because it has waited.
+const OBJECTIVE_S: f64 = 4.0;
+const DESCRIPTORS: usize = 256;
+/// Descriptors of a node whose table of clients is small.
+const FEW_DESCRIPTORS: usize = 64;
+
+/// When an attempt arrived, and the time that it was given.
+type Attempts = Arc<Mutex<Vec<(Instant, Duration)>>>;
+
+/// A prefill engine that answers after so long, and the attempts that it got.
+fn timed_prefill_engine(delay: Duration) -> (Peer, Attempts) {
+    let attempts = Attempts::default();
+    let recorded = attempts.clone();
+    let engine = peer(move |request, _| {
+        let budget = request.lines().find_map(|line| line.strip_prefix("x-budget-ms: ")).unwrap();
+        recorded.lock().unwrap().push((Instant::now(), Duration::from_millis(budget.parse().unwrap())));
+        sleep(delay);
+        PeerAction::Respond(http_response("202 Accepted", r#"{"cached_tokens":4}"#))
+    });
+    (engine, attempts)
+}
+
+fn request_with_budget(id: &str, budget: Duration) -> String {
+    chat_request(id).replace("X-Budget-Ms: 4000", &format!("X-Budget-Ms: {}", budget.as_millis()))
+}
+
+/// Asserts that an attempt was given no more than the client had left, and came late enough to show it.
+fn assert_budget_within(sent_at: Instant, (arrived_at, given): (Instant, Duration)) {
+    let waited = arrived_at - sent_at;
+    assert!(waited > MIN_WAIT, "it did not wait: {waited:?}");
+    let left = BUDGET.saturating_sub(waited);
+    assert!(
+        given <= left + DEADLINE_SLACK,
+        "given {given:?} with {left:?} left, {waited:?} after it was sent"
+    );
+}
+
+/// Silent clients that fill a node's table and go on into the backlog, where further connections wait.
+fn fill_table(node: &TestNode) -> Vec<TcpStream> {
+    (0..FEW_DESCRIPTORS / 2).map(|_| node.connect()).collect()
+}
+
+fn start_node_with_descriptors(prefill: &Peer, decode: &Peer, descriptors: usize) -> TestNode {
+    start_node_with(&silent_discovery(), endpoint_list(&[prefill], &[decode]), None, |config| {
+        config["limits"]["sockets"] = json!(descriptors);
+        config["settings"]["classes"][0]["slo_s"] = json!(OBJECTIVE_S);
+    })
+}
+
+/// Engines were given the time that the request had waited in the backlog of a full table (soak with a crowd, seed 4).
+#[test]
+fn time_in_the_backlog_counts_against_the_deadline() {
+    let (prefill, attempts) = timed_prefill_engine(Duration::ZERO);
+    let decode = peer(|_, _| PeerAction::Respond(stream_response()));
+    let node = start_node_with_descriptors(&prefill, &decode, FEW_DESCRIPTORS);
+    let _silent = fill_table(&node);
+    let sent_at = Instant::now();
+    let response = node.exchange(request_with_budget("wa01", BUDGET).as_bytes());
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let attempt = attempts.lock().unwrap()[0];
+    assert_budget_within(sent_at, attempt);
+}
+
+/// A request whose time was over when it was read still went to engines.
+#[test]
+fn request_that_is_read_after_its_deadline_is_answered_and_reaches_no_engine() {
+    let (prefill, attempts) = timed_prefill_engine(Duration::ZERO);
+    let decode = peer(|_, _| PeerAction::Respond(stream_response()));
+    let node = start_node_with_descriptors(&prefill, &decode, FEW_DESCRIPTORS);
+    let _silent = fill_table(&node);
+    let response = node.exchange(request_with_budget("wa02", MIN_WAIT / 2).as_bytes());
+    assert!(response.starts_with("HTTP/1.1 50"), "{response}");
+    assert!(attempts.lock().unwrap().is_empty(), "it reached an engine");
+}
+
+/// A request that is sent behind an open one on the same connection had its whole time from the end of that one.
+#[test_case(false; "sent while the first is open")]
+#[test_case(true; "sent together with the first")]
+fn time_behind_an_open_request_counts_against_the_deadline(together: bool) {
+    let (prefill, attempts) = timed_prefill_engine(2 * MIN_WAIT);
+    let decode = peer(|_, _| PeerAction::Respond(stream_response()));
+    let node = start_node_with_descriptors(&prefill, &decode, DESCRIPTORS);
+    let mut client = node.connect();
+    let (first, second) = (request_with_budget("wa03", BUDGET), request_with_budget("wa04", BUDGET));
+    if together {
+        client.write_all(format!("{first}{second}").as_bytes()).unwrap();
+    } else {
+        client.write_all(first.as_bytes()).unwrap();
+        prefill.wait_for("POST");
+        client.write_all(second.as_bytes()).unwrap();
+    }
+    let sent_at = Instant::now();
+    for _ in 0..2 {
+        let response = read_response(&mut client);
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    let attempt = attempts.lock().unwrap()[1];
+    assert_budget_within(sent_at, attempt);
+}
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -1,5 +1,7 @@
 //! The platform's protocol on sockets; each difficult case is caused by a peer that behaves so.
 
+#[path = "cases/arrival.rs"]
+mod arrival;
 #[path = "cases/client_disconnect.rs"]
 mod client_disconnect;
 mod common;
--- a/crates/nickelgw-simulator-adapter/src/node.rs
+++ b/crates/nickelgw-simulator-adapter/src/node.rs
@@ -140,13 +140,14 @@
         })
     }
 
-    fn incoming_request(&self, event: &Value) -> Result<IncomingRequest, ConfigError> {
+    fn incoming_request(&self, now: f64, event: &Value) -> Result<IncomingRequest, ConfigError> {
         let has_tenant = event.get("org").is_some_and(Value::is_string) && !self.tenants.is_empty();
         let tenant = if has_tenant { Some(position_of(&self.tenants, event, "org")?) } else { None };
         let prefix = event.get("prefix").map(|_| text(event, "prefix")).transpose()?;
         Ok(IncomingRequest {
             route: position_of(&self.routes, event, "cls")?,
             tenant,
+            arrived_at: now,
             deadline: number(event, "due_s")?,
             prompt_tokens: number_or(event, "prompt_len", 0.0)?,
             prefix_tokens: number_or(event, "n_prefix", 0.0)?,
@@ -192,7 +193,7 @@
         match kind {
             "MEMBERSHIP" => self.router.endpoint_poll_failed(now),
             "REQUEST" => {
-                let incoming = self.config.incoming_request(event)?;
+                let incoming = self.config.incoming_request(now, event)?;
                 let number = integer(event, "req")?;
                 let request = self.router.admit_request(now, &incoming);
                 self.requests.insert(number, request);
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -14,14 +14,15 @@
     pub fn admit_request(&mut self, now: f64, incoming: &IncomingRequest) -> RequestHandle {
         self.averages.record_prompt(incoming.prompt_tokens);
         let route = &self.objectives.routes[incoming.route];
-        let ttft_deadline =
-            now + route.ttft_objective_s + route.ttft_objective_per_token_s * incoming.prompt_tokens;
+        let ttft_deadline = incoming.arrived_at
+            + route.ttft_objective_s
+            + route.ttft_objective_per_token_s * incoming.prompt_tokens;
         // Background work waits behind the rest, like what is over a quota, and counts against none.
         let over_quota = incoming.is_background
             || incoming.tenant.is_some_and(|tenant| self.tenant_quotas.is_over_quota(now, tenant));
         let mut request = Request {
             route: incoming.route,
-            arrived_at: now,
+            arrived_at: incoming.arrived_at,
             ttft_deadline,
             deadline: incoming.deadline,
             prompt_tokens: incoming.prompt_tokens,
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -84,6 +84,7 @@
     IncomingRequest {
         route: 0,
         tenant: None,
+        arrived_at: NOW,
         deadline: NOW + 5.0,
         prompt_tokens: 2000.0,
         prefix_tokens: 0.0,
--- a/src/decide/tests/slow_start.rs
+++ b/src/decide/tests/slow_start.rs
@@ -53,7 +53,10 @@
                     (if engine_index < 16 { now + wait_s } else { now }, now);
                 engine.reported_wait_s = engine.available_at - now;
             }
-            router.admit_request(now, &IncomingRequest { session, deadline: now + 5.0, ..arrival() });
+            router.admit_request(
+                now,
+                &IncomingRequest { session, arrived_at: now, deadline: now + 5.0, ..arrival() },
+            );
             for s in router.decide(now).dispatches {
                 attempts[s.engine.0 as usize] += 1;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -191,6 +191,8 @@
     pub route: usize,
     /// Its tenant, where tenants have quotas.
     pub tenant: Option<usize>,
+    /// When its last byte arrived at the node's machine. It may have waited before it was read.
+    pub arrived_at: f64,
     /// When the client gives up.
     pub deadline: f64,
     /// Length of the prompt.
--- a/tests/cold_ramp/fleet.rs
+++ b/tests/cold_ramp/fleet.rs
@@ -303,6 +303,7 @@
         let incoming = IncomingRequest {
             route: 0,
             tenant: self.scenario.quotas.then_some(0),
+            arrived_at: now,
             deadline: now + 4.0,
             prompt_tokens: 3000.0,
             prefix_tokens: 2000.0,
--- a/tests/shares/fleet.rs
+++ b/tests/shares/fleet.rs
@@ -215,6 +215,7 @@
         let incoming = IncomingRequest {
             route,
             tenant: None,
+            arrived_at: now,
             deadline: now + CLIENT_TIMEOUTS_S[route],
             prompt_tokens,
             prefix_tokens: if prefix.is_some() { SHARED_PREFIX_TOKENS } else { 0.0 },
