No connection is reset as a listener closes: handshakes are ignored first, on both fronts

Cause: nothing accepts and closes at once, and a listener resets its backlog as it closes. The chat front also took any failed accept (ECONNABORTED) for an empty backlog.

Fix, one place for both fronts: a filter on the listening socket drops SYN, the backlog is accepted, handshakes under way get 20 ms, the backlog is accepted once more; nothing can come between that and the close. Cost: a client that connects in these 20 ms is refused a second later. After a handover the successor listens on the same socket, so the filter is not set there, and it accepts what waits.

--- a/crates/nickelgw-node/src/event_loop/handle_event.rs
+++ b/crates/nickelgw-node/src/event_loop/handle_event.rs
@@ -59,7 +59,10 @@
             ProcessSignal::ReleaseStore => self.release_stores(true),
             ProcessSignal::ResumeStore => self.release_stores(false),
             ProcessSignal::Drain => self.lifecycle.begin_drain(now, false),
-            ProcessSignal::DrainHandedOver => self.lifecycle.begin_drain(now, true),
+            ProcessSignal::DrainHandedOver => {
+                self.listener.handed_over.set(true);
+                self.lifecycle.begin_drain(now, true);
+            }
         }
     }
 
--- a/crates/nickelgw-node/src/listener_state.rs
+++ b/crates/nickelgw-node/src/listener_state.rs
@@ -35,6 +35,8 @@
     pub closing_connections: Cell<bool>,
     /// Client connections open now.
     pub connections: Cell<usize>,
+    /// Another process listens on the same socket and goes on accepting.
+    pub handed_over: Cell<bool>,
     /// Raised when no more connections are accepted.
     pub stop_listening: CloseSignal,
     /// Raised when idle connections are closed.
@@ -48,6 +50,7 @@
             healthy: Cell::new(false),
             closing_connections: Cell::new(false),
             connections: Cell::new(0),
+            handed_over: Cell::new(false),
             stop_listening: CloseSignal::new(),
             close_idle: CloseSignal::new(),
         })
--- a/crates/nickelgw-node/src/server/accept.rs
+++ b/crates/nickelgw-node/src/server/accept.rs
@@ -3,6 +3,7 @@
 use super::stall::StallMonitor;
 use super::ChatServer;
 use crate::clock::{seconds, within};
+use crate::listener_close::close_listener;
 use futures_rustls::rustls::ServerConfig;
 use futures_rustls::TlsAcceptor;
 use hyper::server::conn::http1;
@@ -12,7 +13,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::io::Write;
+use std::io::{self, ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,6 +29,12 @@
 const OVERLOADED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// Out of descriptors, or the peer closed while it waited: the next accept may succeed.
+async fn wait_after_failed_accept(error: &io::Error) {
+    tracing::warn!(%error, "accept failed");
+    Timer::after(seconds(ACCEPT_RETRY_S)).await;
+}
+
 impl ChatServer {
     /// Accepts until dropped, or until the node stops listening, and then what the system has accepted already.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
@@ -39,29 +46,36 @@
                 None
             };
             match futures_lite::future::or(stopped, accepted).await {
-                None => return self.accept_backlog(listener, &executor),
+                None => return self.stop_listening(listener, &executor).await,
                 Some(Ok((stream, _))) => self.accepted(stream, &executor),
-                // Out of descriptors, or the peer closed while it waited: the next may succeed.
-                Some(Err(error)) => {
-                    tracing::warn!(%error, "accept failed");
-                    Timer::after(seconds(ACCEPT_RETRY_S)).await;
-                }
+                Some(Err(error)) => wait_after_failed_accept(&error).await,
             }
         }
     }
 
-    /// Accepts what waits in the backlog, which the listener resets as it closes. After a handover the listener stays open in
-    /// the new process, and either may answer.
-    fn accept_backlog(self: &Rc<Self>, listener: Async<TcpListener>, executor: &LocalExecutor<'static>) {
-        // Taken from the reactor first: nothing but the close comes between the last accept and the close.
-        let Ok(listener) = listener.into_inner() else { return };
-        let mut accepted = Vec::new();
-        while let Ok((stream, _)) = listener.accept() {
-            accepted.push(stream);
+    /// Closes the listener. After a handover it stays open in the new process, which accepts what waits.
+    async fn stop_listening(
+        self: &Rc<Self>,
+        listener: Async<TcpListener>,
+        executor: &LocalExecutor<'static>,
+    ) {
+        if !self.listener.handed_over.get() {
+            close_listener(listener, async |listener: &TcpListener| {
+                self.accept_waiting(listener, executor).await
+            })
+            .await;
+        }
+    }
+
+    /// Accepts until the backlog is empty.
+    async fn accept_waiting(self: &Rc<Self>, listener: &TcpListener, executor: &LocalExecutor<'static>) {
+        loop {
+            match listener.accept().and_then(|(stream, _)| Async::new(stream)) {
+                Ok(stream) => self.accepted(stream, executor),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) => wait_after_failed_accept(&error).await,
+            }
         }
-        drop(listener);
-        let streams = accepted.into_iter().filter_map(|stream| Async::new(stream).ok());
-        streams.for_each(|stream| self.accepted(stream, executor));
     }
 
     fn accepted(self: &Rc<Self>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
--- a/crates/nickelgw-platform/src/clients/mod.rs
+++ b/crates/nickelgw-platform/src/clients/mod.rs
@@ -14,6 +14,7 @@
 use connection_table::{ConnectionEntry, ConnectionTable};
 use futures_lite::future::or;
 pub use memory::MemoryBudget;
+use nickelgw_node::close_listener;
 use receive::{receive_request, IdleLimits, NoRequest, REQUEST_TIMEOUT_S};
 use response::{NextStep, NodeResponse};
 use smol::Async;
@@ -59,28 +60,38 @@
     }
 
     /// Accepts until told to stop, and then what the system has accepted already: a request on such a connection counts as
-    /// received, and the listener closed over it would reset it. While the table is full a new connection waits
-    /// unaccepted: closed unserved, its first request would have failed.
+    /// received.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, stop: Receiver<()>) {
-        let mut stopping = false;
+        loop {
+            self.accept_waiting(listener.get_ref()).await;
+            let stopped = async {
+                let _ = stop.recv().await;
+                true
+            };
+            let ready = async {
+                let _ = listener.readable().await;
+                false
+            };
+            if or(ready, stopped).await {
+                break;
+            }
+        }
+        close_listener(listener, async |listener: &TcpListener| self.accept_waiting(listener).await).await;
+    }
+
+    /// Accepts until the backlog is empty. While the table is full a new connection waits unaccepted: closed unserved, its
+    /// first request would have failed.
+    async fn accept_waiting(self: &Rc<Self>, listener: &TcpListener) {
         loop {
             while self.table.is_full() {
                 self.make_room().await;
             }
             let accepted_at = Instant::now();
-            match listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+            match listener.accept().and_then(|(stream, _)| Async::new(stream)) {
                 Ok(stream) => self.start_connection(stream),
-                Err(error) if error.kind() == ErrorKind::WouldBlock && stopping => return,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.backlog_empty_at.set(accepted_at);
-                    let stopped = async {
-                        let _ = stop.recv().await;
-                        stopping = true;
-                    };
-                    let ready = async {
-                        let _ = listener.readable().await;
-                    };
-                    or(ready, stopped).await;
+                    return;
                 }
                 Err(error) => {
                     // Out of descriptors, or the peer disconnected while it waited. The listener stays readable meanwhile,
--- a/crates/nickelgw-platform/tests/cases/shutdown.rs
+++ b/crates/nickelgw-platform/tests/cases/shutdown.rs
@@ -145,6 +145,31 @@
     assert_ends_within(node, TEST_TIMEOUT);
 }
 
+/// Clients connect and send without a pause until connections are refused. One that came up between the last accept and the
+/// close of the listener was reset with its request.
+#[test]
+fn connections_that_come_as_the_listener_closes_are_answered() {
+    const CLIENTS: usize = 64;
+    let node = start_node(&silent_discovery(), &[], &[], None);
+    let send_until_refused = |address: std::net::SocketAddr| {
+        let mut unanswered = 0;
+        while let Ok(mut client) = TcpStream::connect(address) {
+            client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+            let _ = client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+            unanswered += usize::from(!read_response(&mut client).starts_with("HTTP/1.1 "));
+        }
+        unanswered
+    };
+    let address = node.address;
+    let clients: Vec<_> =
+        (0..CLIENTS).map(|_| std::thread::spawn(move || send_until_refused(address))).collect();
+    sleep(Duration::from_millis(100));
+    node.signals.request_shutdown();
+    let unanswered: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert_eq!(unanswered, 0, "connected, and closed with no answer");
+    assert_ends_within(node, TEST_TIMEOUT);
+}
+
 /// SIGKILL comes 0.7 s after the longest deadline of the settings. A retry-after time is stated only where they allow it.
 #[test]
 fn unstarted_request_is_answered_before_the_process_is_killed() {
