Chat front: a request's time counts from the arrival of its last byte

A request that waited in the kernel behind an open one on its connection, or while the process was held up, had its whole time from the moment it was read.

Cause: PreparedRequest had no arrival; the core started the time as the event loop took the request.

Fix: the connection's monitor (before: StallMonitor) notes arrivals of reads with ArrivalTimes, below TLS, and admission takes the arrival of the last byte read. The seconds of a moment are computed in Clock for both fronts.

--- a/crates/nickelgw-node/src/clock.rs
+++ b/crates/nickelgw-node/src/clock.rs
@@ -25,7 +25,15 @@
 
     /// Seconds since the clock was started.
     pub fn now(self) -> f64 {
-        self.0.elapsed().as_secs_f64()
+        self.seconds_at(Instant::now())
+    }
+
+    /// The same at another moment; less than zero before the start.
+    pub fn seconds_at(self, moment: Instant) -> f64 {
+        match moment.checked_duration_since(self.0) {
+            Some(since) => since.as_secs_f64(),
+            None => -(self.0 - moment).as_secs_f64(),
+        }
     }
 
     /// The instant of time zero.
--- a/crates/nickelgw-node/src/server/accept.rs
+++ b/crates/nickelgw-node/src/server/accept.rs
@@ -1,6 +1,6 @@
 //! Client connections: accepted within limits, in TLS where set, disconnected when they stall.
 
-use super::stall::StallMonitor;
+use super::connection_monitor::ConnectionMonitor;
 use super::ChatServer;
 use crate::clock::{seconds, within};
 use crate::listener_close::close_listener;
@@ -95,15 +95,15 @@
     async fn serve_connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _guard = self.listener.connection_opened();
         let limits = self.submitter.limits.clone();
-        let monitor = StallMonitor::default();
+        let monitor = ConnectionMonitor::new(self.submitter.clock.origin());
         let stream = monitor.watch(stream);
         let serving = async {
             match self.tls_config() {
-                None => self.clone().serve_http(stream).await,
+                None => self.clone().serve_http(stream, monitor.clone()).await,
                 Some(config) => {
                     let handshake = TlsAcceptor::from(config).accept(stream);
                     match within(limits.head_timeout_s, handshake).await {
-                        Some(Ok(stream)) => self.clone().serve_http(stream).await,
+                        Some(Ok(stream)) => self.clone().serve_http(stream, monitor.clone()).await,
                         failed => {
                             let why = failed.and_then(|result| result.err()).map(|error| error.to_string());
                             tracing::debug!(why, "client TLS handshake failed");
@@ -125,14 +125,18 @@
     }
 
     /// Serves requests one after the other; once idle connections are to close, no further one.
-    async fn serve_http(self: Rc<Self>, stream: impl AsyncRead + AsyncWrite + Unpin) {
+    async fn serve_http(
+        self: Rc<Self>,
+        stream: impl AsyncRead + AsyncWrite + Unpin,
+        monitor: ConnectionMonitor,
+    ) {
         let opened_at = Instant::now();
         let has_carried_request = Rc::new(Cell::new(false));
         let (server, carries_request) = (self.clone(), has_carried_request.clone());
         let service = service_fn(move |request| {
             carries_request.set(true);
-            let server = server.clone();
-            async move { Ok::<_, Infallible>(server.serve(request).await) }
+            let (server, monitor) = (server.clone(), monitor.clone());
+            async move { Ok::<_, Infallible>(server.serve(request, &monitor).await) }
         });
         let mut http = http1::Builder::new();
         http.timer(SmolTimer::new()).header_read_timeout(seconds(self.submitter.limits.head_timeout_s));
--- a/crates/nickelgw-node/src/server/chat.rs
+++ b/crates/nickelgw-node/src/server/chat.rs
@@ -1,5 +1,6 @@
 //! `POST /v1/chat/completions`: reads, parses and admits a request, and picks how it is run.
 
+use super::connection_monitor::ConnectionMonitor;
 use super::{bearer_token, ChatServer};
 use crate::clock::within;
 use crate::deferred::{field_error, DEFER_FIELD};
@@ -47,15 +48,18 @@
         &self,
         request: Request<Incoming>,
         id: Rc<str>,
+        monitor: &ConnectionMonitor,
     ) -> Result<HttpResponse, ApiError> {
         let received_at = Instant::now();
         let (head, body) = request.into_parts();
         let headers = &head.headers;
         let body = self.read_body(body).await?;
+        let arrived_at = monitor.last_arrival();
         let chat = ChatRequest::parse(&body).map_err(|malformed| ApiError::invalid_request(&malformed))?;
         let submitter = &self.submitter;
         let admitted = submitter.admission.admit(&chat, bearer_token(headers), timeout_s(headers));
-        let admitted = admitted.map_err(|reason| reason.error(submitter.limits.retry_after_s))?;
+        let mut admitted = admitted.map_err(|reason| reason.error(submitter.limits.retry_after_s))?;
+        admitted.arrived_at = Some(submitter.clock.seconds_at(arrived_at));
         if chat.fields.contains_key(DEFER_FIELD) {
             let deferred = self.deferred.as_ref().ok_or_else(|| field_error("is not served here"))?;
             return deferred.enqueue(chat, &admitted).await;
--- a/crates/nickelgw-node/src/server/connection_monitor.rs
+++ b/crates/nickelgw-node/src/server/connection_monitor.rs
@@ -1,9 +1,12 @@
-//! Detects clients that read nothing of their response: what is buffered for them would be held for ever.
+//! Observes a client's connection: when what was read of it had arrived, and whether the client reads nothing of its response,
+//! in which case what is buffered for it would be held for ever.
 
+use crate::arrival::ArrivalTimes;
 use crate::clock::seconds;
 use smol::io::{self, AsyncRead, AsyncWrite};
 use smol::Timer;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -13,14 +16,27 @@
 const CHECK_SHARE: f64 = 0.25;
 const MIN_CHECK_S: f64 = 0.01;
 
-/// Since when writes to a connection are blocked.
-#[derive(Clone, Default)]
-pub(super) struct StallMonitor {
+/// What is observed of one connection.
+#[derive(Clone)]
+pub(super) struct ConnectionMonitor {
+    /// Since when writes are blocked.
     blocked_since: Rc<Cell<Option<Instant>>>,
+    arrivals: Rc<RefCell<ArrivalTimes>>,
 }
 
-impl StallMonitor {
-    /// The connection, with its writes observed.
+impl ConnectionMonitor {
+    /// Of a connection on which nothing had arrived by `empty_at`.
+    pub fn new(empty_at: Instant) -> ConnectionMonitor {
+        let arrivals = Rc::new(RefCell::new(ArrivalTimes::new(empty_at)));
+        ConnectionMonitor { blocked_since: Rc::default(), arrivals }
+    }
+
+    /// When the last byte that was read had arrived at this machine.
+    pub fn last_arrival(&self) -> Instant {
+        self.arrivals.borrow_mut().arrival_before(0)
+    }
+
+    /// The connection, with its reads and writes observed.
     pub fn watch<S>(&self, inner: S) -> WatchedStream<S> {
         WatchedStream { inner, monitor: self.clone() }
     }
@@ -45,19 +61,27 @@
     }
 }
 
-/// A client's connection whose writes are observed.
+/// A client's connection that is observed.
 pub(super) struct WatchedStream<S> {
     inner: S,
-    monitor: StallMonitor,
+    monitor: ConnectionMonitor,
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for WatchedStream<S> {
+impl<S: AsyncRead + AsFd + Unpin> AsyncRead for WatchedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_read(cx, buffer)
+        let read_at = Instant::now();
+        let read = Pin::new(&mut self.inner).poll_read(cx, buffer);
+        let mut arrivals = self.monitor.arrivals.borrow_mut();
+        match &read {
+            Poll::Ready(Ok(length)) if *length > 0 => arrivals.record_read(read_at, &self.inner, *length),
+            Poll::Pending => arrivals.record_empty(read_at),
+            Poll::Ready(_) => {}
+        }
+        read
     }
 }
 
--- a/crates/nickelgw-node/src/server/mod.rs
+++ b/crates/nickelgw-node/src/server/mod.rs
@@ -2,13 +2,14 @@
 
 mod accept;
 mod chat;
-mod stall;
+mod connection_monitor;
 
 use crate::deferred::{unknown_ticket, DeferredService, DEFERRED_PATH};
 use crate::http_response::{error_response, json_response, HttpResponse};
 use crate::idempotency::ResponseSharing;
 use crate::listener_state::ListenerState;
 use crate::submission::RequestSubmitter;
+use connection_monitor::ConnectionMonitor;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONNECTION};
 use hyper::{HeaderMap, Method, Request};
@@ -75,9 +76,9 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, request: Request<Incoming>) -> HttpResponse {
+    async fn serve(self: Rc<Self>, request: Request<Incoming>, monitor: &ConnectionMonitor) -> HttpResponse {
         let id = self.request_id(request.headers());
-        let mut response = self.route(request, id.clone()).await;
+        let mut response = self.route(request, id.clone(), monitor).await;
         let id_header = HeaderValue::from_str(&id).ok().map(|value| (REQUEST_ID_HEADER, value));
         response.headers_mut().extend(id_header);
         if self.listener.closing_connections.get() {
@@ -86,10 +87,15 @@
         response
     }
 
-    async fn route(&self, request: Request<Incoming>, id: Rc<str>) -> HttpResponse {
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        id: Rc<str>,
+        monitor: &ConnectionMonitor,
+    ) -> HttpResponse {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => {
-                let response = self.serve_chat(request, id.clone()).await;
+                let response = self.serve_chat(request, id.clone(), monitor).await;
                 response.unwrap_or_else(|error| {
                     tracing::info!(request = %id, status = error.status, code = error.code, "request rejected");
                     error_response(&error)
--- a/crates/nickelgw-node/tests/request_path.rs
+++ b/crates/nickelgw-node/tests/request_path.rs
@@ -311,3 +311,24 @@
     // Once for the first node's two, once for the other.
     assert_eq!(cluster.count_events("ran", ""), 2);
 }
+
+/// A request that was sent behind an open one on its connection had its whole time from the end of that one.
+#[test]
+fn time_behind_an_open_request_counts_against_the_timeout() {
+    let slow = engine_config::EngineConfig { decode_step_s: 0.1, ..engine_config("w0a") };
+    let cluster = TestCluster::new(vec![engine_config("r0a"), slow]);
+    let body = |text: &str| {
+        json!({"model": "chat", "max_tokens": 10, "messages": [{"role": "user", "content": text}]})
+            .to_string()
+    };
+    let first = post(&body("first"), "x-request-id: first\r\n");
+    let second = post(&body("second"), "x-request-id: second\r\nx-request-timeout-ms: 300\r\n");
+    let pieces = [first.as_bytes(), second.as_bytes()];
+    let responses = smol::block_on(client::send_raw(&cluster.node, &pieces, 0.1, 2.0));
+    let text = String::from_utf8_lossy(&responses);
+    let statuses: Vec<&str> = text.split("HTTP/1.1 ").skip(1).map(|response| &response[..3]).collect();
+    assert_eq!(statuses.len(), 2, "{text}");
+    assert_eq!(statuses[0], "200", "{text}");
+    assert_ne!(statuses[1], "200", "its time was over before the first had ended: {text}");
+    assert_eq!(cluster.count_events("read", "second"), 0, "it reached an engine");
+}
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -14,6 +14,7 @@
 use crate::pool::ConnectionPool;
 use async_channel::{Receiver, Sender};
 use attempts::AttemptProgress;
+use nickelgw_node::Clock;
 use nickelgw_node_core::{AdmittedRequest, NodeCore, RejectReason, RequestId};
 use smol::{LocalExecutor, Task};
 use std::cell::RefCell;
@@ -50,8 +51,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// Connections to engines.
     pub pool: Rc<ConnectionPool>,
-    /// Zero of the node's clock.
-    pub started_at: Instant,
+    /// The node's clock.
+    pub clock: Clock,
     /// Timeout of a probe or a release call.
     pub control_timeout_s: f64,
     /// Path that probes ask for.
@@ -118,11 +119,7 @@
 
     /// The same at another moment; less than zero before the start.
     pub fn seconds_at(&self, moment: Instant) -> f64 {
-        let started_at = self.parts.started_at;
-        match moment.checked_duration_since(started_at) {
-            Some(since) => since.as_secs_f64(),
-            None => -(started_at - moment).as_secs_f64(),
-        }
+        self.parts.clock.seconds_at(moment)
     }
 
     /// The executor of all of the node's tasks.
--- a/crates/nickelgw-platform/src/server.rs
+++ b/crates/nickelgw-platform/src/server.rs
@@ -11,13 +11,14 @@
 use crate::reload::ConfigReloader;
 use crate::shutdown::{Shutdown, ShutdownTimes};
 use crate::{counters, discovery, SignalReceiver};
+use nickelgw_node::Clock;
 use nickelgw_node_core::{CoreConfig, NodeCore};
 use smol::{Async, LocalExecutor};
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A stream silent for so long is lost: a client may not wait longer than 5 s after an engine's last event.
 const STREAM_IDLE_TIMEOUT_S: f64 = 4.0;
@@ -63,7 +64,7 @@
     config_path: Option<PathBuf>,
     signals: SignalReceiver,
 ) -> std::io::Result<()> {
-    let started_at = Instant::now();
+    let clock = Clock::start();
     let started_at_unix_s =
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64());
     let listener = Async::new(listener)?;
@@ -75,7 +76,7 @@
     let pools = Pools::new(&config, &descriptors);
     let timeouts = DiscoveryTimeouts::new(config.stop_dispatch_within_s);
     let discovery_address = Rc::new(RefCell::new(config.discovery.clone()));
-    let parts = node_parts(&config, &executor, &pools, started_at);
+    let parts = node_parts(&config, &executor, &pools, clock);
     let node = new_node(config, parts, started_at_unix_s);
     let (address_changed, address_changes) = async_channel::bounded(1);
     let clients = ClientServer::new(node.clone(), known_names, descriptors.clients, memory);
@@ -139,12 +140,12 @@
     config: &NodeConfig,
     executor: &Rc<LocalExecutor<'static>>,
     pools: &Pools,
-    started_at: Instant,
+    clock: Clock,
 ) -> NodeParts {
     NodeParts {
         executor: executor.clone(),
         pool: pools.engines.clone(),
-        started_at,
+        clock,
         control_timeout_s: config.connect_timeout_s,
         probe_path: if config.reports_load { "/load" } else { "/healthz" },
     }
