Soak: four holes of the judge closed; requests that are read have a log line with their id

A request that was read and refused (409, 400, no room), its answer lost, counted as unread: was_read knew "request accepted" alone. Each request that is read whole is logged as "request received" with its id now, also one that is not admitted. 2. At a crowded node a client that waited in vain past its deadline was excused. Nobody looked at second tries. They are counted by their outcomes, a lost one is a finding, and so is a connection that a node refuses while it takes them. 4. No seed fixed the delay between a connect and its first request: each shutdown has eight clients at times of the seed now.

Each has a test of the judge (the third by the rule for new connections). Other waits, bounds and counts are as they were.

--- a/crates/nickelgw-cli/tests/platform_soak/clients.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/clients.rs
@@ -9,7 +9,8 @@
 };
 use smol::net::TcpStream;
 use smol::Timer;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -21,6 +22,8 @@
 /// One client in so many connects up to this long before its first request.
 const CLIENTS_PER_EARLY_ONE: u32 = 8;
 const MAX_FIRST_DELAY: Duration = Duration::from_millis(300);
+/// Clients that connect while a node shuts down, in the second half of the time in which new connections come.
+const SHUTDOWN_CLIENTS: usize = 8;
 /// Clients of a crowd that connect and send nothing, and that send a request byte by byte.
 const IDLE_CLIENTS: usize = 150;
 const SLOW_CLIENTS: usize = 10;
@@ -39,6 +42,48 @@
     pub outcome: Outcome,
 }
 
+/// Whether a node may end a request so if it has not read it: on a connection that was used before, since its client sends it
+/// again, and at a crowded node on a new one as well. No node may leave a client waiting.
+pub(crate) fn may_be_unread(is_new_connection: bool, is_crowded: bool, outcome: &Outcome) -> bool {
+    (!is_new_connection || is_crowded) && *outcome == Outcome::ConnectionClosed
+}
+
+/// When a client connects while its node shuts down, and how long after that it sends its first request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ShutdownClient {
+    pub connects_after: Duration,
+    pub delay: Duration,
+}
+
+/// The clients of this seed; `accepts_for` after the request to shut down new connections cease.
+pub(crate) fn shutdown_clients(seed: u64, accepts_for: Duration) -> Vec<ShutdownClient> {
+    let mut random = WyRand::new_seed(seed);
+    let mut client = || ShutdownClient {
+        connects_after: accepts_for.mul_f64(0.5 + 0.5 * random.generate::<f64>()),
+        delay: MAX_FIRST_DELAY.mul_f64(random.generate()),
+    };
+    (0..SHUTDOWN_CLIENTS).map(|_| client()).collect()
+}
+
+/// Tries of requests, and what became of second ones.
+#[derive(Clone, Default)]
+pub struct TryCounts {
+    /// First tries.
+    pub first: usize,
+    /// Second tries by their outcome: of requests that crossed the close of a connection.
+    pub second: BTreeMap<String, usize>,
+}
+
+impl TryCounts {
+    /// Adds the tries of another node's clients.
+    pub fn add(&mut self, other: &TryCounts) {
+        self.first += other.first;
+        for (outcome, count) in &other.second {
+            *self.second.entry(outcome.clone()).or_default() += count;
+        }
+    }
+}
+
 /// What all clients of a node share.
 pub struct Clients {
     pub member: Arc<Member>,
@@ -49,6 +94,9 @@
     idle: Mutex<Vec<TcpStream>>,
     /// Requests on connections that the node closed, which it must not have read.
     pub unread: Mutex<Vec<UnreadRequest>>,
+    pub tries: Mutex<TryCounts>,
+    /// Requests of clients that connected while the node shut down, so far.
+    shutdown_requests: AtomicUsize,
 }
 
 /// A connection.
@@ -66,7 +114,9 @@
 
 impl Clients {
     pub fn new(member: Arc<Member>, table: Arc<RequestTable>, is_crowded: bool) -> Arc<Clients> {
-        Arc::new(Clients { member, table, is_crowded, idle: Mutex::default(), unread: Mutex::default() })
+        let (idle, unread, tries) = (Mutex::default(), Mutex::default(), Mutex::default());
+        let shutdown_requests = AtomicUsize::new(0);
+        Arc::new(Clients { member, table, is_crowded, idle, unread, tries, shutdown_requests })
     }
 
     /// Sends requests until told to stop; returns their outcomes.
@@ -98,36 +148,69 @@
     /// Sends a request on a connection that may be new; some clients open one before they have a request.
     async fn send_after(&self, request: ClientRequest, delay: Option<Duration>) -> Option<Outcome> {
         if let (Some(delay), true) = (delay, self.member.takes_connections()) {
-            let connection = ClientConnection::new(TcpStream::connect(self.member.address).await.ok()?);
+            let connection = self.connect(&request).await?;
             Timer::after(delay).await;
+            lock(&self.tries).first += 1;
             return Some(self.exchange(connection, &request).await);
         }
         self.send(request).await
     }
 
+    /// Starts clients that connect while the node shuts down and send their first request some time later.
+    pub fn start_shutdown_clients(self: &Arc<Self>, seed: u64, accepts_for: Duration) {
+        for ShutdownClient { connects_after, delay } in shutdown_clients(seed, accepts_for) {
+            let number = self.shutdown_requests.fetch_add(1, Relaxed);
+            let request = ClientRequest {
+                id: format!("{}d{number}", self.member.request_prefix),
+                class: "chat".into(),
+                at_most_once: false,
+                timeout: TIMEOUT,
+                disconnect_after: None,
+            };
+            let clients = self.clone();
+            smol::spawn(async move {
+                Timer::after(connects_after).await;
+                clients.send_after(request, Some(delay)).await
+            })
+            .detach();
+        }
+    }
+
     /// Sends a request, and once more if it crossed the close of a connection. None: the node takes no new connections.
     async fn send(&self, mut request: ClientRequest) -> Option<Outcome> {
-        let first = self.connection().await?;
+        let first = self.connection(&request).await?;
+        lock(&self.tries).first += 1;
         let was_used = first.opened_at.is_none();
         let outcome = self.exchange(first, &request).await;
         if outcome != Outcome::ConnectionClosed || !was_used || !self.member.takes_connections() {
             return Some(outcome);
         }
         request.id.push('r');
-        let Ok(stream) = TcpStream::connect(self.member.address).await else {
-            return Some(Outcome::ConnectionRefused);
+        let second = match self.connect(&request).await {
+            Some(connection) => self.exchange(connection, &request).await,
+            None => Outcome::ConnectionRefused,
         };
-        Some(self.exchange(ClientConnection::new(stream), &request).await)
+        *lock(&self.tries).second.entry(format!("{second:?}")).or_default() += 1;
+        Some(second)
+    }
+
+    /// A new connection. That a node which takes connections refuses one is a finding.
+    async fn connect(&self, request: &ClientRequest) -> Option<ClientConnection> {
+        let connected = TcpStream::connect(self.member.address).await;
+        if let (Err(error), true) = (&connected, self.member.takes_connections()) {
+            self.table.no_final_answer(&request.id, format!("{error}, at a node that takes connections"));
+        }
+        connected.ok().map(ClientConnection::new)
     }
 
-    async fn connection(&self) -> Option<ClientConnection> {
+    async fn connection(&self, request: &ClientRequest) -> Option<ClientConnection> {
         if let Some(stream) = lock(&self.idle).pop() {
             return Some(ClientConnection { stream, opened_at: None });
         }
         if !self.member.takes_connections() {
             return None;
         }
-        Some(ClientConnection::new(TcpStream::connect(self.member.address).await.ok()?))
+        self.connect(request).await
     }
 
     async fn exchange(&self, connection: ClientConnection, request: &ClientRequest) -> Outcome {
@@ -163,8 +246,7 @@
         if !is_lost || self.member.excuses(opened_at.unwrap_or(sent_at)) {
             return;
         }
-        let may_be_unread = opened_at.is_none() && *outcome == Outcome::ConnectionClosed;
-        if may_be_unread || self.is_crowded {
+        if may_be_unread(opened_at.is_some(), self.is_crowded, outcome) {
             // Allowed if the node has not read it, which its log tells.
             let (id, ended_at, outcome) = (request.id.clone(), Instant::now(), outcome.clone());
             let unread = UnreadRequest { id, sent_at, ended_at, outcome };
--- a/crates/nickelgw-cli/tests/platform_soak/fleet.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/fleet.rs
@@ -1,6 +1,6 @@
 //! Nodes as processes with clients each that send requests all the time, and what was found wrong in the end.
 
-use crate::clients::{Clients, UnreadRequest};
+use crate::clients::{Clients, TryCounts, UnreadRequest};
 use crate::judge::Finding;
 use crate::lateness::Lateness;
 use crate::member::Member;
@@ -52,6 +52,7 @@
     pub served: usize,
     /// Requests that crossed the close of a connection, and were not read.
     pub unread: usize,
+    pub tries: TryCounts,
     /// Everything that was found wrong.
     pub findings: Vec<Finding>,
     pub lateness: Arc<Lateness>,
@@ -60,9 +61,11 @@
 impl std::fmt::Display for Report {
     fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
         let (asked, served, unread, found) = (self.asked, self.served, self.unread, self.findings.len());
+        let TryCounts { first, second } = &self.tries;
         write!(
             formatter,
-            "{asked} asked, {served} served, {unread} unread, {found} findings; harness late by {:?}",
+            "{asked} asked, {served} served, {unread} unread, {found} findings; {first} first tries, second tries {second:?}; \
+             harness late by {:?}",
             self.lateness.max()
         )
     }
@@ -94,7 +97,7 @@
                 });
             // A play is not judged by the log of another.
             let log = path.with_extension(format!("play-{play}.log"));
-            Member::start(address, path, log)
+            Member::start(n, address, path, log)
         };
         let members: Vec<Arc<Member>> = (0..nodes).map(start_member).collect();
         members.iter().for_each(|member| member.wait_until_ready());
@@ -139,7 +142,7 @@
             let (table, discovery) = (self.table.clone(), self.discovery.clone());
             self.run_beside(move || {
                 member.kill();
-                table.excuse_requests(&format!("s{node}x"));
+                table.excuse_requests(&member.request_prefix);
                 member.restart(&discovery.list());
             });
         }
@@ -150,8 +153,10 @@
         let member = self.member(node);
         if member.begin_end() {
             let discovery = self.discovery.clone();
+            let accepts_for = Member::accept_duration(random);
+            self.clients[node].start_shutdown_clients(random.to_bits(), accepts_for);
             self.run_beside(move || {
-                member.shut_down(random);
+                member.shut_down(accepts_for);
                 member.restart(&discovery.list());
             });
         }
@@ -175,7 +180,7 @@
             observed.iter().map(|observed| Finding::observed(observed, &limits)).collect();
         let reserved = self.table.reserved_requests().into_iter();
         findings.extend(reserved.map(|(id, out)| stays_reserved(id, out)));
-        let mut unread = 0;
+        let (mut unread, mut tries) = (0, TryCounts::default());
         for (member, clients) in self.members.iter().zip(&self.clients) {
             member.end();
             let log = std::fs::read_to_string(&member.log).unwrap_or_default();
@@ -189,6 +194,7 @@
                 ended_unread.iter().partition(|request| was_read(&log, &request.id));
             findings.extend(read.into_iter().map(read_and_unanswered));
             unread += not_read.len();
+            tries.add(&lock(&clients.tries));
         }
         if findings.is_empty() {
             self.members.iter().for_each(|member| drop(std::fs::remove_file(&member.log)));
@@ -197,14 +203,15 @@
             println!("logs: {} and those of the other nodes", self.members[0].log.display());
         }
         let served = outcomes.iter().filter(|outcome| **outcome == Outcome::Completed).count();
-        Report { asked: outcomes.len(), served, unread, findings, lateness: self.lateness }
+        Report { asked: outcomes.len(), served, unread, tries, findings, lateness: self.lateness }
     }
 }
 
 /// Whether a node has read a request, by its log.
-fn was_read(log: &str, id: &str) -> bool {
-    let accepted = format!(" request={id} ");
-    log.lines().any(|line| line.contains("request accepted") && line.contains(&accepted))
+pub(crate) fn was_read(log: &str, id: &str) -> bool {
+    let field = format!("request={id}");
+    let names_it = |line: &&str| line.split_ascii_whitespace().any(|word| word == field);
+    log.lines().filter(|line| line.contains("request received")).any(|line| names_it(&line))
 }
 
 fn read_and_unanswered(request: &UnreadRequest) -> Finding {
--- a/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
@@ -1,7 +1,10 @@
 //! Tests of the judge itself: what it counts, what it cannot judge, and that it drops nothing.
 
+use crate::clients::{may_be_unread, shutdown_clients};
+use crate::fleet::was_read;
 use crate::judge::{judge, too_many_inconclusive, Finding, Judgement, PlayRecord, Verdict};
 use crate::lateness::Lateness;
+use nickelgw_test_servers::platform::Outcome;
 use std::time::{Duration, Instant};
 
 fn ms(ms: u64) -> Duration {
@@ -50,6 +53,44 @@
     assert_eq!(Verdict::new(&judgements, 0.0), Verdict::Failed);
 }
 
+/// A request that was read and refused, its answer lost, counted as unread.
+#[test]
+fn request_is_read_whether_it_was_admitted_or_refused() {
+    let line =
+        |message: &str| format!("2026-12-03T09:06:32.1Z DEBUG nickelgw_platform::clients: {message}\n");
+    let refused = line("request received at=0.5 request=s0x2 connection=7")
+        + &line("request not admitted at=0.5 request=s0x2 reason=NodeFull");
+    assert!(was_read(&refused, "s0x2"));
+    assert!(was_read(&line("request received at=0.5 connection=7 request=s0x2"), "s0x2"));
+    assert!(!was_read(&refused, "s0x"), "part of an id is another one");
+    assert!(!was_read(&line("response sent at=0.5 request=s0x2"), "s0x2"));
+}
+
+/// A client that waited in vain at a crowded node, and a second try that was lost, counted as unread.
+#[test]
+fn unread_is_only_what_was_closed_on_a_used_connection_or_at_a_crowded_node() {
+    let (new, used, crowded, calm) = (true, false, true, false);
+    assert!(may_be_unread(used, calm, &Outcome::ConnectionClosed));
+    assert!(may_be_unread(new, crowded, &Outcome::ConnectionClosed));
+    assert!(!may_be_unread(new, calm, &Outcome::ConnectionClosed), "as a second try is");
+    for outcome in [Outcome::TimedOut, Outcome::StreamBroken] {
+        assert!(
+            !may_be_unread(new, crowded, &outcome) && !may_be_unread(used, calm, &outcome),
+            "{outcome:?}"
+        );
+    }
+}
+
+/// The delay between a client's connect and its first request was no part of the seed.
+#[test]
+fn clients_that_come_during_a_shutdown_have_the_times_of_their_seed() {
+    let accepts_for = ms(300);
+    let clients = shutdown_clients(7, accepts_for);
+    assert_eq!(clients, shutdown_clients(7, accepts_for));
+    assert_ne!(clients, shutdown_clients(8, accepts_for));
+    assert!(clients.iter().all(|client| client.connects_after <= accepts_for));
+}
+
 #[test]
 fn play_with_nothing_but_explained_findings_has_no_verdict() {
     assert_eq!(Verdict::new(&[Judgement::Inconclusive], 0.0), Verdict::Inconclusive);
--- a/crates/nickelgw-cli/tests/platform_soak/member.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/member.rs
@@ -48,6 +48,8 @@
 
 /// One node.
 pub struct Member {
+    /// What the ids of its clients' requests begin with.
+    pub request_prefix: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its log, of all its processes.
@@ -72,11 +74,12 @@
 
 impl Member {
     /// Starts the first process.
-    pub fn start(address: SocketAddr, config: PathBuf, log: PathBuf) -> Arc<Member> {
+    pub fn start(number: usize, address: SocketAddr, config: PathBuf, log: PathBuf) -> Arc<Member> {
         let child = Mutex::new(spawn_process(&config, &log));
         let (closed, ending) = (AtomicBool::new(false), AtomicBool::new(false));
         let (kills, ready_at) = (Mutex::default(), Mutex::default());
-        Arc::new(Member { address, log, config, child, closed, ending, kills, ready_at })
+        let request_prefix = format!("s{number}x");
+        Arc::new(Member { request_prefix, address, log, config, child, closed, ending, kills, ready_at })
     }
 
     /// Waits until it answers that it is ready.
@@ -155,11 +158,16 @@
         lock(&self.kills)[kill].ended_at = Some(Instant::now());
     }
 
-    /// Tells its process to shut down, and kills it at the platform's earliest moment. `random` is from 0 to 1.
-    pub fn shut_down(&self, random: f64) {
+    /// How long new connections come after the request to shut down. `random` is from 0 to 1.
+    pub fn accept_duration(random: f64) -> Duration {
+        ACCEPT_RANGE.0 + (ACCEPT_RANGE.1 - ACCEPT_RANGE.0).mul_f64(random)
+    }
+
+    /// Tells its process to shut down, and kills it at the platform's earliest moment. New connections come for `accepts_for`.
+    pub fn shut_down(&self, accepts_for: Duration) {
         let shutdown_at = Instant::now();
         self.signal(Signal::TERM);
-        sleep(ACCEPT_RANGE.0 + (ACCEPT_RANGE.1 - ACCEPT_RANGE.0).mul_f64(random));
+        sleep(accepts_for);
         self.closed.store(true, Relaxed);
         let mut has_ended = false;
         while !has_ended && shutdown_at.elapsed() < KILL_AFTER {
--- a/crates/nickelgw-platform/src/clients/mod.rs
+++ b/crates/nickelgw-platform/src/clients/mod.rs
@@ -194,6 +194,12 @@
                 NodeResponse::new(status, reason, true).write(socket).await
             }
             Ok(request) => {
+                tracing::debug!(
+                    at = self.node.now(),
+                    request = request.head.id().map(tracing::field::display),
+                    connection = entry.number,
+                    "request received"
+                );
                 state.has_carried_request.set(true);
                 let close = request.head.closes_connection || self.draining.get();
                 socket.begin_request(request.body.len(), buffer.split());
--- a/crates/nickelgw-platform/src/clients/serve.rs
+++ b/crates/nickelgw-platform/src/clients/serve.rs
@@ -89,8 +89,9 @@
         forwarded: ForwardedRequest,
         close: bool,
     ) -> Result<(RequestGuard, Receiver<Reply>), NotAdmitted> {
+        let id = forwarded.id.clone();
         self.node.accept(request, forwarded, socket).map_err(|reason| {
-            tracing::debug!(at = self.node.now(), ?reason, "request not admitted");
+            tracing::debug!(at = self.node.now(), request = %id, ?reason, "request not admitted");
             NotAdmitted::Refused(NodeResponse::new(503, "no room", close))
         })
     }
--- a/crates/nickelgw-platform/src/core/request.rs
+++ b/crates/nickelgw-platform/src/core/request.rs
@@ -181,6 +181,11 @@
 }
 
 impl RequestHead {
+    /// The id, whether it is valid or not.
+    pub fn id(&self) -> Option<&str> {
+        self.platform.id.as_deref()
+    }
+
     /// Whether the client asks for the rest of a stream that broke.
     pub fn is_resumption(&self) -> bool {
         self.platform.retry.as_deref() == Some("again")
