Chat front: a connection over the limit is not reset under its request

Callers: over `max_connections` a client got a reset instead of its 503 while it was still sending (BrokenPipe, ConnectionReset).

Cause: ChatServer::accepted wrote the 503 and closed at once; the system resets a connection that is closed over unread bytes, and the response may be lost with it.

Fix: the response ends the sending direction, and what still comes is read and discarded, for 1 s, for the longest request, at 1,024 connections at most. The platform's front did this already; one function (close_lingering) for both. Left: on a port with TLS the 503 is still written in plain text.

--- a/crates/nickelgw-node/src/listener_state.rs
+++ b/crates/nickelgw-node/src/listener_state.rs
@@ -35,6 +35,8 @@
     pub closing_connections: Cell<bool>,
     /// Client connections open now.
     pub connections: Cell<usize>,
+    /// Connections over the limit that are being answered and closed.
+    pub rejecting: Cell<usize>,
     /// Another process listens on the same socket and goes on accepting.
     pub handed_over: Cell<bool>,
     /// Raised when no more connections are accepted.
@@ -50,6 +52,7 @@
             healthy: Cell::new(false),
             closing_connections: Cell::new(false),
             connections: Cell::new(0),
+            rejecting: Cell::new(0),
             handed_over: Cell::new(false),
             stop_listening: CloseSignal::new(),
             close_idle: CloseSignal::new(),
--- a/crates/nickelgw-node/src/server/accept.rs
+++ b/crates/nickelgw-node/src/server/accept.rs
@@ -3,6 +3,7 @@
 use super::connection_monitor::ConnectionMonitor;
 use super::ChatServer;
 use crate::clock::{seconds, within};
+use crate::lingering_close::close_lingering;
 use crate::listener_close::close_listener;
 use futures_rustls::rustls::ServerConfig;
 use futures_rustls::TlsAcceptor;
@@ -25,6 +26,9 @@
 const ACCEPT_RETRY_S: f64 = 0.01;
 /// Largest head of a request.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// A connection over the limit stays open for so long after its response, and so many of them at once.
+const REJECT_LINGER_S: f64 = 1.0;
+const MAX_REJECTING: usize = 1024;
 /// What a connection over the limit gets.
 const OVERLOADED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -86,12 +90,23 @@
             let _ = socket2::SockRef::from(stream.get_ref()).set_send_buffer_size(limits.send_buffer);
         }
         if self.listener.connections.get() >= limits.max_connections {
-            let _ = stream.get_ref().write(OVERLOADED_RESPONSE);
-            return;
+            return executor.spawn(self.clone().reject_connection(stream)).detach();
         }
         executor.spawn(self.clone().serve_connection(stream)).detach();
     }
 
+    /// Answers a connection over the limit, and reads what its client still sends.
+    async fn reject_connection(self: Rc<Self>, stream: Async<TcpStream>) {
+        let _ = stream.get_ref().write(OVERLOADED_RESPONSE);
+        let rejecting = &self.listener.rejecting;
+        if rejecting.get() < MAX_REJECTING {
+            rejecting.set(rejecting.get() + 1);
+            let max_bytes = self.submitter.limits.max_body_bytes + MAX_HEAD_BYTES;
+            close_lingering(&stream, REJECT_LINGER_S, max_bytes).await;
+            rejecting.set(rejecting.get() - 1);
+        }
+    }
+
     async fn serve_connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _guard = self.listener.connection_opened();
         let limits = self.submitter.limits.clone();
--- a/crates/nickelgw-node/tests/failures.rs
+++ b/crates/nickelgw-node/tests/failures.rs
@@ -2,13 +2,16 @@
 
 mod common;
 
-use common::{engine_config, TestCluster};
+use common::{engine_config, post, TestCluster};
 use nickelgw_audit::Rule;
 use nickelgw_test_servers::client::{self, DisconnectAt};
 use nickelgw_test_servers::engine_config;
 use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
+use test_case::test_case;
 
 fn engines(ids: &[&str]) -> Vec<engine_config::EngineConfig> {
     ids.iter().map(|id| engine_config(id)).collect()
@@ -249,3 +252,27 @@
         verdict.violations
     );
 }
+
+/// Over the limit of connections the node closed over the unread request, by which the system resets the connection.
+#[test_case(0; "that sends at once")]
+#[test_case(50; "that sends later")]
+fn client_over_the_limit_of_connections_can_send_its_whole_request(pause_ms: u64) {
+    const PIECES: usize = 16;
+    let cluster = TestCluster::with_options(vec![engine_config("r0a"), engine_config("w0a")], |options| {
+        options.limits.max_connections = 1;
+    });
+    let mut only = TcpStream::connect(&cluster.node).unwrap();
+    only.write_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    assert!(only.read(&mut [0; 512]).unwrap() > 0, "it is served");
+    let mut client = TcpStream::connect(&cluster.node).unwrap();
+    client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    thread::sleep(Duration::from_millis(pause_ms));
+    let request = post(&"x".repeat(PIECES * 1024), "");
+    for piece in request.as_bytes().chunks(1024) {
+        client.write_all(piece).expect("the connection is not reset under the request");
+        thread::sleep(Duration::from_millis(2));
+    }
+    let mut response = String::new();
+    client.read_to_string(&mut response).expect("the response is not lost");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+}
--- a/crates/nickelgw-platform/src/clients/socket.rs
+++ b/crates/nickelgw-platform/src/clients/socket.rs
@@ -2,14 +2,14 @@
 
 use super::memory::{MemoryBudget, MemoryUse};
 use crate::core::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use crate::stream_io::{self, read, Readable};
+use crate::stream_io::{self, Readable};
 use bytes::BytesMut;
-use nickelgw_node::{within, ArrivalTimes};
+use nickelgw_node::{close_lingering, ArrivalTimes};
 use smol::Async;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, ErrorKind};
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -120,18 +120,7 @@
 
     /// Closes so that the last response arrives. What is received after this is discarded.
     pub async fn close(&self) {
-        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
-        let drain = async {
-            let (mut buffer, mut discarded) = (BytesMut::new(), 0);
-            while discarded < LINGER_BYTES {
-                match read(self, &mut buffer).await {
-                    Ok(length) if length > 0 => discarded += length,
-                    _ => return,
-                }
-                buffer.clear();
-            }
-        };
-        within(LINGER_S, drain).await;
+        close_lingering(&self.stream, LINGER_S, LINGER_BYTES).await;
     }
 }
 
