Soak: an attempt begins as its node writes it, not as the late engine reads it

Trace: the node wrote that attempt on an open connection at 29.4303; a look at the client's socket just before had found it connected; it saw the client leave at 29.4643 and cancelled the attempt. So the attempt began before the client left (or at most at that moment), and was late on its way through the proxy's and the engine's tasks, at the harness's own lateness of 20 ms a task.

The judge took the engine's read for the begin. It takes the moment in which the proxy, the first hop, reads the attempt now, for the time since the disconnect and for what the client has left; the bounds are as they were. An attempt that is written too late is found as before (attempt_begins_as_its_node_writes_it).

--- a/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
@@ -4,7 +4,7 @@
 use crate::fleet::was_read;
 use crate::judge::{judge, too_many_inconclusive, Finding, Judgement, PlayRecord, Verdict};
 use crate::lateness::Lateness;
-use nickelgw_test_servers::platform::Outcome;
+use nickelgw_test_servers::platform::{Outcome, RequestTable, Role, RuleLimits, Violation};
 use std::time::{Duration, Instant};
 
 fn ms(ms: u64) -> Duration {
@@ -91,6 +91,26 @@
     assert!(clients.iter().all(|client| client.connects_after <= accepts_for));
 }
 
+/// An attempt that its node wrote before the client left, and that was late on its way, counted as begun after that.
+#[test]
+fn attempt_begins_as_its_node_writes_it() {
+    let table = RequestTable::new(RuleLimits::default());
+    let late = RuleLimits::default().disconnect_slack + ms(20);
+    for id in ["before", "after"] {
+        table.request_sent(id, ms(2000), false);
+    }
+    table.attempt_written("before");
+    ["before", "after"].iter().for_each(|id| table.client_disconnected(id));
+    std::thread::sleep(late);
+    table.attempt_written("after");
+    for id in ["before", "after"] {
+        table.attempt_arrived(id, None, Role::Decode);
+    }
+    let violations = table.violations();
+    let is_the_late_one = |violation: &Violation| matches!(violation, Violation::AttemptAfterDisconnect { id, .. } if id == "after");
+    assert!(violations.len() == 1 && violations.iter().all(is_the_late_one), "{violations:?}");
+}
+
 #[test]
 fn play_with_nothing_but_explained_findings_has_no_verdict() {
     assert_eq!(Verdict::new(&[Judgement::Inconclusive], 0.0), Verdict::Inconclusive);
--- a/crates/nickelgw-test-servers/src/platform/proxy.rs
+++ b/crates/nickelgw-test-servers/src/platform/proxy.rs
@@ -29,11 +29,12 @@
 }
 
 impl Connection {
-    /// Remembers the id of a request that is passed on.
-    fn request_passed(&self, bytes: &[u8]) {
+    /// Notes a request that is passed on.
+    fn request_passed(&self, bytes: &[u8], table: &RequestTable) {
         let text = String::from_utf8_lossy(bytes);
         let id = text.lines().find_map(|line| line.strip_prefix(ID_HEADER));
         if let Some(id) = id {
+            table.attempt_written(id);
             *lock(&self.last_request) = Some(id.to_string());
         }
     }
@@ -170,7 +171,7 @@
     lock(&state.connections).push(connection.clone());
     smol::Timer::after(Duration::from_millis(state.delay_ms.load(Relaxed))).await;
     let requests = async {
-        copy_requests(&connection).await;
+        copy_requests(&connection, &upstream.table).await;
         connection.node_ended(&upstream);
     };
     let responses = copy_responses(&connection, &upstream);
@@ -180,12 +181,12 @@
 
 /// Passes bytes from the node on until its end. The end is always passed on, because an attempt that the node has
 /// ended is not open any more.
-async fn copy_requests(connection: &Connection) {
+async fn copy_requests(connection: &Connection, table: &RequestTable) {
     let (mut node, mut engine) = (connection.node.clone(), connection.engine.clone());
     let mut buffer = Vec::new();
     while read_some(&mut node, &mut buffer).await > 0 {
         if !connection.is_silent() {
-            connection.request_passed(&buffer);
+            connection.request_passed(&buffer, table);
             if engine.write_all(&buffer).await.is_err() {
                 break;
             }
--- a/crates/nickelgw-test-servers/src/platform/request_table.rs
+++ b/crates/nickelgw-test-servers/src/platform/request_table.rs
@@ -24,6 +24,8 @@
     /// Its node was killed, and the platform frees what it left.
     excused: bool,
     sent_at: Option<Instant>,
+    /// When a node wrote the latest attempt, as the proxy in front of the engine saw it.
+    attempt_written_at: Option<Instant>,
     deadline: Option<Instant>,
     disconnected_at: Option<Instant>,
 }
@@ -128,22 +130,29 @@
         self.report(Violation::NoFinalAnswer { id: id.to_string(), outcome }, sent_at, now);
     }
 
-    /// The last byte of an attempt has arrived at an engine of this role, with its time budget.
+    /// A node has written an attempt, which is on its way to an engine.
+    pub fn attempt_written(&self, id: &str) {
+        let now = Instant::now();
+        self.update(id, |request| request.attempt_written_at = Some(now));
+    }
+
+    /// The last byte of an attempt has arrived at an engine of this role, with its time budget. It began as its node wrote it.
     pub fn attempt_arrived(&self, id: &str, budget: Option<Duration>, role: Role) {
         let now = Instant::now();
-        let (disconnected_at, sent_at, deadline) = self.update(id, |request| {
+        let (disconnected_at, sent_at, deadline, written_at) = self.update(id, |request| {
             request.add_attempt(role);
-            (request.disconnected_at, request.sent_at, request.deadline)
+            let written_at = request.attempt_written_at.unwrap_or(now);
+            (request.disconnected_at, request.sent_at, request.deadline, written_at)
         });
         if let Some(disconnected_at) = disconnected_at {
-            let late = now - disconnected_at;
+            let late = written_at.saturating_duration_since(disconnected_at);
             if late > self.limits.disconnect_slack {
                 let violation = Violation::AttemptAfterDisconnect { id: id.to_string(), late };
                 self.report(violation, disconnected_at, now);
             }
         }
         if let (Some(budget), Some(deadline)) = (budget, deadline) {
-            let excess = budget.saturating_sub(deadline.saturating_duration_since(now));
+            let excess = budget.saturating_sub(deadline.saturating_duration_since(written_at));
             if excess > self.limits.deadline_slack {
                 let violation = Violation::BudgetPastDeadline { id: id.to_string(), excess };
                 self.report(violation, sent_at.unwrap_or(now), now);
