--- a/crates/nickelgw-node/tests/common/mod.rs
+++ b/crates/nickelgw-node/tests/common/mod.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// Longest wait for an event to be recorded.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A node, its engines and the endpoint list service, all recording what they see.
 pub struct TestCluster {
     /// Address of the node's chat port.
@@ -164,7 +167,24 @@
 
     /// Waits for something to have been recorded.
     pub fn wait_for(&self, what: &str, is_recorded: impl Fn(&[Value]) -> bool) {
-        wait_until(what, 10.0, Duration::from_millis(5), || is_recorded(&self.record.entries()));
+        let started_at = Instant::now();
+        while !is_recorded(&self.record.entries()) {
+            let last_events = || self.last_events();
+            assert!(
+                started_at.elapsed() < EVENT_TIMEOUT,
+                "not within {EVENT_TIMEOUT:?}: {what}\n{}",
+                last_events()
+            );
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// The last recorded event of each request: how far it has come.
+    fn last_events(&self) -> String {
+        let entries = self.record.entries();
+        let by_request = entries.iter().filter_map(|event| Some((event["req"].as_str()?, event)));
+        let last: BTreeMap<&str, &Value> = by_request.collect();
+        last.values().map(|event| format!("{event}\n")).collect()
     }
 
     /// Waits for an event of a request; an empty id: of any.
--- a/crates/nickelgw-node/tests/stalled.rs
+++ b/crates/nickelgw-node/tests/stalled.rs
@@ -64,17 +64,23 @@
 
 /// Clients whose stream has begun. They connect a few at a time, and one that is shed is replaced: hundreds at once are
 /// more than a slow machine accepts in time, whose engines then look unreachable.
-fn begin_streams(cluster: &TestCluster, clients: usize) -> Vec<TcpStream> {
+fn begin_streams(cluster: &TestCluster, admin: &str, clients: usize) -> Vec<TcpStream> {
     let mut begun: Vec<TcpStream> = Vec::new();
     let started_at = Instant::now();
     while begun.len() < clients {
-        let batch: Vec<TcpStream> =
-            (begun.len()..clients).take(BATCH).map(|number| connect(cluster, number)).collect();
-        for mut stream in batch {
+        let numbers = (begun.len()..clients).take(BATCH);
+        let batch: Vec<(usize, TcpStream)> =
+            numbers.map(|number| (number, connect(cluster, number))).collect();
+        for (number, mut stream) in batch {
+            let trace = || http_get(admin, &format!("/why/s{number}"), 5.0);
             let mut status = [0; 12];
-            stream.read_exact(&mut status).unwrap();
+            if let Err(error) = stream.read_exact(&mut status) {
+                panic!("s{number} has not begun: {error}\n{}", trace());
+            }
             if status == *b"HTTP/1.1 200" {
                 begun.push(stream);
+            } else {
+                println!("s{number}: {}\n{}", String::from_utf8_lossy(&status), trace());
             }
         }
         assert!(started_at.elapsed() < Duration::from_secs(60), "only {} have begun", begun.len());
@@ -100,7 +106,7 @@
     for engine in ["w0a", "w1a"] {
         cluster.control(engine, json!({"fault": "pad", "bytes": 32_768}));
     }
-    let stalled = begin_streams(&cluster, clients);
+    let stalled = begin_streams(&cluster, &admin, clients);
     // A client that does not stall is served meanwhile; then each of the others times out.
     let request = ChatCall {
         timeout_s: 20.0,
