--- a/crates/nickelgw-cli/tests/platform_reservations.rs
+++ b/crates/nickelgw-cli/tests/platform_reservations.rs
@@ -21,8 +21,7 @@
     Duration::from_millis(ms)
 }
 
-/// Issue 39, cause: a decode attempt was written to a connection that had fallen silent; its reservation stood until the client's
-/// deadline.
+/// A decode attempt on a connection that had fallen silent kept its reservation until the client's deadline.
 #[test]
 fn decode_attempt_on_a_silent_connection_does_not_keep_its_reservation() {
     for probes in [false, true] {
@@ -37,8 +36,7 @@
     }
 }
 
-/// A prefill succeeds and its connection breaks in the same moment, while its engine drains: the request waits in the queue
-/// for one that admits it.
+/// A prefill succeeds as its connection breaks and its engine drains: the request waits for another engine.
 #[test]
 fn reservation_of_a_prefill_with_a_lost_response_is_released_in_time() {
     let world = World::start(102, 1, 1, |_| {});
@@ -209,11 +207,7 @@
     }
 }
 
-/// Answers of many prefills get lost at once, and each new connection costs an engine 20 ms of work. Release calls went on at
-/// all that the engines could take, for seconds after the reservations were gone and the faults over, and little was served
-/// meanwhile: each unconfirmed release was repeated on a clock of its own, with up to four calls on new connections, and calls
-/// that timed out were repeated before the engines had worked off the ones before. Here: 96 to 100 calls in the half second
-/// that is looked at. In the soak (seed 523, 24 nodes): 484 calls a second rose to 9,475, and of 87,477 calls 897 were answered.
+/// Release calls kept engines too busy to confirm them, and so went on after the faults that began them (release-storm.md).
 #[test]
 fn many_releases_at_once_end_within_a_second_of_the_faults() {
     let world = World::start(113, 2, 2, |_| {});
--- a/crates/nickelgw-cli/tests/platform_soak.rs
+++ b/crates/nickelgw-cli/tests/platform_soak.rs
@@ -72,8 +72,7 @@
 /// One user of the executor after the other, of all tests.
 static EXECUTOR: Mutex<()> = Mutex::new(());
 
-/// Takes the executor for one test. Its threads are counted as the first task is spawned, by whichever test: a test that
-/// spawned without this left one thread to the plays, which then failed (seed 1, 48 findings; none without that test).
+/// Takes the executor for one test, with all its threads: they are counted as the first task of any test is spawned.
 fn executor_alone() -> MutexGuard<'static, ()> {
     let alone = lock(&EXECUTOR);
     if std::env::var_os("SMOL_THREADS").is_none() {
--- a/crates/nickelgw-node-core/src/ledger/tests.rs
+++ b/crates/nickelgw-node-core/src/ledger/tests.rs
@@ -96,8 +96,7 @@
     assert_release_is_repeated(&mut ledger, 1.51, id);
 }
 
-/// The request goes on, and its next prefill waits until a further call is confirmed: the first may have overtaken the end of the
-/// attempt and spared its claim. With the next prefill lost, the reservation stood for 1.16 s (soak, seed 34, s2x27).
+/// A release call that overtook the end of an attempt spared its claim, and the next prefill began beside it.
 fn assert_release_is_repeated(ledger: &mut Ledger, confirmed_at: f64, id: ReservationId) {
     let again = confirmed_at + RETRY_FOLLOW_UP_S;
     assert!(ledger.is_releasing(id.owner) && ledger.poll_releases(again - 0.01).0.is_empty());
--- a/crates/nickelgw-node-core/src/release_scheduler/tests.rs
+++ b/crates/nickelgw-node-core/src/release_scheduler/tests.rs
@@ -69,8 +69,7 @@
     assert!(poll(&mut scheduler, 0.3, 2).is_empty());
 }
 
-/// Engines took new connections 0.25 s late and answered on open ones within a millisecond: a release whose hedged calls were
-/// all on new connections stood for 1.6 s beside others that were confirmed at the same engine (soak, seed 29, s13x48).
+/// A release whose hedged calls were all on new connections stood beside others confirmed on open ones at the same engine.
 #[test_case(0.1, ReleaseConnection::Any; "it answered just now")]
 #[test_case(1.0, ReleaseConnection::New; "it answered long ago")]
 fn hedged_call_uses_an_open_connection_of_an_engine_that_just_answered(
@@ -277,8 +276,7 @@
     }
 }
 
-/// The state that the soak found (seeds 506, 522, 523): with every release on a clock of its own, the calls that were made
-/// again kept the engines from answering in time, for as long as they were made.
+/// Repeated release calls kept engines from answering in time, for as long as they were made (release-storm.md).
 #[test_case(24; "24 nodes")]
 #[test_case(48; "48 nodes")]
 #[test_case(96; "96 nodes")]
--- a/crates/nickelgw-node/tests/shutdown.rs
+++ b/crates/nickelgw-node/tests/shutdown.rs
@@ -153,8 +153,7 @@
     String::from_utf8_lossy(&response).to_string()
 }
 
-/// A client connects before the node stops accepting and sends its first request a little later. It got no answer: hyper's
-/// graceful shutdown closes a connection that has read nothing at once. The platform's node had the same fault (soak, seed 509).
+/// hyper's graceful shutdown closed a new connection at once, before its first request had come.
 #[test]
 fn first_request_on_a_new_connection_is_answered_during_shutdown() {
     let mut cluster = test_cluster(5.0);
@@ -166,8 +165,7 @@
     assert_eq!(cluster.exit.take().unwrap().join().unwrap(), Exit::Clean);
 }
 
-/// Clients connect and send without a pause until connections are refused. One that the system has accepted is answered; the
-/// listener was closed over its backlog, which resets it.
+/// The listener was closed over connections in its backlog, which were reset with their requests.
 #[test]
 fn connections_accepted_by_the_system_are_answered_before_the_listener_closes() {
     let cluster = test_cluster(5.0);
--- a/crates/nickelgw-platform/tests/cases/shutdown.rs
+++ b/crates/nickelgw-platform/tests/cases/shutdown.rs
@@ -108,8 +108,7 @@
     std::fs::remove_file(path).unwrap();
 }
 
-/// The table is full of open requests, and more connections, with requests on them, are in the backlog: the system has
-/// accepted those. The listener was closed over them, and all were reset.
+/// The listener was closed over connections in its backlog, which were reset with their requests.
 #[test]
 fn connections_in_the_backlog_are_answered_before_the_listener_closes() {
     let (gate, prefill) = gated_prefill_engine();
@@ -145,8 +144,7 @@
     assert_ends_within(node, TEST_TIMEOUT);
 }
 
-/// Clients connect and send without a pause until connections are refused. One that came up between the last accept and the
-/// close of the listener was reset with its request.
+/// A connection that came up between the last accept and the close of the listener was reset with its request.
 #[test]
 fn connections_that_come_as_the_listener_closes_are_answered() {
     const CLIENTS: usize = 64;
@@ -224,11 +222,7 @@
     assert_eq!(closed, Ok(0));
 }
 
-/// A client connects 0.4 s after the shutdown request, the latest moment that the platform's page names, and its request
-/// arrives 0.25 s later. It got no answer (soak, seed 509, beside 20 busy loops: `NoFinalAnswer s8x65, ConnectionClosed after
-/// 82.6 ms`). The node counted a connection as idle from its accept on, and closed all idle ones as it stopped accepting:
-/// `shutdown requested` at 26.2857, `client connection ended connection=64 carried_request=false reason=Close` at 26.7858, the
-/// end of the 0.5 s in which it accepts, and no line with the request's id.
+/// A new connection was closed as idle before its first request had come (new-connection-closed-unread.md).
 #[test]
 fn first_request_on_a_new_connection_is_answered_during_shutdown() {
     let (prefill, decode) = (prefill_engine(), peer(|_, _| PeerAction::Respond(stream_response())));
