Chat front: the process does not exit before its listener is closed

Found by reading over again, not seen in a run: a node without open connections exits 20 ms after it stops listening, and closing the listener takes 20 ms since then (before, it took no time at all). A connection whose handshake was under way as the filter was set could be reset by the exit. The close counts as an open connection, on which the exit waits. The platform's node waits for its accepting task already (Shutdown::has_ended).

--- a/crates/nickelgw-node/src/server/accept.rs
+++ b/crates/nickelgw-node/src/server/accept.rs
@@ -64,6 +64,8 @@
         executor: &LocalExecutor<'static>,
     ) {
         if !self.listener.handed_over.get() {
+            // The process does not exit while a connection is open, and so not before its listener is closed either.
+            let _not_before = self.listener.connection_opened();
             close_listener(listener, async |listener: &TcpListener| {
                 self.accept_waiting(listener, executor).await
             })
