Soak: a series of signals sends SIGTERM only to the process that it ends itself

Trace: node 4 was told to shut down at 2.844 s of the play; a series with a shutdown hit it at 3.488. Its shutdown was not begun, as one was under way, but its SIGTERM went to the process that had just been started in the place of the first (log: node started 45.4816, shutdown requested 45.6656, shutdown finished 46.2270, then nothing). The platform starts a node again after each SIGTERM; the harness had nobody to do it.

A series that did not begin the shutdown sends reloads in place of SIGTERM.

--- a/crates/nickelgw-cli/tests/platform_soak/faults.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/faults.rs
@@ -241,22 +241,22 @@
                 kind: self.below(3),
             })
             .collect();
-        let process = member.process();
-        if with_shutdown {
-            fleet.shut_down_and_restart(node, self.random.generate());
-        }
+        let shutdown_random = with_shutdown.then(|| self.random.generate());
+        // Further requests to shut down go to the process that this series ends: nobody would start another one again.
+        let ending_process = shutdown_random.and_then(|random| fleet.shut_down_and_restart(node, random));
         fleet.run_beside(move || {
             for step in steps {
                 sleep(step.gap);
                 match step.kind {
                     0 => member.reload(),
                     1 => suspend(&member, step.suspended_for),
-                    // Only to the process that shuts down: nobody would start another one again.
-                    _ if with_shutdown => member.signal_process(process, Signal::TERM),
-                    _ => {
-                        member.reload();
-                        member.reload();
-                    }
+                    _ => match ending_process {
+                        Some(process) => member.signal_process(process, Signal::TERM),
+                        None => {
+                            member.reload();
+                            member.reload();
+                        }
+                    },
                 }
             }
         });
--- a/crates/nickelgw-cli/tests/platform_soak/fleet.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/fleet.rs
@@ -148,10 +148,11 @@
         }
     }
 
-    /// A node shuts down, is killed when its time is up, and starts again.
-    pub fn shut_down_and_restart(&self, node: usize, random: f64) {
+    /// A node shuts down, is killed when its time is up, and starts again. Returns its process; none: it is ending already.
+    pub fn shut_down_and_restart(&self, node: usize, random: f64) -> Option<u32> {
         let member = self.member(node);
-        if member.begin_end() {
+        member.begin_end().then(|| {
+            let process = member.process();
             let discovery = self.discovery.clone();
             let accepts_for = Member::accept_duration(random);
             self.clients[node].start_shutdown_clients(random.to_bits(), accepts_for);
@@ -159,7 +160,8 @@
                 member.shut_down(accepts_for);
                 member.restart(&discovery.list());
             });
-        }
+            process
+        })
     }
 
     /// Waits until faults of nodes have run to their end.
