--- a/crates/nickelgw-node/src/lingering_close.rs
+++ b/crates/nickelgw-node/src/lingering_close.rs
@@ -4,6 +4,7 @@
 use crate::clock::within;
 use smol::io::AsyncReadExt;
 use smol::Async;
+use std::io::ErrorKind;
 use std::net::{Shutdown, TcpStream};
 
 /// Bytes of one read.
@@ -18,6 +19,7 @@
         while discarded < max_bytes {
             match stream.read(&mut buffer).await {
                 Ok(length) if length > 0 => discarded += length,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 _ => return,
             }
         }
--- a/crates/nickelgw-node/src/listener_state.rs
+++ b/crates/nickelgw-node/src/listener_state.rs
@@ -64,6 +64,21 @@
         self.connections.set(self.connections.get() + 1);
         ConnectionGuard(self.clone())
     }
+
+    /// Counts a connection over the limit until the guard is dropped.
+    pub fn rejection_begun(self: &Rc<Self>) -> RejectionGuard {
+        self.rejecting.set(self.rejecting.get() + 1);
+        RejectionGuard(self.clone())
+    }
+}
+
+/// Counts a connection over the limit while it is being closed.
+pub struct RejectionGuard(Rc<ListenerState>);
+
+impl Drop for RejectionGuard {
+    fn drop(&mut self) {
+        self.0.rejecting.set(self.0.rejecting.get() - 1);
+    }
 }
 
 /// Counts a connection while it is open.
--- a/crates/nickelgw-node/src/server/accept.rs
+++ b/crates/nickelgw-node/src/server/accept.rs
@@ -100,12 +100,10 @@
     /// Answers a connection over the limit, and reads what its client still sends.
     async fn reject_connection(self: Rc<Self>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().write(OVERLOADED_RESPONSE);
-        let rejecting = &self.listener.rejecting;
-        if rejecting.get() < MAX_REJECTING {
-            rejecting.set(rejecting.get() + 1);
+        if self.listener.rejecting.get() < MAX_REJECTING {
+            let _guard = self.listener.rejection_begun();
             let max_bytes = self.submitter.limits.max_body_bytes + MAX_HEAD_BYTES;
             close_lingering(&stream, REJECT_LINGER_S, max_bytes).await;
-            rejecting.set(rejecting.get() - 1);
         }
     }
 
