Soak: the time a client has left is judged as the attempt arrives again

The trace is of AttemptAfterDisconnect; BudgetPastDeadline was judged from the attempt's write with it, for no case that had been traced. Its check is as before again (test: time_that_is_left_is_judged_ as_the_attempt_arrives). And the time noted by the proxy is taken by one attempt: left in place it could stand for a later one whose id the proxy had not seen, and hide that it began after the client had left.

--- a/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
+++ b/crates/nickelgw-cli/tests/platform_soak/judge_tests.rs
@@ -109,6 +109,21 @@
     let violations = table.violations();
     let is_the_late_one = |violation: &Violation| matches!(violation, Violation::AttemptAfterDisconnect { id, .. } if id == "after");
     assert!(violations.len() == 1 && violations.iter().all(is_the_late_one), "{violations:?}");
+    // A time that was noted stands for one attempt.
+    table.attempt_arrived("before", None, Role::Decode);
+    assert_eq!(table.violations().len(), 2, "begun as it arrived, after the client had left");
+}
+
+/// What a client has left was judged as the attempt was written, which hid time on its way to the engine.
+#[test]
+fn time_that_is_left_is_judged_as_the_attempt_arrives() {
+    let table = RequestTable::new(RuleLimits::default());
+    table.request_sent("late", ms(2000), false);
+    table.attempt_written("late");
+    std::thread::sleep(RuleLimits::default().deadline_slack + ms(20));
+    table.attempt_arrived("late", Some(ms(2000)), Role::Prefill);
+    let violations = table.violations();
+    assert!(matches!(violations[..], [Violation::BudgetPastDeadline { .. }]), "{violations:?}");
 }
 
 #[test]
--- a/crates/nickelgw-test-servers/src/platform/request_table.rs
+++ b/crates/nickelgw-test-servers/src/platform/request_table.rs
@@ -141,7 +141,8 @@
         let now = Instant::now();
         let (disconnected_at, sent_at, deadline, written_at) = self.update(id, |request| {
             request.add_attempt(role);
-            let written_at = request.attempt_written_at.unwrap_or(now);
+            // Taken, so that it never stands for a later attempt.
+            let written_at = request.attempt_written_at.take().unwrap_or(now);
             (request.disconnected_at, request.sent_at, request.deadline, written_at)
         });
         if let Some(disconnected_at) = disconnected_at {
@@ -152,7 +153,7 @@
             }
         }
         if let (Some(budget), Some(deadline)) = (budget, deadline) {
-            let excess = budget.saturating_sub(deadline.saturating_duration_since(written_at));
+            let excess = budget.saturating_sub(deadline.saturating_duration_since(now));
             if excess > self.limits.deadline_slack {
                 let violation = Violation::BudgetPastDeadline { id: id.to_string(), excess };
                 self.report(violation, sent_at.unwrap_or(now), now);
