Review case: states stay held while new connections come up too late

Shows: for 30 s new connections to engines do not come up within connect_timeout_s, open ones are untouched, with a burst as the site has it; release calls wait on new connections while other engines answer on open ones.

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -7,6 +7,7 @@
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -18,6 +19,7 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
+    fn listen(socket: i32, backlog: i32) -> i32;
 }
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
@@ -211,20 +213,84 @@
     Write,
 }
 
+/// What engines hold for one request.
+#[derive(Default)]
+struct Held {
+    /// The engine that holds its read state.
+    holder: Option<String>,
+    /// Attempts that have arrived and not ended, and those of them at writers.
+    out: i32,
+    out_at_writers: i32,
+    /// Since when a state is held while no attempt is out.
+    since: Option<Instant>,
+    events: Vec<String>,
+}
+
 /// What engines hold for requests.
 #[derive(Default)]
 pub struct States {
-    /// For each request the engine that holds its read state.
-    held: Mutex<HashMap<String, String>>,
+    held: Mutex<HashMap<String, Held>>,
+    /// Times for which a state was held while no attempt was out, each with its request and what happened.
+    pub spans: Mutex<Vec<(Duration, String, String)>>,
 }
 
 impl States {
-    pub fn hold(&self, id: &str, engine: &str) {
-        lock(&self.held).insert(id.to_string(), engine.to_string());
+    fn update<T>(&self, id: &str, event: String, change: impl FnOnce(&mut Held) -> T) -> T {
+        let mut all = lock(&self.held);
+        let held = all.entry(id.to_string()).or_default();
+        held.events.push(event);
+        let result = change(held);
+        if held.holder.is_some() && held.out == 0 {
+            held.since.get_or_insert_with(Instant::now);
+        } else if let Some(since) = held.since.take() {
+            lock(&self.spans).push((since.elapsed(), id.to_string(), held.events.join("; ")));
+        }
+        result
     }
 
-    pub fn take(&self, id: &str) -> bool {
-        lock(&self.held).remove(id).is_some()
+    pub fn begins(&self, id: &str, engine: &Engine) {
+        let event = format!("{:.3} attempt at {}", engine.record.now(), engine.id);
+        self.update(id, event, |held| {
+            held.out += 1;
+            held.out_at_writers += i32::from(engine.role == Role::Write);
+        });
+    }
+
+    pub fn ends(&self, id: &str, engine: &Engine) {
+        let event = format!("{:.3} ended at {}", engine.record.now(), engine.id);
+        self.update(id, event, |held| {
+            held.out -= 1;
+            held.out_at_writers -= i32::from(engine.role == Role::Write);
+        });
+    }
+
+    pub fn hold(&self, id: &str, engine: &Engine) {
+        let event = format!("{:.3} state held at {}", engine.record.now(), engine.id);
+        self.update(id, event, |held| held.holder = Some(engine.id.clone()));
+    }
+
+    pub fn take(&self, id: &str, engine: &Engine) -> bool {
+        let event = format!("{:.3} state taken by {}", engine.record.now(), engine.id);
+        self.update(id, event, |held| held.holder.take().is_some())
+    }
+
+    /// A call that releases: it spares what an attempt that has arrived waits for.
+    pub fn release(&self, id: &str, engine: &Engine) {
+        let event = format!("{:.3} release call at {}", engine.record.now(), engine.id);
+        self.update(id, event, |held| {
+            if held.out_at_writers == 0 {
+                held.holder = None;
+            }
+        });
+    }
+
+    /// Ends the spans that are still open.
+    pub fn close(&self) {
+        for (id, held) in lock(&self.held).iter_mut() {
+            if let Some(since) = held.since.take() {
+                lock(&self.spans).push((since.elapsed(), id.clone(), held.events.join("; ")));
+            }
+        }
     }
 }
 
@@ -239,6 +305,8 @@
     /// Number of events of a stream, and the time between two.
     pub events: AtomicU64,
     pub event_gap_ms: AtomicU64,
+    /// While set, new connections do not come up; open ones are not touched.
+    pub no_new_connections: AtomicBool,
 }
 
 pub struct Attempt {
@@ -298,10 +366,33 @@
             inflight: AtomicU64::new(0),
         });
         let accepting = engine.clone();
+        let _ = listener.set_nonblocking(true);
         spawn(move || {
-            for stream in listener.incoming().flatten() {
+            // Connections of the stand-in's own that fill the queue of the listener: the system then ignores
+            // further handshakes.
+            let mut fillers: Vec<TcpStream> = Vec::new();
+            loop {
+                if accepting.behaviour.no_new_connections.load(SeqCst) {
+                    if fillers.is_empty() {
+                        // SAFETY: a call on a descriptor that is open here.
+                        unsafe { listen(listener.as_raw_fd(), 0) };
+                        let fill = |_| TcpStream::connect_timeout(&accepting.address, ms(20)).ok();
+                        fillers = (0..4).filter_map(fill).collect();
+                    }
+                    sleep(ms(2));
+                    continue;
+                }
+                if !fillers.is_empty() {
+                    fillers.clear();
+                    // SAFETY: as above.
+                    unsafe { listen(listener.as_raw_fd(), 128) };
+                }
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(Duration::from_micros(200));
+                    continue;
+                };
+                let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
                 let engine = accepting.clone();
-                let _ = stream.set_nodelay(true);
                 spawn(move || engine.serve(stream));
             }
         });
@@ -333,7 +424,7 @@
     fn answer(&self, message: &Message, stream: &mut TcpStream, connection: u16) -> bool {
         if message.method() == "DELETE" {
             let id = message.path().rsplit('/').next().unwrap_or("");
-            self.states.take(id);
+            self.states.release(id, self);
             return stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_ok();
         }
         if message.method() == "GET" {
@@ -348,23 +439,25 @@
         lock(&self.attempts).push(Attempt { at: message.first_byte_at, engine: self.id.clone(), id: id.clone() });
         self.record.say(format!("engine {} runs {id} (connection {connection})", self.id));
         self.inflight.fetch_add(1, SeqCst);
+        self.states.begins(&id, self);
         let open = match self.role {
             Role::Read => self.read(&id, stream),
             Role::Write => self.write(&id, stream, connection),
         };
+        self.states.ends(&id, self);
         self.inflight.fetch_sub(1, SeqCst);
         open
     }
 
     fn read(&self, id: &str, stream: &mut TcpStream) -> bool {
         sleep(ms(self.behaviour.read_ms.load(SeqCst)));
-        self.states.hold(id, &self.id);
+        self.states.hold(id, self);
         let report = self.report();
         stream.write_all(response("202 Accepted", &report, "{\"cached_tokens\":500}").as_bytes()).is_ok()
     }
 
     fn write(&self, id: &str, stream: &mut TcpStream, connection: u16) -> bool {
-        if !self.states.take(id) {
+        if !self.states.take(id, self) {
             let gone = response("410 Gone", "X-Rejected: 1\r\n", "{}");
             return stream.write_all(gone.as_bytes()).is_ok();
         }
@@ -609,6 +702,32 @@
     marks_retry: false,
 };
 
+/// The settings of a small deployment of the site khi-screening.
+pub const KHI: NodeSettings<'static> = NodeSettings {
+    name: "n0",
+    number: 0,
+    balancers: 1,
+    zones: &["khi-korangi", "khi-clifton", "khi-saddar"],
+    zone: "khi-korangi",
+    kinds: ["prompt-box", "answer-main"],
+    classes: r#"[{"name":"quick-score","deadline_s":4.0,"group":"all","idempotency":"pure","late_worth":0.1,"memory_span_s":5.0,"slo_s":0.8,"streaming":true,"worth":2.0},
+        {"name":"report-chat","deadline_s":15.0,"group":"all","idempotency":"pure","late_worth":0.1,"memory_span_s":5.0,"slo_s":3.0,"streaming":true,"worth":2.0},
+        {"name":"final-decision","deadline_s":6.0,"group":"all","idempotency":"side_effect","late_worth":0.2,"memory_span_s":5.0,"slo_s":1.2,"streaming":true,"worth":5.0}]"#,
+    token_aims_s: "[0.05,0.08,0.06]",
+    aims_us: "[60000.0,40000.0,40000.0]",
+    accounts: "[]",
+    drain_grace_s: 1.0,
+    tip_multiple: 2.5,
+    fall_s: 1.0,
+    probes: true,
+    second_copies: false,
+    retry_after: true,
+    resume: false,
+    reporting: r#"{"fields":["concurrent","depth","x0","x1"],"how":"piggyback"}"#,
+    idle_close_s: 15.0,
+    marks_retry: false,
+};
+
 impl NodeSettings<'_> {
     fn config(&self, listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
         let quoted: Vec<String> = self.zones.iter().map(|zone| format!("\"{zone}\"")).collect();
