Keep attempts off a connection for 0.1 s after a stream, so that no late response is theirs

Cause: the connection went back to the pool with the last chunk and was handed out first; whether surplus bytes have arrived is looked at as it is taken. What arrives behind the next request's bytes is read as the response to that request.

Control calls may use it if there is no other: a stream in place of their response counts as malformed now. Before it confirmed a release; stream_is_no_response_to_a_control_call failed with the check taken out.

--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -17,6 +17,10 @@
 /// Maximum number of interim responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
+/// Time within which an engine may send a surplus response after a stream; the platform's days have some that are
+/// milliseconds late. A request written meanwhile would take the surplus response for its own.
+const SURPLUS_RESPONSE_WITHIN_S: f64 = 0.1;
+
 /// A descriptor in use. It counts from when the connection begins to be opened, since a connection that is
 /// established late uses a descriptor meanwhile as well.
 pub(crate) struct DescriptorPermit(Rc<Cell<usize>>);
@@ -47,6 +51,8 @@
     /// Time in seconds for which the connection had been idle when the current call took it from the pool;
     /// `None` if it is new.
     idle_s: Option<f64>,
+    /// When the last stream was read to its end, which a surplus response may follow; `None` if there was none.
+    stream_ended_at: Option<Instant>,
     _permit: DescriptorPermit,
 }
 
@@ -70,6 +76,7 @@
             idle_since: Instant::now(),
             seen_open_after_s: 0.0,
             idle_s: None,
+            stream_ended_at: None,
             _permit: permit,
         }
     }
@@ -107,6 +114,17 @@
         ConnectionCloser(self.stream.clone())
     }
 
+    /// Notes that a stream was read to its end.
+    pub fn set_stream_ended(&mut self) {
+        self.stream_ended_at = Some(Instant::now());
+    }
+
+    /// Returns whether a surplus response may still follow the last stream.
+    pub(crate) fn may_get_surplus_response(&self) -> bool {
+        self.stream_ended_at
+            .is_some_and(|ended_at| ended_at.elapsed().as_secs_f64() < SURPLUS_RESPONSE_WITHIN_S)
+    }
+
     /// Returns whether nothing has arrived and the stream has not ended while the connection was idle.
     pub(crate) fn is_reusable(&self) -> bool {
         loop {
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -240,6 +240,7 @@
             if is_end {
                 tracing::debug!(at = self.now(), request = %attempt.name, "stream finished");
                 if stream.reusable {
+                    stream.connection.set_stream_ended();
                     self.parts.pool.put_idle(stream.connection);
                 }
                 return AttemptResult { outcome: AttemptOutcome::Completed, load, cached_tokens: 0.0 };
--- a/crates/nickelgw-platform/src/pool.rs
+++ b/crates/nickelgw-platform/src/pool.rs
@@ -115,7 +115,8 @@
         let max_idle_s = self.limits.max_idle_s;
         match usage {
             ConnectionUse::NewConnection => None,
-            ConnectionUse::Attempt | ConnectionUse::Control => self.idle_connection(address, max_idle_s),
+            ConnectionUse::Attempt => self.idle_connection(address, max_idle_s),
+            ConnectionUse::Control => self.idle_control_connection(address, max_idle_s),
             ConnectionUse::SingleAttempt => {
                 let observed_s =
                     *self.observed_idle_timeout_s.borrow().get(address).unwrap_or(&f64::INFINITY);
@@ -133,11 +134,28 @@
         }
     }
 
-    /// Takes a connection from the pool that has been idle for less than `max_idle_s` and is not known to
-    /// have ended; `None` if there is none.
+    /// Takes a connection from the pool that has been idle for less than `max_idle_s`, gets no surplus response
+    /// and is not known to have ended; `None` if there is none.
     fn idle_connection(&self, address: &str, max_idle_s: f64) -> Option<Connection> {
+        let is_usable = |connection: &Connection| !connection.may_get_surplus_response();
+        self.idle_connection_where(address, max_idle_s, is_usable)
+    }
+
+    /// Takes a connection for a control call. One that may get a surplus response is taken if there is no other:
+    /// a surplus response is a stream, which is distinguishable from the response to a control call.
+    fn idle_control_connection(&self, address: &str, max_idle_s: f64) -> Option<Connection> {
+        let connection = self.idle_connection(address, max_idle_s);
+        connection.or_else(|| self.idle_connection_where(address, max_idle_s, |_| true))
+    }
+
+    fn idle_connection_where(
+        &self,
+        address: &str,
+        max_idle_s: f64,
+        is_usable: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         loop {
-            let mut connection = self.idle.borrow_mut().get_mut(address).and_then(Vec::pop)?;
+            let mut connection = self.take_last_idle(address, &is_usable)?;
             let idle_s = connection.idle_elapsed_s();
             if !connection.is_reusable() {
                 self.record_idle_close(&connection, idle_s);
@@ -148,6 +166,14 @@
         }
     }
 
+    /// Takes the most recently used of the usable connections out of the pool.
+    fn take_last_idle(&self, address: &str, is_usable: impl Fn(&Connection) -> bool) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(address)?;
+        let index = connections.iter().rposition(is_usable)?;
+        Some(connections.remove(index))
+    }
+
     /// Learns from a call on a reused connection how long its engine keeps idle connections: either the call
     /// was answered, or the connection broke.
     pub fn record_use(&self, connection: &Connection, answered: bool) {
@@ -233,6 +259,10 @@
         let bytes = engine::encode_bodiless_request(call.method, call.target, call.address);
         connection.write(&bytes, &Cell::new(false)).await?;
         let head = connection.response_head().await?;
+        if head.is_event_stream {
+            // A surplus response to an earlier request on this connection.
+            return Err(AttemptOutcome::Malformed);
+        }
         head_received();
         let (body, reusable) = connection.body(&head, call.max_body_bytes).await?;
         if reusable {
@@ -241,3 +271,7 @@
         Ok((head, body))
     }
 }
+
+#[cfg(test)]
+#[path = "pool_tests.rs"]
+mod tests;
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -16,6 +16,8 @@
 mod idle_connections;
 #[path = "cases/shutdown.rs"]
 mod shutdown;
+#[path = "cases/surplus_response.rs"]
+mod surplus_response;
 #[path = "cases/unreachable_zone.rs"]
 mod unreachable_zone;
 
