Let an observed response time of discovery not extend a call that has begun

Cause: discovery answers some calls of an outage as it returns, seconds late, and others never. The age of an answered one became the response time at once and raised the timeout of the call under way, which was lost, from 0.04 to 0.8 s.

Fix: a call keeps the timeouts that it began with. The estimate is that of the last response, so that one timely response corrects it, and halves with each second of silence.

--- a/crates/nickelgw-platform/src/core/discovery_calls.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls.rs
@@ -5,7 +5,7 @@
 //! for the whole list becomes the current one. The first response that arrives is applied, whichever call it
 //! answers. An answered call makes those before it superfluous.
 
-use super::discovery_timing::DiscoveryTimeouts;
+use super::discovery_timing::{DiscoveryTimeouts, ResponseTimeouts};
 use super::endpoint_list::DiscoveryUpdate;
 use super::late_calls::{LateCalls, LATE_LIMITS_S};
 use super::response_time::ResponseTime;
@@ -46,6 +46,9 @@
     pub expected_at: f64,
     request: DiscoveryRequest,
     started_at: f64,
+    /// Timeouts that were valid when the call started. A response time that is observed later does not extend
+    /// them: it may be that of a call which discovery answered as it recovered, while this one is lost.
+    timeouts: ResponseTimeouts,
     head_received: bool,
 }
 
@@ -119,7 +122,7 @@
         let response_time_s = now - call.expected_at;
         // A watch that is answered early, with changes, says nothing about the time of a response.
         if response_time_s >= 0.0 {
-            self.response_time.observe(response_time_s);
+            self.response_time.observe(now, response_time_s);
         }
         if let Some(current) = self.current.as_mut().filter(|current| current.id == id) {
             current.head_received = true;
@@ -166,16 +169,13 @@
 
     fn current_deadline(&self) -> f64 {
         let Some(call) = &self.current else { return f64::INFINITY };
-        let timeouts = self.timeouts.response_timeouts(self.response_time.estimate_s());
-        call.expected_at + if call.head_received { timeouts.total_s } else { timeouts.head_s }
+        let timeout_s = if call.head_received { call.timeouts.total_s } else { call.timeouts.head_s };
+        call.expected_at + timeout_s
     }
 
     /// Keeps the current call among the late ones, so that another call can start.
     fn current_overdue(&mut self, now: f64) {
         let Some(call) = self.current.take() else { return };
-        if !call.head_received {
-            self.response_time.observe_silence();
-        }
         self.commands.push(DiscoveryCommand::LogOverdue(call.id));
         if !self.late.keep(now, call) {
             self.commands.push(DiscoveryCommand::Cancel(call.id));
@@ -202,8 +202,14 @@
         };
         self.last_id += 1;
         let id = CallId(self.last_id);
-        self.current =
-            Some(OpenCall { id, expected_at: now + wait_s, request, started_at: now, head_received: false });
+        self.current = Some(OpenCall {
+            id,
+            expected_at: now + wait_s,
+            request,
+            started_at: now,
+            timeouts: self.timeouts.response_timeouts(self.response_time.estimate_s(now)),
+            head_received: false,
+        });
         self.commands.push(DiscoveryCommand::Start(id, request));
     }
 
--- a/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
@@ -27,8 +27,11 @@
     changes_at: Vec<f64>,
     /// Delays of responses, used in turn.
     delays_s: Vec<f64>,
-    /// Times between which calls are accepted and never answered.
+    /// Times between which calls are accepted and not answered.
     outage: Option<(f64, f64)>,
+    /// Every so many calls of the outage, one is answered at its end after all; 0 for none.
+    answered_at_recovery: usize,
+    calls_in_outage: usize,
     /// Whether calls are handled one after another, also those that were given up.
     is_serial: bool,
     busy_until: f64,
@@ -57,14 +60,21 @@
         let delay_s = self.delays_s[self.responses % self.delays_s.len()];
         self.responses += 1;
         let begin_at = if self.is_serial { self.busy_until.max(content_at) } else { content_at };
-        if self.outage.is_some_and(|(from, to)| now < to && begin_at + delay_s >= from) {
-            return None;
-        }
-        self.busy_until = begin_at + delay_s;
+        let outage = self.outage.filter(|(from, to)| now < *to && begin_at + delay_s >= *from);
+        let Some((_, recovery_at)) = outage else {
+            self.busy_until = begin_at + delay_s;
+            return Some(self.response(id, since, content_at, begin_at + delay_s));
+        };
+        self.calls_in_outage += 1;
+        let is_answered =
+            self.answered_at_recovery > 0 && self.calls_in_outage.is_multiple_of(self.answered_at_recovery);
+        is_answered.then(|| self.response(id, since, recovery_at, recovery_at))
+    }
+
+    fn response(&self, id: CallId, since: Option<u64>, content_at: f64, at: f64) -> Response {
         let generation = self.generation_at(content_at);
         let changed = since.is_none_or(|since| generation > since);
-        let update = update(generation, since.is_none(), changed);
-        Some(Response { id, at: begin_at + delay_s, update })
+        Response { id, at, update: update(generation, since.is_none(), changed) }
     }
 }
 
@@ -227,6 +237,36 @@
     }
 }
 
+/// Regression test: calls that discovery answered as it recovered, seconds late, were taken for its usual response
+/// time. Another call that it never answered was then awaited for 0.8 s, and a drain right after the recovery was
+/// noticed too late.
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(5)]
+fn change_after_a_recovery_that_answers_old_calls_is_noticed_at_once(answered_at_recovery: usize) {
+    for stop_dispatch_within_s in STOP_DISPATCH_WITHIN_S {
+        for step in 0..100 {
+            let recovery_at = 7.0 + 0.043 * f64::from(step);
+            let change_at = recovery_at + 0.01 * f64::from(step % 30);
+            let agent = Agent {
+                changes_at: vec![change_at],
+                delays_s: vec![0.0],
+                outage: Some((5.0, recovery_at)),
+                answered_at_recovery,
+                ..Agent::default()
+            };
+            let mut simulation = Simulation::new(stop_dispatch_within_s, agent);
+            simulation.run_until(recovery_at + 100.0);
+            let (applied_s, limit_s) =
+                (simulation.applied_after_s(change_at, 2), stop_dispatch_within_s / 2.0);
+            assert!(
+                applied_s <= limit_s.min(MAX_DELAY_S),
+                "applied after {applied_s} s of {limit_s} s, recovery at {recovery_at} s"
+            );
+        }
+    }
+}
+
 /// Calls that discovery never answers leave room for calls that are answered late.
 #[test_case(0.1)]
 #[test_case(0.6)]
@@ -317,6 +357,7 @@
         changes in prop::collection::vec(0.0..20.0f64, 1..6),
         outage_at in 0.0..20.0f64,
         outage_s in 0.0..10.0f64,
+        answered_at_recovery in 0usize..4,
         is_serial in any::<bool>(),
     ) {
         let mut changes_at = changes;
@@ -325,7 +366,7 @@
         // Serial agents with outages have a test of their own.
         let outage = (!is_serial).then_some((outage_at, outage_at + outage_s));
         let delays_s = if is_serial { delays_s.iter().map(|delay_s| delay_s / 100.0).collect() } else { delays_s };
-        let agent = Agent { changes_at, delays_s, outage, is_serial, ..Agent::default() };
+        let agent = Agent { changes_at, delays_s, outage, answered_at_recovery, is_serial, ..Agent::default() };
         let mut simulation = Simulation::new(stop_dispatch_within_s, agent);
         simulation.run_until(150.0);
         prop_assert_eq!(simulation.applied.last().map(|(_, generation)| *generation), Some(last_generation));
--- a/crates/nickelgw-platform/src/core/response_time.rs
+++ b/crates/nickelgw-platform/src/core/response_time.rs
@@ -1,29 +1,25 @@
 //! Estimate of how long discovery takes to respond.
 
-/// Factor by which the estimate falls at most with each call.
-const DECAY: f64 = 0.5;
+/// Time without a response in which the estimate falls to half.
+const HALF_LIFE_S: f64 = 1.0;
 
-/// Time that discovery takes to respond, as observed by its recent responses. It rises to each longer
-/// observation at once and falls gradually, so that responses that vary are rarely overdue.
+/// Time that discovery takes to respond: that of its last response. It falls while no response comes, so that the
+/// end of an outage is noticed as soon as if responses had never been late.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ResponseTime {
-    estimate_s: f64,
+    last_s: f64,
+    observed_at: f64,
 }
 
 impl ResponseTime {
     /// Returns the estimate in seconds.
-    pub fn estimate_s(&self) -> f64 {
-        self.estimate_s
+    pub fn estimate_s(&self, now: f64) -> f64 {
+        let half_lives = (now - self.observed_at) / HALF_LIFE_S;
+        self.last_s * 0.5f64.powf(half_lives)
     }
 
     /// Takes a response into account that took this many seconds.
-    pub fn observe(&mut self, response_time_s: f64) {
-        self.estimate_s = response_time_s.max(DECAY * self.estimate_s);
-    }
-
-    /// Takes a call into account that ran into its timeout without any response. During an outage the estimate
-    /// thus falls, so that the recovery is noticed as soon as if responses had never been late.
-    pub fn observe_silence(&mut self) {
-        self.estimate_s *= DECAY;
+    pub fn observe(&mut self, now: f64, response_time_s: f64) {
+        (self.last_s, self.observed_at) = (response_time_s, now);
     }
 }
