Give a release or probe the connection that another call returns while none is established

Cause: a release call without an idle connection waited 0.25 s for its new one alone, hedged calls always did. Connections that attempts returned meanwhile went to further attempts.

Fix: while a connection is being opened for a control call, the call takes one to the same engine that another call returns, if that comes first (return_waiters.rs).

--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod node;
 mod pool;
 mod reload;
+mod return_waiters;
 mod server;
 mod shutdown;
 mod signals;
--- a/crates/nickelgw-platform/src/pool.rs
+++ b/crates/nickelgw-platform/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::connection::DescriptorPermit;
 pub use crate::connection::{Connection, ConnectionCloser};
 use crate::core::engine::{self, ResponseHead};
+use crate::return_waiters::ReturnWaiters;
 use bytes::Bytes;
 use nickelgw_node::{seconds, within};
 use nickelgw_node_core::AttemptOutcome;
@@ -70,6 +71,8 @@
     /// Time in seconds for which an engine was observed to keep idle connections, by address. Engines that
     /// were never observed to end one have no entry.
     observed_idle_timeout_s: RefCell<BTreeMap<String, f64>>,
+    /// Control calls for which new connections are being opened.
+    waiters: ReturnWaiters,
     /// Number of connections that are open or being opened.
     open: Rc<Cell<usize>>,
     limits: PoolLimits,
@@ -81,12 +84,15 @@
         Rc::new(ConnectionPool {
             idle: RefCell::default(),
             observed_idle_timeout_s: RefCell::default(),
+            waiters: ReturnWaiters::default(),
             open: Rc::default(),
             limits,
         })
     }
 
-    /// Returns an idle connection, or opens a new one.
+    /// Returns an idle connection, or opens a new one. While a new one is being opened for a control call, the
+    /// call takes a connection that another call to the same engine returns: the engine has just answered on it,
+    /// and may be slow to accept new ones.
     pub async fn connection(
         &self,
         address: &str,
@@ -103,6 +109,23 @@
         if self.open.get() >= max_open {
             return Err(AttemptOutcome::ConnectFailed);
         }
+        match usage {
+            ConnectionUse::Attempt | ConnectionUse::SingleAttempt => {
+                self.open_connection(address, socket_address).await
+            }
+            ConnectionUse::Control | ConnectionUse::NewConnection => {
+                let waiter = self.waiters.wait(address);
+                let returned = async { Ok(waiter.connection().await) };
+                futures_lite::future::or(returned, self.open_connection(address, socket_address)).await
+            }
+        }
+    }
+
+    async fn open_connection(
+        &self,
+        address: &str,
+        socket_address: SocketAddr,
+    ) -> Result<Connection, AttemptOutcome> {
         let permit = DescriptorPermit::new(&self.open);
         let connect = Async::<TcpStream>::connect(socket_address);
         let connected = within(self.limits.connect_timeout_s, connect).await;
@@ -202,9 +225,13 @@
         *timeout_s = timeout_s.min(observed_s);
     }
 
-    /// Returns a connection whose last response was read to its end to the pool, for the next call.
+    /// Returns a connection whose last response was read to its end to the pool, for a control call that waits
+    /// or for the next call.
     pub fn put_idle(&self, mut connection: Connection) {
-        if connection.set_idle() {
+        if !connection.set_idle() {
+            return;
+        }
+        if let Some(connection) = self.waiters.offer(connection) {
             self.idle.borrow_mut().entry(connection.address.clone()).or_default().push(connection);
         }
     }
