Let an older list of a new discovery agent take back no drain, removal or restart

Cause: the client forgot the generation with the address, and each whole list was taken over, whatever its generation.

--- a/crates/nickelgw-platform/src/core/discovery_calls.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls.rs
@@ -16,6 +16,9 @@
 /// Gap after a watch that was answered early and without changes. The next call continues the watch if it
 /// comes within 0.2 s (the platform's protocol).
 const EMPTY_WATCH_GAP_S: f64 = 0.1;
+/// Time after a change of discovery's address within which the new agent's list may be older than the previous
+/// agent's; from then on it counts (the platform's protocol).
+const NEW_AGENT_BEHIND_S: f64 = 4.0;
 /// Maximum number of calls that are open at once: the current one and the late ones.
 pub const MAX_OPEN_CALLS: usize = 1 + LATE_LIMITS_S.len();
 
@@ -63,6 +66,24 @@
     LogOverdue(CallId),
 }
 
+/// Update that is to be applied.
+#[derive(Debug)]
+pub enum AcceptedUpdate {
+    /// An update to apply as it is.
+    Current(DiscoveryUpdate),
+    /// An update that may be older than what was announced before: it must not take back drains, removals and
+    /// restarts.
+    PossiblyStale(DiscoveryUpdate),
+}
+
+/// What the agent at the previous address has announced.
+#[derive(Clone, Copy, Debug)]
+struct PreviousAgent {
+    generation: u64,
+    /// Time until which the new agent may be behind.
+    until: f64,
+}
+
 /// The calls to discovery, and what they returned last.
 pub struct DiscoveryCalls {
     timeouts: DiscoveryTimeouts,
@@ -73,6 +94,8 @@
     next_call_at: f64,
     /// Generation of the last update that was accepted, and when it was received.
     received: Option<(u64, f64)>,
+    /// The previous agent, while the current one may be behind it.
+    previous_agent: Option<PreviousAgent>,
     /// Whether the next call fetches the whole list.
     fetches_list: bool,
     /// Number of consecutive failed calls.
@@ -91,6 +114,7 @@
             last_id: 0,
             next_call_at: 0.0,
             received: None,
+            previous_agent: None,
             fetches_list: true,
             failures: 0,
             commands: Vec::new(),
@@ -101,6 +125,10 @@
     pub fn poll(&mut self, now: f64) -> Vec<DiscoveryCommand> {
         let given_up = self.late.move_up(now);
         self.cancel(given_up);
+        if self.previous_agent.is_some_and(|previous| previous.until <= now) {
+            // What was held back from a list that was possibly stale counts from now on.
+            (self.previous_agent, self.fetches_list) = (None, true);
+        }
         if self.current_deadline() <= now {
             self.current_overdue(now);
         }
@@ -113,7 +141,8 @@
     /// Returns the time at which [`DiscoveryCalls::poll`] has to be called next if there is no other event.
     pub fn next_wake(&self) -> f64 {
         let next = if self.current.is_some() { self.current_deadline() } else { self.next_call_at };
-        next.min(self.late.next_limit_at())
+        let previous_until = self.previous_agent.map_or(f64::INFINITY, |previous| previous.until);
+        next.min(self.late.next_limit_at()).min(previous_until)
     }
 
     /// Handles the head of a response.
@@ -130,7 +159,7 @@
     }
 
     /// Handles a whole response. Returns the update if it is to be applied.
-    pub fn responded(&mut self, now: f64, id: CallId, update: DiscoveryUpdate) -> Option<DiscoveryUpdate> {
+    pub fn responded(&mut self, now: f64, id: CallId, update: DiscoveryUpdate) -> Option<AcceptedUpdate> {
         let call = *self.open_call(id)?;
         self.close_up_to(id);
         self.failures = 0;
@@ -151,10 +180,14 @@
         self.commands.push(DiscoveryCommand::Cancel(id));
     }
 
-    /// Handles a change of discovery's address: nothing that was learned about the previous agent holds for the
-    /// new one, whose whole list is fetched at once.
+    /// Handles a change of discovery's address: the whole list of the new agent is fetched at once. It may be
+    /// older than what the previous agent has announced, which holds all the same.
     pub fn address_changed(&mut self, now: f64) {
         self.close_up_to(CallId(self.last_id));
+        let generations = [self.received.map(|(generation, _)| generation), self.previous_generation()];
+        let until = now + NEW_AGENT_BEHIND_S;
+        self.previous_agent =
+            generations.into_iter().flatten().max().map(|generation| PreviousAgent { generation, until });
         self.response_time = ResponseTime::default();
         self.received = None;
         self.fetches_list = true;
@@ -224,8 +257,12 @@
         self.cancel(closed);
     }
 
-    /// Returns the update if it is not older than what was received before.
-    fn accept(&mut self, now: f64, call: &OpenCall, update: DiscoveryUpdate) -> Option<DiscoveryUpdate> {
+    fn previous_generation(&self) -> Option<u64> {
+        self.previous_agent.map(|previous| previous.generation)
+    }
+
+    /// Returns the update if it is not older than what was received before from this agent.
+    fn accept(&mut self, now: f64, call: &OpenCall, update: DiscoveryUpdate) -> Option<AcceptedUpdate> {
         if let Some((generation, received_at)) = self.received {
             if update.generation < generation && call.started_at <= received_at {
                 // The call overlapped with the one that returned the newer list.
@@ -239,8 +276,16 @@
             }
         }
         self.received = Some((update.generation, now));
-        self.fetches_list = false;
-        Some(update)
+        self.fetches_list &= !update.is_whole_list();
+        match self.previous_generation() {
+            Some(generation) if update.generation < generation => Some(AcceptedUpdate::PossiblyStale(update)),
+            Some(_) => {
+                // The new agent has caught up. Changes do not tell what was held back from its list.
+                (self.previous_agent, self.fetches_list) = (None, !update.is_whole_list());
+                Some(AcceptedUpdate::Current(update))
+            }
+            None => Some(AcceptedUpdate::Current(update)),
+        }
     }
 }
 
--- a/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
@@ -143,6 +143,7 @@
         for response in self.responses.extract_if(.., |response| response.at <= now) {
             self.calls.head_received(now, response.id);
             if let Some(update) = self.calls.responded(now, response.id, response.update) {
+                let (AcceptedUpdate::Current(update) | AcceptedUpdate::PossiblyStale(update)) = update;
                 self.applied.push((now, update.generation));
             }
         }
@@ -347,6 +348,54 @@
     assert!(calls.responded(0.21, third.unwrap(), update(1, true, true)).is_some());
 }
 
+/// Polls and returns the request that is started, with its id.
+fn started(calls: &mut DiscoveryCalls, now: f64) -> Option<(CallId, DiscoveryRequest)> {
+    calls.poll(now).into_iter().find_map(|command| match command {
+        DiscoveryCommand::Start(id, request) => Some((id, request)),
+        _ => None,
+    })
+}
+
+/// Returns calls whose agent has announced generation 7, and whose address changed at 1 s.
+fn calls_after_address_change() -> DiscoveryCalls {
+    let mut calls = DiscoveryCalls::new(DiscoveryTimeouts::new(2.0));
+    let (id, _) = started(&mut calls, 0.0).unwrap();
+    assert!(matches!(calls.responded(0.01, id, update(7, true, true)), Some(AcceptedUpdate::Current(_))));
+    calls.address_changed(1.0);
+    calls
+}
+
+/// Regression test: a new agent that was behind the previous one took back drains that the node had been told.
+#[test]
+fn older_list_of_a_new_agent_is_possibly_stale_until_it_counts() {
+    let mut calls = calls_after_address_change();
+    let (id, _) = started(&mut calls, 1.0).unwrap();
+    assert!(matches!(
+        calls.responded(1.01, id, update(6, true, true)),
+        Some(AcceptedUpdate::PossiblyStale(_))
+    ));
+    // The watch that is under way when the list counts is followed by a call for the whole list.
+    let (watch, request) = started(&mut calls, 4.8).unwrap();
+    assert!(matches!(request, DiscoveryRequest::Watch { since: 6, .. }));
+    assert_eq!(started(&mut calls, 5.0), None);
+    assert!(calls.responded(5.1, watch, update(6, false, false)).is_some());
+    let (list, request) = started(&mut calls, 5.2).unwrap();
+    assert_eq!(request, DiscoveryRequest::List);
+    assert!(matches!(calls.responded(5.21, list, update(6, true, true)), Some(AcceptedUpdate::Current(_))));
+}
+
+#[test]
+fn list_of_a_new_agent_that_has_caught_up_counts_at_once() {
+    let mut calls = calls_after_address_change();
+    let (id, _) = started(&mut calls, 1.0).unwrap();
+    assert!(calls.responded(1.01, id, update(6, true, true)).is_some());
+    let (watch, _) = started(&mut calls, 1.1).unwrap();
+    assert!(matches!(calls.responded(1.2, watch, update(8, false, true)), Some(AcceptedUpdate::Current(_))));
+    let (list, request) = started(&mut calls, 1.3).unwrap();
+    assert_eq!(request, DiscoveryRequest::List, "changes do not tell what was held back");
+    assert!(matches!(calls.responded(1.31, list, update(8, true, true)), Some(AcceptedUpdate::Current(_))));
+}
+
 proptest! {
     /// Whatever the delays and outages are, the last list is applied in the end, no generation is followed by
     /// an older one, and the number of open calls is limited.
--- a/crates/nickelgw-platform/src/core/endpoint_list.rs
+++ b/crates/nickelgw-platform/src/core/endpoint_list.rs
@@ -46,6 +46,11 @@
         !self.reset && self.generation < generation
     }
 
+    /// Returns whether this update is the whole list.
+    pub fn is_whole_list(&self) -> bool {
+        self.reset
+    }
+
     /// Returns whether nothing has changed, as in the response to a watch that has timed out.
     pub fn is_empty(&self) -> bool {
         !self.reset && self.instances.is_empty()
@@ -105,6 +110,25 @@
         self.updates += 1;
     }
 
+    /// Applies one response of discovery that may be older than the list: it takes back neither drains nor
+    /// removals nor restarts, and adds no engine. What it announces itself counts.
+    pub fn apply_possibly_stale(&mut self, update: DiscoveryUpdate) {
+        let known = std::mem::take(&mut self.by_id);
+        let is_whole_list = update.reset;
+        if !is_whole_list {
+            self.by_id = known.clone();
+        }
+        self.apply(update);
+        self.by_id.retain(|id, entry| {
+            let Some(before) = known.get(id) else { return false };
+            if before.state == EngineState::Draining {
+                entry.state = EngineState::Draining;
+            }
+            entry.started_at = later(before.started_at, entry.started_at);
+            true
+        });
+    }
+
     /// Returns whether new attempts may go to the engine, according to the last announcement.
     pub fn is_active(&self, id: &str) -> bool {
         self.by_id.get(id).is_some_and(|entry| entry.state == EngineState::Active)
@@ -116,3 +140,11 @@
         EndpointList { revision: self.updates, engines: self.by_id.values().cloned().collect() }
     }
 }
+
+/// Returns the later of two times; `None` means long ago.
+fn later(first: Option<f64>, second: Option<f64>) -> Option<f64> {
+    match (first, second) {
+        (Some(first), Some(second)) => Some(first.max(second)),
+        (first, second) => first.or(second),
+    }
+}
--- a/crates/nickelgw-platform/src/core/tests.rs
+++ b/crates/nickelgw-platform/src/core/tests.rs
@@ -263,6 +263,47 @@
     assert_eq!(engines, [("bb", EngineState::Draining, None)]);
 }
 
+#[test]
+fn possibly_stale_list_takes_back_no_drain_removal_or_restart() {
+    let machine_kind = MachineKind { name: "m1".into(), role: EngineRole::Prefill, memory_tokens: 9.0 };
+    let mut endpoints = DiscoveredEndpoints::new(vec![machine_kind]);
+    let update = |reset: bool, entries: &[(&str, &str, f64)]| {
+        let instances: Vec<_> = entries
+            .iter()
+            .map(|(id, lifecycle, started_at_ms)| {
+                serde_json::json!({"instanceId": id, "machineType": "m1", "lifecycle": lifecycle, "startedAtMs": started_at_ms})
+            })
+            .collect();
+        let text = serde_json::json!({"generation": 4, "reset": reset, "instances": instances}).to_string();
+        DiscoveryUpdate::parse(text.as_bytes()).unwrap()
+    };
+    let known =
+        [("draining", "draining", 0.0), ("restarted", "up", 5e3), ("up", "up", 0.0), ("gone", "up", 0.0)];
+    let states = |endpoints: &DiscoveredEndpoints| -> Vec<_> {
+        let engines = endpoints.snapshot().engines;
+        engines.into_iter().map(|engine| (engine.id, engine.state, engine.started_at)).collect()
+    };
+    let kept = [
+        ("draining".to_string(), EngineState::Draining, None),
+        ("restarted".to_string(), EngineState::Active, Some(5.0)),
+        ("up".to_string(), EngineState::Draining, None),
+    ];
+    for is_whole_list in [true, false] {
+        endpoints.apply(update(true, &known));
+        let mut entries = vec![
+            ("draining", "up", 0.0),
+            ("restarted", "up", 0.0),
+            ("up", "draining", 0.0),
+            ("removed", "up", 0.0),
+        ];
+        if !is_whole_list {
+            entries.push(("gone", "removed", 0.0));
+        }
+        endpoints.apply_possibly_stale(update(is_whole_list, &entries));
+        assert_eq!(states(&endpoints), kept);
+    }
+}
+
 proptest! {
     // Received bytes never cause a panic, whatever they are.
     #[test]
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -7,8 +7,8 @@
 mod control_calls;
 
 use crate::clients::socket::ClientSocket;
-use crate::core::discovery_calls::CallId;
-use crate::core::endpoint_list::{DiscoveredEndpoints, DiscoveryUpdate};
+use crate::core::discovery_calls::{AcceptedUpdate, CallId};
+use crate::core::endpoint_list::DiscoveredEndpoints;
 use crate::core::engine::ForwardedRequest;
 use crate::core::event_stream::StreamPiece;
 use crate::core::log_limiter::LogRateLimiter;
@@ -153,11 +153,16 @@
     }
 
     /// Applies an update of discovery to the endpoint list, and passes the list to the core.
-    pub fn apply_update(&self, update: DiscoveryUpdate) {
-        if update.is_empty() {
-            return;
+    pub fn apply_update(&self, update: AcceptedUpdate) {
+        match update {
+            AcceptedUpdate::Current(update) | AcceptedUpdate::PossiblyStale(update) if update.is_empty() => {
+                return
+            }
+            AcceptedUpdate::Current(update) => self.endpoints.borrow_mut().apply(update),
+            AcceptedUpdate::PossiblyStale(update) => {
+                self.endpoints.borrow_mut().apply_possibly_stale(update);
+            }
         }
-        self.endpoints.borrow_mut().apply(update);
         let list = self.endpoints.borrow().snapshot();
         self.core.borrow_mut().update_endpoints(self.now(), &list);
         self.wake();
--- a/crates/nickelgw-platform/src/server.rs
+++ b/crates/nickelgw-platform/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{ClientServer, MemoryBudget};
 use crate::config::NodeConfig;
-use crate::core::discovery_calls::DiscoveryCalls;
+use crate::core::discovery_calls::{AcceptedUpdate, DiscoveryCalls};
 use crate::core::discovery_timing::DiscoveryTimeouts;
 use crate::core::endpoint_list::DiscoveredEndpoints;
 use crate::core::request::KnownNames;
@@ -181,7 +181,7 @@
     let endpoints = DiscoveredEndpoints::new(config.platform.machine_kinds);
     let node = Node::new(core, endpoints, parts);
     if let Some(known_endpoints) = config.known_endpoints {
-        node.apply_update(known_endpoints);
+        node.apply_update(AcceptedUpdate::Current(known_endpoints));
     }
     node
 }
--- a/crates/nickelgw-platform/tests/cases/discovery.rs
+++ b/crates/nickelgw-platform/tests/cases/discovery.rs
@@ -429,3 +429,30 @@
     announce_drain(&shared, &drain);
     assert!(drain.seconds_until_applied(&node) < MAX_DELAY_S);
 }
+
+/// Regression test: the agent at a new address was behind the previous one, and the node sent to an engine again
+/// whose drain it had been told. What a new agent has to tell counts from 4 s after SIGHUP.
+#[test]
+fn drain_is_not_taken_back_by_an_older_list_after_a_reload() {
+    let drain = drain_scenario();
+    let (old, new) = (new_agent(drain.before.clone()), new_agent(drain.before.clone()));
+    let path = std::env::temp_dir().join(format!("nickelgw-stale-list-{}.json", std::process::id()));
+    let node = drain.start_node(&discovery(&old), Some(path.clone()));
+    announce_drain(&old, &drain);
+    drain.seconds_until_applied(&node);
+    let new_peer = discovery(&new);
+    std::fs::write(&path, node_config("x", &new_peer.address.to_string(), Value::Null).to_string()).unwrap();
+    node.signals.request_reload();
+    let reloaded_at = Instant::now();
+    new_peer.wait_for("GET /v1/servers?since=");
+    let before = drain.first.received("POST").len();
+    while reloaded_at.elapsed() < Duration::from_secs(3) {
+        node.exchange(chat_request(&format!("{:08x}", reloaded_at.elapsed().as_micros())).as_bytes());
+        sleep(Duration::from_millis(50));
+    }
+    assert_eq!(drain.first.received("POST").len(), before, "the draining engine got an attempt");
+    // The new agent's list counts once it has caught up, also with fewer engines or other ones.
+    announce_drain(&new, &drain);
+    drain.seconds_until_applied(&node);
+    std::fs::remove_file(path).unwrap();
+}
