--- a/crates/nickelgw-platform/src/core/discovery_calls.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls.rs
@@ -9,6 +9,7 @@
 use super::endpoint_list::DiscoveryUpdate;
 use super::late_calls::{LateCalls, LATE_LIMITS_S};
 use super::response_time::ResponseTime;
+use std::fmt;
 
 /// Gap after each call, so that watches which are answered at once do not follow each other in a busy loop.
 /// The next call continues the watch.
@@ -26,6 +27,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(u64);
 
+impl fmt::Display for CallId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
 /// What a call asks discovery for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum DiscoveryRequest {
--- a/crates/nickelgw-platform/src/lib.rs
+++ b/crates/nickelgw-platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod counters;
 mod discovery;
 mod node;
+mod observed_idle_timeouts;
 mod pool;
 mod reload;
 mod return_waiters;
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -140,7 +140,7 @@
     /// Logs that discovery has not responded in time, at most one warning per minute.
     pub fn log_overdue_discovery_call(&self, id: CallId) {
         let at = self.now();
-        tracing::debug!(at, ?id, "discovery call overdue");
+        tracing::debug!(at, call = %id, "discovery call overdue");
         if let Some(occurrences) = self.log_limiter.borrow_mut().record(at, "overdue discovery calls") {
             tracing::warn!(at, occurrences, "discovery responds late or not at all");
         }
--- a/crates/nickelgw-platform/src/pool.rs
+++ b/crates/nickelgw-platform/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::connection::DescriptorPermit;
 pub use crate::connection::{Connection, ConnectionCloser};
 use crate::core::engine::{self, ResponseHead};
+use crate::observed_idle_timeouts::ObservedIdleTimeouts;
 use crate::return_waiters::ReturnWaiters;
 use bytes::Bytes;
 use nickelgw_node::{seconds, within};
@@ -16,8 +17,6 @@
 /// Maximum idle time of a connection that is reused for an attempt that may not be repeated, as a share of
 /// the idle timeout that was observed at the engine.
 const SINGLE_ATTEMPT_IDLE_SHARE: f64 = 0.5;
-/// Maximum number of engines whose idle timeouts are remembered.
-const MAX_OBSERVED_ENGINES: usize = 2048;
 /// Interval between two checks of idle connections.
 const IDLE_CHECK_INTERVAL_S: f64 = 1.0;
 
@@ -68,9 +67,7 @@
 pub struct ConnectionPool {
     /// Idle connections by address, the most recently used last.
     idle: RefCell<BTreeMap<String, Vec<Connection>>>,
-    /// Time in seconds for which an engine was observed to keep idle connections, by address. Engines that
-    /// were never observed to end one have no entry.
-    observed_idle_timeout_s: RefCell<BTreeMap<String, f64>>,
+    observed_timeouts: RefCell<ObservedIdleTimeouts>,
     /// Control calls for which new connections are being opened.
     waiters: ReturnWaiters,
     /// Number of connections that are open or being opened.
@@ -83,7 +80,7 @@
     pub fn new(limits: PoolLimits) -> Rc<ConnectionPool> {
         Rc::new(ConnectionPool {
             idle: RefCell::default(),
-            observed_idle_timeout_s: RefCell::default(),
+            observed_timeouts: RefCell::default(),
             waiters: ReturnWaiters::default(),
             open: Rc::default(),
             limits,
@@ -141,8 +138,7 @@
             ConnectionUse::Attempt => self.idle_connection(address, max_idle_s),
             ConnectionUse::Control => self.idle_control_connection(address, max_idle_s),
             ConnectionUse::SingleAttempt => {
-                let observed_s =
-                    *self.observed_idle_timeout_s.borrow().get(address).unwrap_or(&f64::INFINITY);
+                let observed_s = self.observed_timeouts.borrow().of(address);
                 self.idle_connection(address, max_idle_s.min(SINGLE_ATTEMPT_IDLE_SHARE * observed_s))
             }
         }
@@ -201,28 +197,18 @@
     /// was answered, or the connection broke.
     pub fn record_use(&self, connection: &Connection, answered: bool) {
         let Some(idle_s) = connection.idle_s() else { return };
-        if !answered {
-            return self.record_idle_timeout(&connection.address, idle_s);
-        }
-        if let Some(timeout_s) = self.observed_idle_timeout_s.borrow_mut().get_mut(&connection.address) {
-            *timeout_s = timeout_s.max(idle_s);
+        let mut timeouts = self.observed_timeouts.borrow_mut();
+        match answered {
+            true => timeouts.record_open(&connection.address, idle_s),
+            false => timeouts.record_closed(&connection.address, idle_s),
         }
     }
 
     /// Learns from a connection that has ended while it was idle, at an unknown time after it was last seen
     /// open.
     fn record_idle_close(&self, connection: &Connection, idle_s: f64) {
-        self.record_idle_timeout(&connection.address, connection.seen_open_after_s.max(idle_s / 2.0));
-    }
-
-    fn record_idle_timeout(&self, address: &str, observed_s: f64) {
-        let mut engines = self.observed_idle_timeout_s.borrow_mut();
-        // Engines come and go; a timeout that is forgotten is observed again.
-        if engines.len() >= MAX_OBSERVED_ENGINES && !engines.contains_key(address) {
-            engines.clear();
-        }
-        let timeout_s = engines.entry(address.to_string()).or_insert(f64::INFINITY);
-        *timeout_s = timeout_s.min(observed_s);
+        let closed_after_s = connection.seen_open_after_s.max(idle_s / 2.0);
+        self.observed_timeouts.borrow_mut().record_closed(&connection.address, closed_after_s);
     }
 
     /// Returns a connection whose last response was read to its end to the pool, for a control call that waits
--- a/crates/nickelgw-platform/tests/cases/discovery.rs
+++ b/crates/nickelgw-platform/tests/cases/discovery.rs
@@ -10,30 +10,29 @@
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
-use test_case::test_case;
 
 /// Maximum time until a change is applied, from when discovery has it and can be reached.
-const MAX_DELAY_S: f64 = 5.0;
+pub(crate) const MAX_DELAY_S: f64 = 5.0;
 
 /// State of the discovery agent, and the faults of its next responses.
-struct Agent {
+pub(crate) struct Agent {
     generation: u64,
     instances: Value,
     /// Number of further calls for the list that will not be answered.
-    unanswered_lists: usize,
+    pub(crate) unanswered_lists: usize,
     /// Number of further watches that will not be answered.
     unanswered_watches: usize,
     /// Number of further lists that will be truncated in the middle.
     truncated_lists: usize,
     /// Delay of each response. Its content is determined before the delay.
-    delay: Duration,
+    pub(crate) delay: Duration,
     /// Time that the response's body takes after its head, in two halves.
-    transfer_time: Duration,
+    pub(crate) transfer_time: Duration,
 }
 
-type SharedAgent = Arc<Mutex<Agent>>;
+pub(crate) type SharedAgent = Arc<Mutex<Agent>>;
 
-fn new_agent(instances: Value) -> SharedAgent {
+pub(crate) fn new_agent(instances: Value) -> SharedAgent {
     Arc::new(Mutex::new(Agent {
         generation: 3,
         instances,
@@ -51,7 +50,7 @@
     remaining
 }
 
-fn respond(shared: &SharedAgent, request: &str) -> PeerAction {
+pub(crate) fn respond(shared: &SharedAgent, request: &str) -> PeerAction {
     let field = |name: &str| {
         let (_, value) = request.split_once(name)?;
         value.split(|character: char| !character.is_ascii_digit()).next()?.parse::<u64>().ok()
@@ -96,20 +95,20 @@
     }))
 }
 
-fn discovery(shared: &SharedAgent) -> Peer {
+pub(crate) fn discovery(shared: &SharedAgent) -> Peer {
     let shared = shared.clone();
     peer(move |request, _| respond(&shared, request))
 }
 
 /// Two prefill engines, the first of which drains, and the lists before and after its drain.
-struct DrainScenario {
+pub(crate) struct DrainScenario {
     first: Peer,
     second: Peer,
-    before: Value,
+    pub(crate) before: Value,
     after: Value,
 }
 
-fn drain_scenario() -> DrainScenario {
+pub(crate) fn drain_scenario() -> DrainScenario {
     let (first, second) = (prefill_engine(), prefill_engine());
     let decode = peer(|_, _| PeerAction::Respond(stream_response()));
     let before = endpoint_list(&[&first], &[&decode])["instances"].clone();
@@ -124,7 +123,7 @@
     }
 
     /// Starts a node that may not dispatch to an engine later than `limit_s` after its drain was announced.
-    fn start_node_with_limit(
+    pub(crate) fn start_node_with_limit(
         &self,
         discovery: &Peer,
         path: Option<std::path::PathBuf>,
@@ -138,7 +137,7 @@
 
     /// Returns the seconds until the node applies the change. From now on discovery has the change and can be
     /// reached.
-    fn seconds_until_applied(&self, node: &TestNode) -> f64 {
+    pub(crate) fn seconds_until_applied(&self, node: &TestNode) -> f64 {
         let started_at = Instant::now();
         let mut n = 0;
         while self.second.received("POST").is_empty() {
@@ -160,7 +159,7 @@
     }
 }
 
-fn announce_drain(shared: &SharedAgent, drain: &DrainScenario) {
+pub(crate) fn announce_drain(shared: &SharedAgent, drain: &DrainScenario) {
     let mut agent = shared.lock().unwrap();
     agent.generation += 1;
     agent.instances = drain.after.clone();
@@ -367,69 +366,6 @@
     assert!(drain.seconds_until_applied(&node) < 1.0);
 }
 
-/// Regression test: a node gave up each call whose response came later than the timeout that it derives from
-/// the time to stop dispatching, and repeated the call with the same timeout; it never received a list again.
-#[test_case(0.25, 0.1, 0.0; "late by less than the time to stop dispatching")]
-#[test_case(0.25, 0.6, 0.0; "late by more than the time to stop dispatching")]
-#[test_case(0.25, 1.8, 0.0; "late by seconds")]
-#[test_case(2.0, 0.4, 0.0; "late with a longer time to stop dispatching")]
-#[test_case(2.0, 1.8, 0.0; "late by nearly the longer time to stop dispatching")]
-#[test_case(1.0, 0.0, 1.8; "with a body that takes seconds")]
-fn change_is_applied_though_all_responses_of_discovery_are_late(limit_s: f64, delay_s: f64, transfer_s: f64) {
-    let drain = drain_scenario();
-    let shared = new_agent(drain.before.clone());
-    let discovery_peer = discovery(&shared);
-    let node = drain.start_node_with_limit(&discovery_peer, None, limit_s);
-    discovery_peer.wait_for("GET /v1/servers?since=");
-    {
-        let mut agent = shared.lock().unwrap();
-        agent.delay = Duration::from_secs_f64(delay_s);
-        agent.transfer_time = Duration::from_secs_f64(transfer_s);
-    }
-    // Several responses are late before the change.
-    sleep(Duration::from_secs(2));
-    announce_drain(&shared, &drain);
-    assert!(drain.seconds_until_applied(&node) < MAX_DELAY_S);
-}
-
-/// Like the test above, after an outage: the calls that discovery accepted during the outage are never
-/// answered, and after its recovery all responses are late.
-#[test_case(0.25, 0.1)]
-#[test_case(0.25, 1.5)]
-#[test_case(2.0, 1.5)]
-fn change_is_applied_though_responses_are_late_after_an_outage(limit_s: f64, delay_s: f64) {
-    let drain = drain_scenario();
-    let shared = new_agent(drain.before.clone());
-    shared.lock().unwrap().unanswered_lists = usize::MAX;
-    let node = drain.start_node_with_limit(&discovery(&shared), None, limit_s);
-    sleep(Duration::from_secs(4));
-    announce_drain(&shared, &drain);
-    {
-        let mut agent = shared.lock().unwrap();
-        (agent.unanswered_lists, agent.delay) = (0, Duration::from_secs_f64(delay_s));
-    }
-    assert!(drain.seconds_until_applied(&node) < MAX_DELAY_S);
-}
-
-/// A crowded agent answers one call at a time, and works on calls that were given up too.
-#[test_case(0.25, 0.1)]
-#[test_case(2.0, 0.5)]
-fn change_is_applied_though_discovery_answers_one_call_at_a_time(limit_s: f64, response_time_s: f64) {
-    let drain = drain_scenario();
-    let shared = new_agent(drain.before.clone());
-    let (agent, turn) = (shared.clone(), Mutex::new(()));
-    let discovery_peer = peer(move |request, _| {
-        let _turn = turn.lock().unwrap();
-        respond(&agent, request)
-    });
-    let node = drain.start_node_with_limit(&discovery_peer, None, limit_s);
-    discovery_peer.wait_for("GET /v1/servers?since=");
-    shared.lock().unwrap().delay = Duration::from_secs_f64(response_time_s);
-    sleep(Duration::from_secs(2));
-    announce_drain(&shared, &drain);
-    assert!(drain.seconds_until_applied(&node) < MAX_DELAY_S);
-}
-
 /// Regression test: the agent at a new address was behind the previous one, and the node sent to an engine again
 /// whose drain it had been told. What a new agent has to tell counts from 4 s after SIGHUP.
 #[test]
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -14,6 +14,8 @@
 mod event_stream;
 #[path = "cases/idle_connections.rs"]
 mod idle_connections;
+#[path = "cases/late_discovery.rs"]
+mod late_discovery;
 #[path = "cases/shutdown.rs"]
 mod shutdown;
 #[path = "cases/surplus_response.rs"]
