Read lists of discovery that end with their connection

Cause: a response without Content-Length and Transfer-Encoding was taken to have no body.

Fix: calls to discovery read it up to the end of the connection, bounded like other lists. Responses of engines stay as they were, their status decides.

--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -4,7 +4,7 @@
 use crate::core::engine::{self, ResponseHead};
 use crate::core::event_stream::{EventStreamDecoder, StreamPiece};
 use crate::core::Framing;
-use crate::stream_io::{receive, receive_body, write_all};
+use crate::stream_io::{receive, receive_body, receive_to_end, write_all};
 use bytes::{Buf, Bytes, BytesMut};
 use nickelgw_node_core::AttemptOutcome;
 use smol::Async;
@@ -170,7 +170,13 @@
         Ok(receive(&*self.stream, &mut self.buffer, |buffer| decoder.next(buffer)).await?)
     }
 
-    /// Reads a whole body, and returns it with whether the connection can carry another request.
+    /// Reads a body whose length is not stated, up to the end of the connection.
+    pub async fn body_to_end(&mut self, max_bytes: usize) -> Result<Bytes, AttemptOutcome> {
+        Ok(receive_to_end(&*self.stream, &mut self.buffer, max_bytes).await?)
+    }
+
+    /// Reads a whole body, and returns it with whether the connection can carry another request. A body without
+    /// a stated length is taken as empty: the status decides, and its connection may stay open for long.
     pub async fn body(
         &mut self,
         head: &ResponseHead,
--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -141,6 +141,7 @@
                     address: &address,
                     usage: ConnectionUse::Control,
                     max_body_bytes: MAX_LIST_BYTES,
+                    reads_body_to_end: true,
                 };
                 // The channel has room for all events of all calls.
                 pool.call(&call, || drop(events.try_send(Event::Head(id)))).await
--- a/crates/nickelgw-platform/src/node/control_calls.rs
+++ b/crates/nickelgw-platform/src/node/control_calls.rs
@@ -15,6 +15,7 @@
             address: &endpoint.address,
             usage: ConnectionUse::Control,
             max_body_bytes: MAX_BODY_BYTES,
+            reads_body_to_end: false,
         };
         let (outcome, load) = match self.parts.pool.call_within(self.parts.control_timeout_s, &call).await {
             Err(outcome) => (outcome, None),
@@ -49,6 +50,7 @@
                 ReleaseConnection::New => ConnectionUse::NewConnection,
             },
             max_body_bytes: MAX_BODY_BYTES,
+            reads_body_to_end: false,
         };
         let response = self.parts.pool.call_within(self.parts.control_timeout_s, &short_call).await;
         let status = response.map(|(head, _)| head.status);
--- a/crates/nickelgw-platform/src/pool.rs
+++ b/crates/nickelgw-platform/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::connection::DescriptorPermit;
 pub use crate::connection::{Connection, ConnectionCloser};
 use crate::core::engine::{self, ResponseHead};
+use crate::core::Framing;
 use crate::observed_idle_timeouts::ObservedIdleTimeouts;
 use crate::return_waiters::ReturnWaiters;
 use bytes::Bytes;
@@ -47,6 +48,9 @@
     pub usage: ConnectionUse,
     /// Maximum size of the response's body.
     pub max_body_bytes: usize,
+    /// Whether a body without a stated length is read up to the end of its connection, rather than taken as
+    /// empty.
+    pub reads_body_to_end: bool,
 }
 
 /// Limits of a pool.
@@ -277,6 +281,10 @@
             return Err(AttemptOutcome::Malformed);
         }
         head_received();
+        if call.reads_body_to_end && head.framing == Framing::Unspecified {
+            let body = connection.body_to_end(call.max_body_bytes).await?;
+            return Ok((head, body));
+        }
         let (body, reusable) = connection.body(&head, call.max_body_bytes).await?;
         if reusable {
             self.put_idle(connection);
--- a/crates/nickelgw-platform/src/pool_tests.rs
+++ b/crates/nickelgw-platform/src/pool_tests.rs
@@ -7,7 +7,14 @@
     PoolLimits { connect_timeout_s: 2.0, max_idle_s: 5.0, max_connections: 4, reserved_for_control: 0 };
 
 fn release_call(address: &str, usage: ConnectionUse) -> ShortCall<'_> {
-    ShortCall { method: "DELETE", target: "/internal/reservations/1", address, usage, max_body_bytes: 1024 }
+    ShortCall {
+        method: "DELETE",
+        target: "/internal/reservations/1",
+        address,
+        usage,
+        max_body_bytes: 1024,
+        reads_body_to_end: false,
+    }
 }
 
 /// Regression test: a stream that an engine had sent for an earlier request was taken for the response to a
--- a/crates/nickelgw-platform/src/stream_io.rs
+++ b/crates/nickelgw-platform/src/stream_io.rs
@@ -119,6 +119,24 @@
     }
 }
 
+/// Reads a body that ends with its connection; fails if it is longer than `max_bytes`.
+pub async fn receive_to_end(
+    connection: &impl Readable,
+    buffer: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<Bytes, ReceiveError> {
+    loop {
+        if buffer.len() > max_bytes {
+            return Err(MalformedMessage::TooLong.into());
+        }
+        match read(connection, buffer).await {
+            Ok(0) => return Ok(buffer.split().freeze()),
+            Ok(_) => {}
+            Err(_) => return Err(ReceiveError::ConnectionEnded),
+        }
+    }
+}
+
 async fn receive_chunked_body(
     connection: &impl Readable,
     buffer: &mut BytesMut,
--- a/crates/nickelgw-platform/tests/cases/discovery.rs
+++ b/crates/nickelgw-platform/tests/cases/discovery.rs
@@ -392,3 +392,24 @@
     drain.seconds_until_applied(&node);
     std::fs::remove_file(path).unwrap();
 }
+
+/// Regression test: a list without a stated length, whose end is that of its connection (RFC 9112, section 6.3),
+/// was read as empty, and no list was ever applied.
+#[test]
+fn list_that_ends_with_its_connection_is_applied() {
+    let drain = drain_scenario();
+    let shared = new_agent(drain.before.clone());
+    let agent = shared.clone();
+    let discovery_peer = peer(move |request, _| match respond(&agent, request) {
+        PeerAction::Respond(response) => {
+            let response = String::from_utf8(response).unwrap();
+            let (_, body) = response.split_once("\r\n\r\n").unwrap();
+            let head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+            PeerAction::RespondAndClose(format!("{head}{body}").into_bytes())
+        }
+        other => other,
+    });
+    let node = drain.start_node(&discovery_peer, None);
+    announce_drain(&shared, &drain);
+    assert!(drain.seconds_until_applied(&node) < MAX_DELAY_S);
+}
