Warn of silent discovery after 6 s without a response, not at the first overdue call

Cause: one overdue call was taken for silence.

The warning ("discovery does not respond", with silent_s) comes once no call was answered for 6 s, when changes may be missing that count as announced; each overdue call has a debug line. silence_is_counted_from_the_last_response guards the time.

--- a/crates/nickelgw-platform/src/core/discovery_calls.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls.rs
@@ -70,7 +70,12 @@
     /// Close this call, if it is open; its response is of no use any more.
     Cancel(CallId),
     /// Log that discovery has not responded to this call in time.
-    LogOverdue(CallId),
+    LogOverdue {
+        /// Id of the call.
+        id: CallId,
+        /// Time in seconds since the last response, or since the process started.
+        silent_s: f64,
+    },
 }
 
 /// Update that is to be applied.
@@ -107,6 +112,8 @@
     fetches_list: bool,
     /// Number of consecutive failed calls.
     failures: u32,
+    /// Time of the last response, or of the process's start if there was none.
+    last_response_at: f64,
     commands: Vec<DiscoveryCommand>,
 }
 
@@ -124,6 +131,7 @@
             previous_agent: None,
             fetches_list: true,
             failures: 0,
+            last_response_at: 0.0,
             commands: Vec::new(),
         }
     }
@@ -169,7 +177,7 @@
     pub fn responded(&mut self, now: f64, id: CallId, update: DiscoveryUpdate) -> Option<AcceptedUpdate> {
         let call = *self.open_call(id)?;
         self.close_up_to(id);
-        self.failures = 0;
+        (self.failures, self.last_response_at) = (0, now);
         let gap_s = if returned_early(&call, &update, now) { EMPTY_WATCH_GAP_S } else { CALL_INTERVAL_S };
         if self.current.is_none() {
             self.next_call_at = now + gap_s;
@@ -216,7 +224,8 @@
     /// Keeps the current call among the late ones, so that another call can start.
     fn current_overdue(&mut self, now: f64) {
         let Some(call) = self.current.take() else { return };
-        self.commands.push(DiscoveryCommand::LogOverdue(call.id));
+        let silent_s = now - self.last_response_at;
+        self.commands.push(DiscoveryCommand::LogOverdue { id: call.id, silent_s });
         if !self.late.keep(now, call) {
             self.commands.push(DiscoveryCommand::Cancel(call.id));
         }
--- a/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
@@ -134,7 +134,7 @@
                 self.open.retain(|open| *open != id);
                 self.responses.retain(|response| response.id != id);
             }
-            DiscoveryCommand::LogOverdue(_) => {}
+            DiscoveryCommand::LogOverdue { .. } => {}
         }
     }
 
@@ -423,3 +423,21 @@
         prop_assert!(simulation.max_open <= MAX_OPEN_CALLS, "{} calls were open", simulation.max_open);
     }
 }
+
+/// Regression test: the first call that was overdue by milliseconds counted as silence of discovery, and a warning
+/// was logged at every start.
+#[test]
+fn silence_is_counted_from_the_last_response() {
+    let silence = |calls: &mut DiscoveryCalls, now: f64| {
+        calls.poll(now).into_iter().find_map(|command| match command {
+            DiscoveryCommand::LogOverdue { silent_s, .. } => Some(silent_s),
+            _ => None,
+        })
+    };
+    let mut calls = DiscoveryCalls::new(DiscoveryTimeouts::new(0.25));
+    let (first, _) = started(&mut calls, 0.0).unwrap();
+    assert_eq!(silence(&mut calls, 0.05), Some(0.05));
+    assert!(calls.responded(0.06, first, update(1, true, true)).is_some());
+    assert!(started(&mut calls, 0.5).is_some());
+    assert_eq!(silence(&mut calls, 1.56), Some(1.5));
+}
--- a/crates/nickelgw-platform/src/core/discovery_timing.rs
+++ b/crates/nickelgw-platform/src/core/discovery_timing.rs
@@ -15,7 +15,7 @@
 
 /// Time after which a change counts as announced, from when discovery had it and could be reached (the
 /// platform's protocol).
-pub(super) const ANNOUNCED_AFTER_S: f64 = 6.0;
+pub const ANNOUNCED_AFTER_S: f64 = 6.0;
 /// Part of `ANNOUNCED_AFTER_S` that is reserved for a delayed event loop and for the work that an update
 /// causes.
 pub(super) const MARGIN_S: f64 = 1.0;
--- a/crates/nickelgw-platform/src/discovery.rs
+++ b/crates/nickelgw-platform/src/discovery.rs
@@ -82,7 +82,9 @@
                         tasks.insert(id, self.start_call(id, request, events.clone()));
                     }
                     DiscoveryCommand::Cancel(id) => drop(tasks.remove(&id)),
-                    DiscoveryCommand::LogOverdue(id) => self.node.log_overdue_discovery_call(id),
+                    DiscoveryCommand::LogOverdue { id, silent_s } => {
+                        self.node.log_overdue_discovery_call(id, silent_s);
+                    }
                 }
             }
             let event = self.next_event(&received, calls.next_wake()).await;
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::clients::socket::ClientSocket;
 use crate::core::discovery_calls::{AcceptedUpdate, CallId};
+use crate::core::discovery_timing::ANNOUNCED_AFTER_S;
 use crate::core::endpoint_list::DiscoveredEndpoints;
 use crate::core::engine::ForwardedRequest;
 use crate::core::event_stream::StreamPiece;
@@ -137,12 +138,16 @@
         }
     }
 
-    /// Logs that discovery has not responded in time, at most one warning per minute.
-    pub fn log_overdue_discovery_call(&self, id: CallId) {
+    /// Logs that discovery has not responded to a call in time. Warns at most once a minute, once changes may be
+    /// missing that count as announced.
+    pub fn log_overdue_discovery_call(&self, id: CallId, silent_s: f64) {
         let at = self.now();
-        tracing::debug!(at, call = %id, "discovery call overdue");
+        tracing::debug!(at, call = %id, silent_s, "discovery call overdue");
+        if silent_s < ANNOUNCED_AFTER_S {
+            return;
+        }
         if let Some(occurrences) = self.log_limiter.borrow_mut().record(at, "overdue discovery calls") {
-            tracing::warn!(at, occurrences, "discovery responds late or not at all");
+            tracing::warn!(at, occurrences, silent_s, "discovery does not respond");
         }
     }
 
