Apply a possibly stale list in one way, whole lists and changes alike

DiscoveredEndpoints::apply clears the list itself on a whole list, so a copy of what was known before serves both forms. Found in the read-over; behaviour is unchanged.

--- a/crates/nickelgw-platform/src/core/endpoint_list.rs
+++ b/crates/nickelgw-platform/src/core/endpoint_list.rs
@@ -113,11 +113,7 @@
     /// Applies one response of discovery that may be older than the list: it takes back neither drains nor
     /// removals nor restarts, and adds no engine. What it announces itself counts.
     pub fn apply_possibly_stale(&mut self, update: DiscoveryUpdate) {
-        let known = std::mem::take(&mut self.by_id);
-        let is_whole_list = update.reset;
-        if !is_whole_list {
-            self.by_id = known.clone();
-        }
+        let known = self.by_id.clone();
         self.apply(update);
         self.by_id.retain(|id, entry| {
             let Some(before) = known.get(id) else { return false };
