--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -3,7 +3,7 @@
 use crate::client::{Exchange, Outcome, Request};
 use crate::discovery::{Agent, Entry, List};
 use crate::engine::{Engine, Held};
-use crate::node::{Limits, Node, GRACE_S, SIGHUP};
+use crate::node::{Limits, Node, SIGHUP};
 use crate::record::Record;
 use crate::Verdict;
 use std::io::{Read, Write};
@@ -19,8 +19,9 @@
 const LATE_ANSWER_S: f64 = 0.5;
 /// Stack of a client's thread.
 const STACK_BYTES: usize = 128 * 1024;
-/// Limits of a node's process, within those of the scored days (DAYS.md).
-const LIMITS: Limits = Limits { memory_mb: 96, sockets: 256 };
+/// Limits of a node: those of the process within those of the scored days (DAYS.md), the grace of
+/// `nakuru-rounds`.
+const LIMITS: Limits = Limits { memory_mb: 96, sockets: 256, grace_s: 0.5 };
 /// Version of the list with which each case begins.
 const FIRST_VERSION: u64 = 42;
 
@@ -157,7 +158,7 @@
     const DURATION: Duration = Duration::from_secs(10);
     let site = Site::start(record)?;
     let agent = Agent::start("agent", site.list.clone(), record)?;
-    let mut node = Node::new(Limits { memory_mb: LIMIT_MB, sockets: 1024 }, record)?;
+    let mut node = Node::new(Limits { memory_mb: LIMIT_MB, sockets: 1024, ..LIMITS }, record)?;
     node.write_config(agent.address, &site.list)?;
     node.start(agent.address)?;
     warm_up(node.address, record)?;
@@ -273,11 +274,11 @@
 }
 
 /// Judges whether anything was sent to the drained engine later than the grace after its drain was told.
-fn judge_drain(site: &Site, told_at: f64, record: &Record) -> bool {
-    let limit = told_at + GRACE_S + SOCKET_SLACK_S;
+fn judge_drain(site: &Site, told_at: f64, grace_s: f64, record: &Record) -> bool {
+    let limit = told_at + grace_s + SOCKET_SLACK_S;
     let late = site.drained().sends_after(limit);
     record.line(&format!(
-        "the drain was told at {told_at:.3}; {} sends to the draining engine after {limit:.3}",
+        "the drain counts as told at {told_at:.3}; {} sends to the draining engine after {limit:.3}",
         late.len()
     ));
     if let (Some((first, id)), Some((last, _))) = (late.first(), late.last()) {
@@ -319,7 +320,7 @@
     }
     sleep(ms(1000));
     traffic.end();
-    Ok(judge_drain(&site, told_at, record))
+    Ok(judge_drain(&site, told_at, LIMITS.grace_s, record))
 }
 
 /// A drain is told. Then a new configuration names another agent while discovery is down. When discovery is
@@ -357,33 +358,44 @@
     }
     sleep(ms(1000));
     traffic.end();
-    Ok(judge_drain(&site, told_at, record))
+    Ok(judge_drain(&site, told_at, LIMITS.grace_s, record))
 }
 
-/// A node is killed. While it is down, an engine begins to drain and the agent learns of it. The node starts
-/// again with its former list, and the agent takes a second for each answer.
-pub fn slow_at_start(record: &Arc<Record>, trouble: bool) -> Verdict {
+/// The agent is crowded: it works off one call after another. Discovery is down for some seconds, and has the
+/// drain of an engine when it is back.
+pub fn crowded_agent(record: &Arc<Record>, trouble: bool) -> Verdict {
+    /// Grace of `zagreb-main`.
+    const GRACE_S: f64 = 0.25;
+    /// Time after which a change counts as told at the latest, from when discovery had it and could be reached.
+    const TOLD_AFTER_S: f64 = 6.0;
     let site = Site::start(record)?;
     let drained = site.list.with_drain("writer-2");
     let agent = Agent::start("agent", site.list.clone(), record)?;
-    let mut node = Node::new(LIMITS, record)?;
+    let mut node = Node::new(Limits { grace_s: GRACE_S, ..LIMITS }, record)?;
     node.write_config(agent.address, &site.list)?;
+    if trouble {
+        agent.set_crowded(ms(300));
+    }
     node.start(agent.address)?;
     warm_up(node.address, record)?;
     let traffic = Traffic::start(node.address, record)?;
-    sleep(ms(1000));
+    sleep(ms(3000));
 
-    node.kill();
-    sleep(ms(500));
-    agent.set_list(drained.clone());
     if trouble {
-        agent.set_delay(ms(1000));
+        agent.set_down(true);
     }
-    sleep(ms(500));
-    node.start(agent.address)?;
-    // The agent has the drain: it counts as told from the first moment of the new process.
-    let told_at = record.now();
-    sleep(ms(3000));
+    sleep(ms(4000));
+    agent.set_list(drained);
+    if trouble {
+        agent.set_down(false);
+    }
+    let told_at = record.now() + TOLD_AFTER_S;
+    let answers = agent.answers.load(Relaxed);
+    sleep(ms(20_000));
     traffic.end();
-    Ok(judge_drain(&site, told_at, record))
+    record.line(&format!(
+        "discovery agent: {} answers written in the last 20 s",
+        agent.answers.load(Relaxed) - answers
+    ));
+    Ok(judge_drain(&site, told_at, GRACE_S, record))
 }
--- a/review/standin-2/discovery.rs
+++ b/review/standin-2/discovery.rs
@@ -5,6 +5,8 @@
 use crate::record::Record;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -64,8 +66,8 @@
     list: List,
     /// Whether the agent is silent: it answers no call, also later.
     is_down: bool,
-    /// Time that the agent takes for each answer.
-    delay: Duration,
+    /// Queue of a crowded agent, which works off one call after another.
+    queue: Option<Sender<Sender<()>>>,
 }
 
 /// An agent that runs until the process ends.
@@ -75,6 +77,8 @@
     state: Mutex<State>,
     changed: Condvar,
     record: Arc<Record>,
+    /// Number of answers written.
+    pub answers: AtomicUsize,
     /// Time at which the version was first written to the node.
     told: Mutex<Vec<(u64, f64)>>,
 }
@@ -85,9 +89,10 @@
         let agent = Arc::new(Agent {
             name,
             address: listener.local_addr().map_err(|error| error.to_string())?,
-            state: Mutex::new(State { list, is_down: false, delay: Duration::ZERO }),
+            state: Mutex::new(State { list, is_down: false, queue: None }),
             changed: Condvar::new(),
             record: record.clone(),
+            answers: AtomicUsize::new(0),
             told: Mutex::default(),
         });
         let serving = agent.clone();
@@ -112,9 +117,18 @@
         self.changed.notify_all();
     }
 
-    pub fn set_delay(&self, delay: Duration) {
-        self.record.line(&format!("discovery {}: answers {delay:?} late", self.name));
-        self.state.lock().unwrap().delay = delay;
+    /// Makes the agent crowded: it works off one call after another, and each takes this time, also if its caller
+    /// has given up.
+    pub fn set_crowded(&self, service: Duration) {
+        self.record.line(&format!("discovery {}: crowded, {service:?} for each call in turn", self.name));
+        let (queue, calls) = channel::<Sender<()>>();
+        spawn(move || {
+            for done in calls {
+                sleep(service);
+                let _ = done.send(());
+            }
+        });
+        self.state.lock().unwrap().queue = Some(queue);
     }
 
     /// Returns when this version was first written to the node.
@@ -144,6 +158,7 @@
             if reader.stream.write_all(&response("200 OK", "", &body)).is_err() {
                 return;
             }
+            self.answers.fetch_add(1, Relaxed);
             let mut told = self.told.lock().unwrap();
             if told.last().is_none_or(|(last, _)| *last != generation) {
                 told.push((generation, self.record.now()));
@@ -177,9 +192,15 @@
             sleep(Duration::from_secs(60));
             return None;
         }
-        let (list, delay) = (state.list.clone(), state.delay);
+        let queue = state.queue.clone();
         drop(state);
-        sleep(delay);
+        if let Some(queue) = queue {
+            let (done, finished) = channel();
+            let _ = queue.send(done);
+            let _ = finished.recv();
+        }
+        let list = self.state.lock().unwrap().list.clone();
+        let since = since.filter(|since| *since <= list.generation);
         Some((list.generation, list.json(since)))
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -39,9 +39,9 @@
     let verdict = match name.as_str() {
         "half-requests" => cases::half_requests(&record, trouble),
         "memory" => cases::memory(&record, trouble),
+        "crowded-agent" => cases::crowded_agent(&record, trouble),
         "restart-behind" => cases::restart_behind(&record, trouble),
         "reload-outage" => cases::reload_outage(&record, trouble),
-        "slow-at-start" => cases::slow_at_start(&record, trouble),
         _ => Err(format!("there is no case {name}")),
     };
     let (status, text) = match &verdict {
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -18,15 +18,15 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
-/// Time after which nothing new may go to an engine once its drain was told (`nakuru-rounds`).
-pub const GRACE_S: f64 = 0.5;
 /// Longest deadline of the class that the cases use (`nakuru-rounds`).
 const DEADLINE_S: f64 = 4.0;
 
-/// Limits of a node's process, as its configuration states them.
+/// Limits of a node, as its configuration states them.
 pub struct Limits {
     pub memory_mb: u32,
     pub sockets: u32,
+    /// Time after which nothing new may go to an engine once its drain was told, in seconds.
+    pub grace_s: f64,
 }
 
 /// A node of a small deployment, under one name and address for all of its processes.
@@ -60,7 +60,7 @@
 
     /// Replaces the configuration file. `known` is the list as the node had it last.
     pub fn write_config(&self, discovery: SocketAddr, known: &List) -> Result<(), String> {
-        let Limits { memory_mb, sockets } = self.limits;
+        let Limits { memory_mb, sockets, grace_s } = self.limits;
         let (listen, known) = (self.address, known.json(None));
         let config = format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
@@ -79,7 +79,7 @@
 "second_copies":false,"streams_per_conn":1}},
 "my_number":0,"registry_mode":"automatic","reporting":{{"fields":["load_share","depth","x0"],"how":"pull"}},
 "rules":{{"answer_slack_s":0.016,"ask_within_s":10.0,"cold_from":0.26,"fall_s":2.0,
-"stop_sending_within_s":{GRACE_S},"tip_multiple":4.0,"warm_within_s":11.0}},
+"stop_sending_within_s":{grace_s},"tip_multiple":4.0,"warm_within_s":11.0}},
 "tick_s":0.004,"weights":"silent","worth_by":"work","zones":["a","b"]}}}}"#
         );
         let next = self.folder.join("next.json");
