--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -143,10 +143,7 @@
     let mut answer = [0; 200];
     let length = stream.read(&mut answer).unwrap_or(0);
     let status = String::from_utf8_lossy(&answer[..length]).lines().next().unwrap_or("-").to_string();
-    record.line(&format!(
-        "bad client {number}: {status} after {:.3} s",
-        began_at.elapsed().as_secs_f64()
-    ));
+    record.line(&format!("bad client {number}: {status} after {:.3} s", began_at.elapsed().as_secs_f64()));
 }
 
 /// Some five hundred clients send a head that does not end and stay; each comes back when it has got its
@@ -229,10 +226,9 @@
         sleep(ms(50));
         return 0;
     };
-    let mut head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: bad-{number}\r\nX-Note: "
-    )
-    .into_bytes();
+    let mut head =
+        format!("POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: bad-{number}\r\nX-Note: ")
+            .into_bytes();
     head.resize(HEAD_BYTES, b'x');
     let _ = stream.write_all(&head);
     let _ = stream.set_read_timeout(Some(ms(5000)));
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -40,7 +40,8 @@
 
 impl Request {
     fn encode(&self) -> Vec<u8> {
-        let prefix = r#"{"model":"chat","stream":true,"max_tokens":50,"messages":[{"role":"user","content":""#;
+        let prefix =
+            r#"{"model":"chat","stream":true,"max_tokens":50,"messages":[{"role":"user","content":""#;
         let suffix = r#""}]}"#;
         let text = self.body_bytes.saturating_sub(prefix.len() + suffix.len());
         let (id, budget_ms, prompt_len) = (&self.id, self.budget.as_millis(), text / 4);
