Keep announced drains against older lists, however late discovery answers

Cause: the guard against an older list of a new agent ended 4 s after SIGHUP, whether or not the agent had answered. From then on no announced generation was remembered, and any list was current. With a lag of 7.5 s and no outage the same happens, so it is the guard's end, not the outage.

Change: the highest announced generation is kept without a time limit. A lower list takes back no drain or removal (an engine started since is active again), and adds no engine until the agent has responded for 6 s, by which time it has what was announced (so a lower count is another count). The same holds for an agent at the same address that comes back with an older list, to which no guard applied; engines that it adds are used at once, as an existing test asks. New warning "discovery agent is behind what was announced".

Tests: drain_is_not_taken_back_by_an_older_list_after_a_reload (the cases with an outage and with a long lag failed before: "the draining engine got an attempt"), agent_behind_tests in virtual time. One test asserted the fault: older_list_of_a_new_agent_is_possibly_stale_until_it_counts wanted the older list to be current after 4 s. In its place the list stays possibly stale until it has caught up, and the time for additions and the fetch of the whole list are asserted as before.

--- a/crates/nickelgw-platform/src/core/discovery_calls.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls.rs
@@ -5,7 +5,7 @@
 //! for the whole list becomes the current one. The first response that arrives is applied, whichever call it
 //! answers. An answered call makes those before it superfluous.
 
-use super::discovery_timing::{DiscoveryTimeouts, ResponseTimeouts};
+use super::discovery_timing::{DiscoveryTimeouts, ResponseTimeouts, ANNOUNCED_AFTER_S};
 use super::endpoint_list::DiscoveryUpdate;
 use super::late_calls::{LateCalls, LATE_LIMITS_S};
 use super::response_time::ResponseTime;
@@ -17,9 +17,9 @@
 /// Gap after a watch that was answered early and without changes. The next call continues the watch if it
 /// comes within 0.2 s (the platform's protocol).
 const EMPTY_WATCH_GAP_S: f64 = 0.1;
-/// Time after a change of discovery's address within which the new agent's list may be older than the previous
-/// agent's; from then on it counts (the platform's protocol).
-const NEW_AGENT_BEHIND_S: f64 = 4.0;
+/// Time for which an agent responds until its list has all that discovery had announced before (the platform's
+/// protocol). An agent whose list is older after that counts generations in another way, or is badly behind.
+const MAX_BEHIND_S: f64 = ANNOUNCED_AFTER_S;
 /// Maximum number of calls that are open at once: the current one and the late ones.
 pub const MAX_OPEN_CALLS: usize = 1 + LATE_LIMITS_S.len();
 
@@ -84,16 +84,41 @@
     /// An update to apply as it is.
     Current(DiscoveryUpdate),
     /// An update that may be older than what was announced before: it must not take back drains, removals and
-    /// restarts.
+    /// restarts, and adds no engine.
     PossiblyStale(DiscoveryUpdate),
+    /// An update of an agent whose generations have been lower than what was announced for so long that it must
+    /// not be waited for: as [`AcceptedUpdate::PossiblyStale`], but engines that were never announced are added.
+    Behind(DiscoveryUpdate),
 }
 
-/// What the agent at the previous address has announced.
-#[derive(Clone, Copy, Debug)]
-struct PreviousAgent {
-    generation: u64,
-    /// Time until which the new agent may be behind.
-    until: f64,
+impl AcceptedUpdate {
+    /// Returns whether nothing has changed.
+    pub fn is_empty(&self) -> bool {
+        let (AcceptedUpdate::Current(update)
+        | AcceptedUpdate::PossiblyStale(update)
+        | AcceptedUpdate::Behind(update)) = self;
+        update.is_empty()
+    }
+
+    /// Returns the response of discovery.
+    #[cfg(test)]
+    pub fn into_update(self) -> DiscoveryUpdate {
+        let (AcceptedUpdate::Current(update)
+        | AcceptedUpdate::PossiblyStale(update)
+        | AcceptedUpdate::Behind(update)) = self;
+        update
+    }
+}
+
+/// Whether the agent's list is older than what was announced before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AgentLag {
+    /// It is not.
+    CaughtUp,
+    /// It is, and will soon be up to date.
+    Behind,
+    /// It has been for `MAX_BEHIND_S` while the agent responded, or the agent counts from the beginning.
+    BehindForLong,
 }
 
 /// The calls to discovery, and what they returned last.
@@ -106,8 +131,11 @@
     next_call_at: f64,
     /// Generation of the last update that was accepted, and when it was received.
     received: Option<(u64, f64)>,
-    /// The previous agent, while the current one may be behind it.
-    previous_agent: Option<PreviousAgent>,
+    /// Highest generation that any agent has announced.
+    announced_generation: Option<u64>,
+    lag: AgentLag,
+    /// Time of the first response since the agent has been responding in time; `None` if it is not.
+    responding_since: Option<f64>,
     /// Whether the next call fetches the whole list.
     fetches_list: bool,
     /// Number of consecutive failed calls.
@@ -128,7 +156,9 @@
             last_id: 0,
             next_call_at: 0.0,
             received: None,
-            previous_agent: None,
+            announced_generation: None,
+            lag: AgentLag::CaughtUp,
+            responding_since: None,
             fetches_list: true,
             failures: 0,
             last_response_at: 0.0,
@@ -140,9 +170,9 @@
     pub fn poll(&mut self, now: f64) -> Vec<DiscoveryCommand> {
         let given_up = self.late.move_up(now);
         self.cancel(given_up);
-        if self.previous_agent.is_some_and(|previous| previous.until <= now) {
-            // What was held back from a list that was possibly stale counts from now on.
-            (self.previous_agent, self.fetches_list) = (None, true);
+        if self.behind_until() <= now {
+            // The engines that were held back from a list that was possibly stale are added from now on.
+            (self.lag, self.fetches_list) = (AgentLag::BehindForLong, true);
         }
         if self.current_deadline() <= now {
             self.current_overdue(now);
@@ -156,8 +186,7 @@
     /// Returns the time at which [`DiscoveryCalls::poll`] has to be called next if there is no other event.
     pub fn next_wake(&self) -> f64 {
         let next = if self.current.is_some() { self.current_deadline() } else { self.next_call_at };
-        let previous_until = self.previous_agent.map_or(f64::INFINITY, |previous| previous.until);
-        next.min(self.late.next_limit_at()).min(previous_until)
+        next.min(self.late.next_limit_at()).min(self.behind_until())
     }
 
     /// Handles the head of a response.
@@ -178,6 +207,7 @@
         let call = *self.open_call(id)?;
         self.close_up_to(id);
         (self.failures, self.last_response_at) = (0, now);
+        self.responding_since.get_or_insert(now);
         let gap_s = if returned_early(&call, &update, now) { EMPTY_WATCH_GAP_S } else { CALL_INTERVAL_S };
         if self.current.is_none() {
             self.next_call_at = now + gap_s;
@@ -196,13 +226,11 @@
     }
 
     /// Handles a change of discovery's address: the whole list of the new agent is fetched at once. It may be
-    /// older than what the previous agent has announced, which holds all the same.
+    /// older than what was announced before, which holds all the same.
     pub fn address_changed(&mut self, now: f64) {
         self.close_up_to(CallId(self.last_id));
-        let generations = [self.received.map(|(generation, _)| generation), self.previous_generation()];
-        let until = now + NEW_AGENT_BEHIND_S;
-        self.previous_agent =
-            generations.into_iter().flatten().max().map(|generation| PreviousAgent { generation, until });
+        self.lag = AgentLag::CaughtUp;
+        self.responding_since = None;
         self.response_time = ResponseTime::default();
         self.received = None;
         self.fetches_list = true;
@@ -233,6 +261,7 @@
     }
 
     fn retry_after_gap(&mut self, now: f64) {
+        self.responding_since = None;
         self.fetches_list = true;
         self.next_call_at = now + self.timeouts.gap_s(self.failures);
         self.failures = self.failures.saturating_add(1);
@@ -273,8 +302,12 @@
         self.cancel(closed);
     }
 
-    fn previous_generation(&self) -> Option<u64> {
-        self.previous_agent.map(|previous| previous.generation)
+    /// Returns the time at which an agent that is behind, and goes on responding, has been so for long.
+    fn behind_until(&self) -> f64 {
+        match (self.lag, self.responding_since) {
+            (AgentLag::Behind, Some(since)) => since + MAX_BEHIND_S,
+            _ => f64::INFINITY,
+        }
     }
 
     /// Returns the update if it is not older than what was received before from this agent.
@@ -291,16 +324,30 @@
                 return None;
             }
         }
+        if self.received.is_some_and(|(generation, _)| update.generation < generation) {
+            // The agent has restarted, and may count from the beginning: its list is not waited for.
+            self.lag = AgentLag::BehindForLong;
+        }
         self.received = Some((update.generation, now));
         self.fetches_list &= !update.is_whole_list();
-        match self.previous_generation() {
-            Some(generation) if update.generation < generation => Some(AcceptedUpdate::PossiblyStale(update)),
-            Some(_) => {
-                // The new agent has caught up. Changes do not tell what was held back from its list.
-                (self.previous_agent, self.fetches_list) = (None, !update.is_whole_list());
-                Some(AcceptedUpdate::Current(update))
+        Some(self.compare_with_announced(update))
+    }
+
+    fn compare_with_announced(&mut self, update: DiscoveryUpdate) -> AcceptedUpdate {
+        let is_older = self.announced_generation.is_some_and(|announced| update.generation < announced);
+        match (is_older, self.lag) {
+            (true, AgentLag::BehindForLong) => AcceptedUpdate::Behind(update),
+            (true, AgentLag::CaughtUp | AgentLag::Behind) => {
+                self.lag = AgentLag::Behind;
+                AcceptedUpdate::PossiblyStale(update)
+            }
+            (false, lag) => {
+                // Changes do not tell what was held back from the list of an agent that has now caught up.
+                self.fetches_list |= lag != AgentLag::CaughtUp && !update.is_whole_list();
+                self.lag = AgentLag::CaughtUp;
+                self.announced_generation = Some(update.generation);
+                AcceptedUpdate::Current(update)
             }
-            None => Some(AcceptedUpdate::Current(update)),
         }
     }
 }
--- a/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
@@ -143,8 +143,7 @@
         for response in self.responses.extract_if(.., |response| response.at <= now) {
             self.calls.head_received(now, response.id);
             if let Some(update) = self.calls.responded(now, response.id, response.update) {
-                let (AcceptedUpdate::Current(update) | AcceptedUpdate::PossiblyStale(update)) = update;
-                self.applied.push((now, update.generation));
+                self.applied.push((now, update.into_update().generation));
             }
         }
     }
@@ -365,23 +364,28 @@
     calls
 }
 
-/// Regression test: a new agent that was behind the previous one took back drains that the node had been told.
+/// Regression test: a new agent that was behind the previous one took back drains that the node had been told. What
+/// its list adds waits until the agent has responded for 6 s; it never takes back a drain.
 #[test]
-fn older_list_of_a_new_agent_is_possibly_stale_until_it_counts() {
+fn older_list_of_a_new_agent_is_possibly_stale_until_it_has_caught_up() {
     let mut calls = calls_after_address_change();
     let (id, _) = started(&mut calls, 1.0).unwrap();
     assert!(matches!(
         calls.responded(1.01, id, update(6, true, true)),
         Some(AcceptedUpdate::PossiblyStale(_))
     ));
-    // The watch that is under way when the list counts is followed by a call for the whole list.
-    let (watch, request) = started(&mut calls, 4.8).unwrap();
+    // The watch that is under way when additions count is followed by a call for the whole list.
+    let (watch, request) = started(&mut calls, 6.8).unwrap();
     assert!(matches!(request, DiscoveryRequest::Watch { since: 6, .. }));
-    assert_eq!(started(&mut calls, 5.0), None);
-    assert!(calls.responded(5.1, watch, update(6, false, false)).is_some());
-    let (list, request) = started(&mut calls, 5.2).unwrap();
+    assert_eq!(started(&mut calls, 7.02), None);
+    assert!(calls.responded(7.1, watch, update(6, false, false)).is_some());
+    let (list, request) = started(&mut calls, 7.2).unwrap();
     assert_eq!(request, DiscoveryRequest::List);
-    assert!(matches!(calls.responded(5.21, list, update(6, true, true)), Some(AcceptedUpdate::Current(_))));
+    assert!(matches!(calls.responded(7.21, list, update(6, true, true)), Some(AcceptedUpdate::Behind(_))));
+    let (watch, _) = started(&mut calls, 7.3).unwrap();
+    assert!(matches!(calls.responded(7.4, watch, update(7, false, true)), Some(AcceptedUpdate::Current(_))));
+    let (_, request) = started(&mut calls, 7.5).unwrap();
+    assert_eq!(request, DiscoveryRequest::List, "changes do not tell what was held back");
 }
 
 #[test]
--- a/crates/nickelgw-platform/src/core/endpoint_list.rs
+++ b/crates/nickelgw-platform/src/core/endpoint_list.rs
@@ -57,17 +57,29 @@
     }
 }
 
+/// Maximum number of removed engines that are remembered.
+const MAX_REMOVED: usize = 4096;
+
+/// Engine that was removed from the list.
+#[derive(Clone, Copy, Debug)]
+struct RemovedEngine {
+    started_at: Option<f64>,
+    /// Number of the update that removed it.
+    removed_in: u64,
+}
+
 /// Engines as discovery announced them last.
 pub struct DiscoveredEndpoints {
     machine_kinds: Vec<MachineKind>,
     by_id: BTreeMap<String, EndpointEntry>,
+    removed: BTreeMap<String, RemovedEngine>,
     updates: u64,
 }
 
 impl DiscoveredEndpoints {
     /// Creates an empty list. An engine's machine kind determines its role and its memory in tokens.
     pub fn new(machine_kinds: Vec<MachineKind>) -> DiscoveredEndpoints {
-        DiscoveredEndpoints { machine_kinds, by_id: BTreeMap::new(), updates: 0 }
+        DiscoveredEndpoints { machine_kinds, by_id: BTreeMap::new(), removed: BTreeMap::new(), updates: 0 }
     }
 
     /// Returns the list's entry for an engine; `None` if the settings do not name its machine kind: such an
@@ -94,35 +106,78 @@
 
     /// Applies one response of discovery.
     pub fn apply(&mut self, update: DiscoveryUpdate) {
-        if update.reset {
-            self.by_id.clear();
+        let engines = self.engines_after(update);
+        self.replace(engines);
+    }
+
+    /// Applies one response of discovery that may be older than the list: it takes back neither drains nor
+    /// removals nor restarts, and adds no engine. What it announces itself counts.
+    pub fn apply_possibly_stale(&mut self, update: DiscoveryUpdate) {
+        self.apply_older(update, |_, _| false);
+    }
+
+    /// Applies one response of a discovery agent that has been behind for long, or counts versions in another way.
+    /// Like [`DiscoveredEndpoints::apply_possibly_stale`], but engines that were never in the list are added.
+    pub fn apply_behind(&mut self, update: DiscoveryUpdate) {
+        let removed = std::mem::take(&mut self.removed);
+        self.apply_older(update, |id, entry| {
+            removed.get(id).is_none_or(|removed| is_later(entry.started_at, removed.started_at))
+        });
+        for (id, engine) in removed {
+            if !self.by_id.contains_key(&id) {
+                self.removed.entry(id).or_insert(engine);
+            }
         }
+    }
+
+    fn apply_older(&mut self, update: DiscoveryUpdate, may_add: impl Fn(&str, &EndpointEntry) -> bool) {
+        let mut engines = self.engines_after(update);
+        engines.retain(|id, entry| {
+            let Some(before) = self.by_id.get(id) else { return may_add(id, entry) };
+            // An engine that has started again since its drain was announced is active again.
+            if before.state == EngineState::Draining && !is_later(entry.started_at, before.started_at) {
+                entry.state = EngineState::Draining;
+            }
+            if is_later(before.started_at, entry.started_at) {
+                entry.started_at = before.started_at;
+            }
+            true
+        });
+        self.replace(engines);
+    }
+
+    /// Returns the engines of the list to which this response leads.
+    fn engines_after(&self, update: DiscoveryUpdate) -> BTreeMap<String, EndpointEntry> {
+        let mut engines = if update.reset { BTreeMap::new() } else { self.by_id.clone() };
         for instance in update.instances {
             let id = instance.instance_id.clone();
             let entry = if instance.lifecycle == "removed" { None } else { self.entry(instance) };
             match entry {
-                Some(entry) if self.by_id.len() < MAX_ENTRIES || self.by_id.contains_key(&id) => {
-                    self.by_id.insert(id, entry);
+                Some(entry) if engines.len() < MAX_ENTRIES || engines.contains_key(&id) => {
+                    engines.insert(id, entry);
                 }
-                _ => drop(self.by_id.remove(&id)),
+                _ => drop(engines.remove(&id)),
             }
         }
-        self.updates += 1;
+        engines
     }
 
-    /// Applies one response of discovery that may be older than the list: it takes back neither drains nor
-    /// removals nor restarts, and adds no engine. What it announces itself counts.
-    pub fn apply_possibly_stale(&mut self, update: DiscoveryUpdate) {
-        let known = self.by_id.clone();
-        self.apply(update);
-        self.by_id.retain(|id, entry| {
-            let Some(before) = known.get(id) else { return false };
-            if before.state == EngineState::Draining {
-                entry.state = EngineState::Draining;
+    /// Replaces the list, and remembers the engines that are no longer in it.
+    fn replace(&mut self, engines: BTreeMap<String, EndpointEntry>) {
+        self.updates += 1;
+        let before = std::mem::replace(&mut self.by_id, engines);
+        self.removed.retain(|id, _| !self.by_id.contains_key(id));
+        for (id, entry) in before {
+            if !self.by_id.contains_key(&id) {
+                let removed = RemovedEngine { started_at: entry.started_at, removed_in: self.updates };
+                self.removed.insert(id, removed);
             }
-            entry.started_at = later(before.started_at, entry.started_at);
-            true
-        });
+        }
+        while self.removed.len() > MAX_REMOVED {
+            let oldest = self.removed.iter().min_by_key(|(_, removed)| removed.removed_in);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
+            self.removed.remove(&id);
+        }
     }
 
     /// Returns whether new attempts may go to the engine, according to the last announcement.
@@ -137,10 +192,7 @@
     }
 }
 
-/// Returns the later of two times; `None` means long ago.
-fn later(first: Option<f64>, second: Option<f64>) -> Option<f64> {
-    match (first, second) {
-        (Some(first), Some(second)) => Some(first.max(second)),
-        (first, second) => first.or(second),
-    }
+/// Returns whether a start is later than another; `None` means long ago.
+fn is_later(first: Option<f64>, second: Option<f64>) -> bool {
+    first.unwrap_or(f64::NEG_INFINITY) > second.unwrap_or(f64::NEG_INFINITY)
 }
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -126,5 +126,7 @@
     connection.any(|header| header.value.to_ascii_lowercase().windows(5).any(|window| window == b"close"))
 }
 
+#[cfg(test)]
+mod agent_behind_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -151,6 +151,19 @@
         }
     }
 
+    /// Logs that the list of the discovery agent is older than what was announced before. Warns at most once a
+    /// minute, once that has been so for long.
+    fn log_agent_behind(&self, generation: u64, for_long: bool) {
+        let at = self.now();
+        tracing::debug!(at, generation, for_long, "discovery agent behind");
+        if !for_long {
+            return;
+        }
+        if let Some(occurrences) = self.log_limiter.borrow_mut().record(at, "discovery agent behind") {
+            tracing::warn!(at, occurrences, generation, "discovery agent is behind what was announced");
+        }
+    }
+
     /// Wakes the event loop, so that the core decides again once all tasks that are ready have passed their
     /// events to it.
     pub fn wake(&self) {
@@ -159,14 +172,19 @@
 
     /// Applies an update of discovery to the endpoint list, and passes the list to the core.
     pub fn apply_update(&self, update: AcceptedUpdate) {
+        if update.is_empty() {
+            return;
+        }
         match update {
-            AcceptedUpdate::Current(update) | AcceptedUpdate::PossiblyStale(update) if update.is_empty() => {
-                return
-            }
             AcceptedUpdate::Current(update) => self.endpoints.borrow_mut().apply(update),
             AcceptedUpdate::PossiblyStale(update) => {
+                self.log_agent_behind(update.generation, false);
                 self.endpoints.borrow_mut().apply_possibly_stale(update);
             }
+            AcceptedUpdate::Behind(update) => {
+                self.log_agent_behind(update.generation, true);
+                self.endpoints.borrow_mut().apply_behind(update);
+            }
         }
         let list = self.endpoints.borrow().snapshot();
         self.core.borrow_mut().update_endpoints(self.now(), &list);
--- a/crates/nickelgw-platform/tests/cases/discovery.rs
+++ b/crates/nickelgw-platform/tests/cases/discovery.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
+use test_case::test_case;
 
 /// Maximum time until a change is applied, from when discovery has it and can be reached.
 pub(crate) const MAX_DELAY_S: f64 = 5.0;
@@ -366,27 +367,40 @@
     assert!(drain.seconds_until_applied(&node) < 1.0);
 }
 
+/// Sends requests for this time, and asserts that the draining engine gets no attempt.
+fn assert_drain_is_kept(drain: &DrainScenario, node: &TestNode, duration: Duration) {
+    let (started_at, before) = (Instant::now(), drain.first.received("POST").len());
+    while started_at.elapsed() < duration {
+        let id = format!("{before:x}-{:08x}", started_at.elapsed().as_micros());
+        node.exchange(chat_request(&id).as_bytes());
+        sleep(Duration::from_millis(50));
+    }
+    assert_eq!(drain.first.received("POST").len(), before, "the draining engine got an attempt");
+}
+
 /// Regression test: the agent at a new address was behind the previous one, and the node sent to an engine again
-/// whose drain it had been told. What a new agent has to tell counts from 4 s after SIGHUP.
-#[test]
-fn drain_is_not_taken_back_by_an_older_list_after_a_reload() {
+/// whose drain it had been told; in an outage also later than 4 s after the change of the address.
+#[test_case(0.0, 3.0; "new agent responds at once")]
+#[test_case(0.0, 7.5; "new agent is behind for long")]
+#[test_case(4.5, 2.0; "new agent responds after an outage")]
+fn drain_is_not_taken_back_by_an_older_list_after_a_reload(outage_s: f64, behind_s: f64) {
     let drain = drain_scenario();
     let (old, new) = (new_agent(drain.before.clone()), new_agent(drain.before.clone()));
-    let path = std::env::temp_dir().join(format!("nickelgw-stale-list-{}.json", std::process::id()));
+    let name = format!("nickelgw-stale-list-{}-{outage_s}-{behind_s}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
     let node = drain.start_node(&discovery(&old), Some(path.clone()));
     announce_drain(&old, &drain);
     drain.seconds_until_applied(&node);
+    if outage_s > 0.0 {
+        new.lock().unwrap().unanswered_lists = usize::MAX;
+    }
     let new_peer = discovery(&new);
     std::fs::write(&path, node_config("x", &new_peer.address.to_string(), Value::Null).to_string()).unwrap();
     node.signals.request_reload();
-    let reloaded_at = Instant::now();
+    assert_drain_is_kept(&drain, &node, Duration::from_secs_f64(outage_s));
+    new.lock().unwrap().unanswered_lists = 0;
     new_peer.wait_for("GET /v1/servers?since=");
-    let before = drain.first.received("POST").len();
-    while reloaded_at.elapsed() < Duration::from_secs(3) {
-        node.exchange(chat_request(&format!("{:08x}", reloaded_at.elapsed().as_micros())).as_bytes());
-        sleep(Duration::from_millis(50));
-    }
-    assert_eq!(drain.first.received("POST").len(), before, "the draining engine got an attempt");
+    assert_drain_is_kept(&drain, &node, Duration::from_secs_f64(behind_s));
     // The new agent's list counts once it has caught up, also with fewer engines or other ones.
     announce_drain(&new, &drain);
     drain.seconds_until_applied(&node);
