Take the generation of the known list as announced

`known` was applied to the list of engines, but the calls to discovery began without a generation, so the first list was current whatever its generation.

--- a/crates/nickelgw-platform/src/core/discovery_calls.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls.rs
@@ -131,7 +131,7 @@
     next_call_at: f64,
     /// Generation of the last update that was accepted, and when it was received.
     received: Option<(u64, f64)>,
-    /// Highest generation that any agent has announced.
+    /// Highest generation that any agent has announced, or that was known at the start.
     announced_generation: Option<u64>,
     lag: AgentLag,
     /// Time of the first response since the agent has been responding in time; `None` if it is not.
@@ -166,6 +166,12 @@
         }
     }
 
+    /// Sets the generation of the list that the node knew at its start, which counts as announced.
+    pub fn with_known_generation(mut self, generation: Option<u64>) -> DiscoveryCalls {
+        self.announced_generation = generation;
+        self
+    }
+
     /// Handles timeouts, starts the next call if it is due, and returns what is to be done.
     pub fn poll(&mut self, now: f64) -> Vec<DiscoveryCommand> {
         let given_up = self.late.move_up(now);
--- a/crates/nickelgw-platform/src/server.rs
+++ b/crates/nickelgw-platform/src/server.rs
@@ -103,7 +103,9 @@
     let memory = MemoryBudget::new(client_limits.pool_bytes, clock);
     let known_names = known_names(&config);
     let pools = Pools::new(&config, &descriptors);
-    let discovery_calls = DiscoveryCalls::new(DiscoveryTimeouts::new(config.stop_dispatch_within_s));
+    let known_generation = config.known_endpoints.as_ref().map(|known| known.generation);
+    let discovery_calls = DiscoveryCalls::new(DiscoveryTimeouts::new(config.stop_dispatch_within_s))
+        .with_known_generation(known_generation);
     let discovery_address = Rc::new(RefCell::new(config.discovery.clone()));
     let parts = node_parts(&config, &executor, &pools, clock);
     let node = new_node(config, parts, started_at_unix_s);
--- a/crates/nickelgw-platform/tests/cases/discovery.rs
+++ b/crates/nickelgw-platform/tests/cases/discovery.rs
@@ -407,6 +407,21 @@
     std::fs::remove_file(path).unwrap();
 }
 
+/// Regression test: a new process did not take the generation of its known list as announced, and a drain in that
+/// list was taken back by the older list of an agent that was behind.
+#[test]
+fn drain_in_the_known_list_is_not_taken_back_by_an_older_list_after_a_restart() {
+    let drain = drain_scenario();
+    let agent = new_agent(drain.before.clone());
+    let agent_peer = discovery(&agent);
+    let known = json!({"generation": 4, "reset": true, "instances": drain.after});
+    let node = start_node_with(&agent_peer, known, None, |_| {});
+    agent_peer.wait_for("GET /v1/servers?since=");
+    assert_drain_is_kept(&drain, &node, Duration::from_secs(2));
+    announce_drain(&agent, &drain);
+    drain.seconds_until_applied(&node);
+}
+
 /// Regression test: a list without a stated length, whose end is that of its connection (RFC 9112, section 6.3),
 /// was read as empty, and no list was ever applied.
 #[test]
