Do not count a request that waits for memory as stalled

Seen in platform_memory: of usual requests with long prompts beside 491 clients with most of a long chunk, up to 157 of 463 found no memory (debug build). A request that waited for memory made no progress meanwhile, and its memory was taken for others after 0.1 s.

A waiting request now counts as progressing.

--- a/crates/nickelgw-platform/src/clients/memory.rs
+++ b/crates/nickelgw-platform/src/clients/memory.rs
@@ -93,6 +93,7 @@
         }
         let reserved = async {
             loop {
+                self.set_progress();
                 let freed = self.budget.freed.listen();
                 if self.try_reserve(stage, bytes) {
                     return;
@@ -101,6 +102,8 @@
             }
         };
         let is_reserved = within(MEMORY_WAIT_S, reserved).await.is_some();
+        // The request has not stalled while it waited for memory.
+        self.set_progress();
         // What was freed may be enough for another connection as well.
         self.budget.freed.notify(1);
         is_reserved
