Limit the queue of a stream by its bytes, not by its pieces alone

Cause: the queue between engine and client holds 32 pieces, of up to 256 KiB each, and up to 64 KiB are gathered for a write besides.

Change: a queue takes no further piece at 8 KiB, and 8 KiB are gathered for a write. Reading from the engine pauses then, as it did at 32 pieces.

Single events of up to 256 KiB are still not limited over all streams. The cases of platform_memory run one at a time.

--- a/crates/nickelgw-cli/tests/platform_memory.rs
+++ b/crates/nickelgw-cli/tests/platform_memory.rs
@@ -7,12 +7,15 @@
 #[allow(dead_code)]
 mod processes;
 
-use common::{endpoint_list, http_response, read_response, silent_discovery, stream_response, Peer};
-use processes::{start_node_with, Node};
+use common::{
+    chat_request, chunk, endpoint_list, http_response, peer, read_response, silent_discovery,
+    stream_response, Peer, PeerAction, STREAM_HEAD,
+};
+use processes::{connect, start_node_with, Node};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -28,6 +31,9 @@
 /// Time within which a client that misbehaves has to get an error or a close.
 const ERROR_WITHIN: Duration = Duration::from_secs(3);
 
+/// Held by the case that runs: each has hundreds of clients.
+static RUNNING_CASE: Mutex<()> = Mutex::new(());
+
 /// Starts an engine that reads requests without keeping them, and gives this response to each.
 fn engine(response: fn() -> Vec<u8>) -> Peer {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -215,6 +221,7 @@
 fn memory_limit_holds_and_usual_clients_are_served(address_byte: u8, descriptors: usize, hostile: Hostile) {
     /// Share of the descriptors: with the usual clients, hardly more than a node accepts.
     const HOSTILE_SHARE: f64 = 0.48;
+    let _running = RUNNING_CASE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let prefill = engine(|| http_response("202 Accepted", r#"{"cached_tokens":4}"#));
     let decode = engine(stream_response);
     let known = endpoint_list(&[&prefill], &[&decode]);
@@ -260,3 +267,44 @@
     // they depend on how busy the machine is.
     assert!(served > 0 && served >= no_memory, "fewer than half of the usual requests found memory");
 }
+
+/// Regression test: the queue of a stream was limited by its number of pieces alone, and long events took a node over
+/// its memory limit. Clients do not read their streams, which bring events of this size without end.
+#[test_case(100, 100; "short events")]
+#[test_case(110, 8_000; "long events")]
+fn memory_limit_holds_while_clients_do_not_read_their_streams(address_byte: u8, event_bytes: usize) {
+    const CLIENTS: usize = 200;
+    const ENGINES: usize = 20;
+    let _running = RUNNING_CASE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let prefill_engines: Vec<Peer> =
+        (0..ENGINES).map(|_| engine(|| http_response("202 Accepted", r#"{"cached_tokens":4}"#))).collect();
+    let event: &'static str = chunk(&format!("data: {}\n\n", "x".repeat(event_bytes))).leak();
+    let decode_engines: Vec<Peer> =
+        (0..ENGINES).map(|_| peer(move |_, _| PeerAction::RespondEndlessly(STREAM_HEAD, event))).collect();
+    let known = endpoint_list(
+        &prefill_engines.iter().collect::<Vec<_>>(),
+        &decode_engines.iter().collect::<Vec<_>>(),
+    );
+    let node = start_node_with(address_byte, &silent_discovery(), known, 1024, |config| {
+        config["limits"]["memory_mb"] = MEMORY_MB.into();
+        config["settings"]["limits"]["max_open"] = 1000.into();
+        config["limits"]["sockets"] = 1024_u32.into();
+    });
+    node.wait_until_ready();
+    let open = |number: usize| {
+        let mut client = connect(node.address);
+        client.write_all(chat_request(&format!("slow-{number}")).as_bytes()).unwrap();
+        client
+    };
+    let clients: Vec<TcpStream> = (0..CLIENTS).map(open).collect();
+    let until = Instant::now() + DURATION;
+    let mut peak_kb = 0;
+    while Instant::now() < until {
+        peak_kb = peak_kb.max(anonymous_kb(&node));
+        sleep(Duration::from_millis(5));
+    }
+    let started: usize = decode_engines.iter().map(|engine| engine.received("POST").len()).sum();
+    println!("{peak_kb} kB, {started} streams of {}", clients.len());
+    assert!(started > CLIENTS / 2, "{started} streams have begun");
+    assert!(peak_kb <= MEMORY_MB * 1024, "{peak_kb} kB of anonymous memory, {MEMORY_MB} MB allowed");
+}
--- a/crates/nickelgw-platform/src/clients/serve.rs
+++ b/crates/nickelgw-platform/src/clients/serve.rs
@@ -7,13 +7,13 @@
 use crate::core::engine::ForwardedRequest;
 use crate::core::event_stream::StreamPiece;
 use crate::core::request::{CHAT_PATH, READINESS_PATH};
-use crate::node::{Reply, RequestGuard};
+use crate::node::{PieceReceiver, Reply, RequestGuard};
 use async_channel::Receiver;
 use nickelgw_node_core::AdmittedRequest;
 use std::rc::Rc;
 
 /// Size up to which queued events are written together; the last event may exceed it.
-const MAX_WRITE_BYTES: usize = 64 * 1024;
+const MAX_WRITE_BYTES: usize = 8 * 1024;
 
 /// Reason why a request is not admitted.
 enum NotAdmitted {
@@ -138,7 +138,7 @@
 /// Forwards a stream. Returns an error if the stream broke: the connection then ends without the last chunk.
 async fn forward_stream(
     socket: &ClientSocket,
-    pieces: Receiver<StreamPiece>,
+    pieces: PieceReceiver,
     close: bool,
 ) -> Result<NextStep, NextStep> {
     let connection = connection_header(close);
@@ -165,7 +165,7 @@
 
 /// Appends `first` and the queued pieces as chunks, up to `MAX_WRITE_BYTES`. Returns `true` if the last one
 /// ends the stream.
-fn encode_pieces(bytes: &mut Vec<u8>, first: StreamPiece, pieces: &Receiver<StreamPiece>) -> bool {
+fn encode_pieces(bytes: &mut Vec<u8>, first: StreamPiece, pieces: &PieceReceiver) -> bool {
     let mut next = Some(first);
     while let Some(piece) = next {
         match piece {
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -1,21 +1,19 @@
 //! Attempts at engines: the exchange with a prefill engine, and the exchange with a decode engine up to the
 //! end of its stream.
 
+use super::stream_queue::{stream_queue, PieceSender};
 use super::{Node, Reply};
 use crate::clients::socket::ClientSocket;
 use crate::core::engine::{self, ForwardedRequest, ResponseHead};
 use crate::core::event_stream::{EventStreamDecoder, StreamPiece};
 use crate::core::{Framing, MAX_BODY_BYTES};
 use crate::pool::{Connection, ConnectionCloser, ConnectionUse};
-use async_channel::Sender;
 use bytes::Bytes;
 use nickelgw_node::within;
 use nickelgw_node_core::{AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult};
 use nickelgw_protocol::load::LoadReport;
 use std::cell::{Cell, RefCell};
 
-/// Number of pieces of a stream that are queued for a slow client before reading from the engine pauses.
-const MAX_QUEUED_PIECES: usize = 32;
 /// Time for which the first event is held back until the rest of its chunk arrives. Events have to be
 /// forwarded within 0.3 s (the platform's protocol).
 const FIRST_EVENT_DELAY_S: f64 = 0.1;
@@ -210,7 +208,7 @@
         let Some(pending) = self.pending.borrow_mut().remove(&attempt.request) else {
             return result_with(AttemptOutcome::Cancelled);
         };
-        let (sender, receiver) = async_channel::bounded(MAX_QUEUED_PIECES);
+        let (sender, receiver) = stream_queue();
         let _ = pending.reply.try_send(Reply::Stream(receiver));
         self.forward_pieces(attempt, stream, idle_timeout_s, sender).await
     }
@@ -221,7 +219,7 @@
         attempt: &AttemptRequest,
         mut stream: StartedStream,
         idle_timeout_s: f64,
-        sender: Sender<StreamPiece>,
+        sender: PieceSender,
     ) -> AttemptResult {
         let mut load = stream.load.take();
         let mut next = Ok(StreamPiece::Events(std::mem::take(&mut stream.first)));
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -5,13 +5,13 @@
 mod attempts;
 mod commands;
 mod control_calls;
+mod stream_queue;
 
 use crate::clients::socket::ClientSocket;
 use crate::core::discovery_calls::{AcceptedUpdate, CallId};
 use crate::core::discovery_timing::ANNOUNCED_AFTER_S;
 use crate::core::endpoint_list::DiscoveredEndpoints;
 use crate::core::engine::ForwardedRequest;
-use crate::core::event_stream::StreamPiece;
 use crate::core::log_limiter::LogRateLimiter;
 use crate::pool::ConnectionPool;
 use async_channel::{Receiver, Sender};
@@ -23,6 +23,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Instant;
+pub use stream_queue::PieceReceiver;
 
 /// A request whose response has not begun, with its client's socket and the channel for its reply.
 struct PendingRequest {
@@ -34,7 +35,7 @@
 /// Reply to a request.
 pub enum Reply {
     /// Pieces of the stream; the stream is complete only if [`StreamPiece::End`] is the last one.
-    Stream(Receiver<StreamPiece>),
+    Stream(PieceReceiver),
     /// The request is rejected and a retry is harmless, after this time in seconds if it is `Some`.
     Rejected(Option<f64>),
     /// No response began in time.
--- /dev/null
+++ b/crates/nickelgw-platform/src/node/stream_queue.rs
@@ -0,0 +1,92 @@
+//! Queue of a stream's pieces between the task that reads them from an engine and the task that writes them to the
+//! client. A client that does not read fills its queue; reading from the engine then pauses.
+
+use crate::core::event_stream::StreamPiece;
+use async_channel::{Receiver, RecvError, Sender, TryRecvError};
+use event_listener::Event;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Maximum number of pieces in a queue.
+const MAX_PIECES: usize = 32;
+/// Size in bytes at which a queue takes no further piece; the last one may exceed it.
+const MAX_BYTES: usize = 8 * 1024;
+
+#[derive(Default)]
+struct QueuedBytes {
+    bytes: Cell<usize>,
+    /// Notifies the sender that pieces were taken out.
+    taken: Event,
+}
+
+/// The end of a queue at which pieces are added.
+pub struct PieceSender {
+    pieces: Sender<StreamPiece>,
+    queued: Rc<QueuedBytes>,
+}
+
+/// The end of a queue at which pieces are taken out; dropping it ends the queue.
+pub struct PieceReceiver {
+    pieces: Receiver<StreamPiece>,
+    queued: Rc<QueuedBytes>,
+}
+
+/// Error returned when the receiver was dropped.
+#[derive(Debug)]
+pub struct ReceiverDropped;
+
+/// Creates a queue.
+pub fn stream_queue() -> (PieceSender, PieceReceiver) {
+    let (sender, receiver) = async_channel::bounded(MAX_PIECES);
+    let queued = Rc::new(QueuedBytes::default());
+    (PieceSender { pieces: sender, queued: queued.clone() }, PieceReceiver { pieces: receiver, queued })
+}
+
+fn length(piece: &StreamPiece) -> usize {
+    match piece {
+        StreamPiece::Events(events) => events.len(),
+        StreamPiece::End => 0,
+    }
+}
+
+impl PieceSender {
+    /// Waits until the queue has room, and adds the piece.
+    pub async fn send(&self, piece: StreamPiece) -> Result<(), ReceiverDropped> {
+        while self.is_full() {
+            let taken = self.queued.taken.listen();
+            if self.is_full() {
+                taken.await;
+            }
+        }
+        self.queued.bytes.set(self.queued.bytes.get() + length(&piece));
+        self.pieces.send(piece).await.map_err(|_| ReceiverDropped)
+    }
+
+    fn is_full(&self) -> bool {
+        self.queued.bytes.get() >= MAX_BYTES && !self.pieces.is_closed()
+    }
+}
+
+impl PieceReceiver {
+    /// Waits for the next piece; fails after the last one.
+    pub async fn recv(&self) -> Result<StreamPiece, RecvError> {
+        self.pieces.recv().await.inspect(|piece| self.set_taken(piece))
+    }
+
+    /// Takes a piece that is in the queue.
+    pub fn try_recv(&self) -> Result<StreamPiece, TryRecvError> {
+        self.pieces.try_recv().inspect(|piece| self.set_taken(piece))
+    }
+
+    fn set_taken(&self, piece: &StreamPiece) {
+        self.queued.bytes.set(self.queued.bytes.get().saturating_sub(length(piece)));
+        self.queued.taken.notify(1);
+    }
+}
+
+impl Drop for PieceReceiver {
+    fn drop(&mut self) {
+        self.pieces.close();
+        self.queued.taken.notify(1);
+    }
+}
