--- a/crates/nickelgw-platform/src/clients/mod.rs
+++ b/crates/nickelgw-platform/src/clients/mod.rs
@@ -1,5 +1,6 @@
 //! Server for clients' connections: accepts them up to a limit, and serves one request after another on each.
 
+mod body;
 mod connection_table;
 mod discard;
 mod memory;
--- a/crates/nickelgw-platform/src/clients/receive.rs
+++ b/crates/nickelgw-platform/src/clients/receive.rs
@@ -1,13 +1,13 @@
 //! Receives a client's request within limits of time and memory.
 
+use super::body::BodyReceiver;
 use super::connection_table::ConnectionState;
-use super::discard::{discard_body, discard_head, BodyRest, NO_MEMORY};
+use super::discard::{discard_body, discard_head, NO_MEMORY};
 use super::socket::ClientSocket;
-use crate::core::chunked::ChunkedDecoder;
 use crate::core::client_memory::{RequestStage, GUARANTEED_BYTES};
 use crate::core::request::{self, RequestHead};
-use crate::core::{Framing, MalformedMessage, MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use crate::stream_io::{decode_body, read, ReceiveError, READ_BYTES};
+use crate::core::{MalformedMessage, MAX_HEAD_BYTES};
+use crate::stream_io::{read, ReceiveError, READ_BYTES};
 use async_channel::Receiver;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::future::or;
@@ -46,7 +46,7 @@
 }
 
 /// Reason why the rest of a request is not received.
-enum ReceiveFailure {
+pub(super) enum ReceiveFailure {
     /// There is no memory for the request, or it has to give way to others.
     NoMemory,
     /// The request cannot be received whatever the memory.
@@ -176,109 +176,8 @@
     }
 }
 
-/// A body that is arriving.
-struct BodyReceiver {
-    body: BytesMut,
-    /// Memory that the request's head uses meanwhile.
-    head_bytes: usize,
-    framing: BodyFraming,
-}
-
-/// How the end of a body is found.
-enum BodyFraming {
-    /// By its length in bytes.
-    Length(usize),
-    /// By its chunks.
-    Chunked(ChunkedDecoder),
-}
-
-impl BodyReceiver {
-    /// Begins a body with the bytes of `buffer` that belong to it.
-    fn new(framing: Framing, head_bytes: usize, buffer: &mut BytesMut) -> Result<BodyReceiver, NoRequest> {
-        let (length, framing) = match framing {
-            Framing::Unspecified => (0, BodyFraming::Length(0)),
-            Framing::Length(length) if length > MAX_BODY_BYTES => {
-                return Err(MalformedMessage::TooLong.into())
-            }
-            Framing::Length(length) => (length, BodyFraming::Length(length)),
-            Framing::Chunked => (0, BodyFraming::Chunked(ChunkedDecoder::default())),
-        };
-        let arrived = buffer.len().min(length);
-        let body = BytesMut::from(&buffer[..arrived]);
-        buffer.advance(arrived);
-        release_unused(buffer);
-        Ok(BodyReceiver { body, head_bytes, framing })
-    }
-
-    /// Receives the rest of the body.
-    async fn receive(&mut self, socket: &ClientSocket, buffer: &mut BytesMut) -> Result<(), ReceiveFailure> {
-        let BodyReceiver { body, head_bytes, framing } = self;
-        match framing {
-            BodyFraming::Length(length) => fill(socket, body, *head_bytes, *length).await,
-            BodyFraming::Chunked(decoder) => {
-                fill_from_chunks(socket, buffer, decoder, body, *head_bytes).await
-            }
-        }
-    }
-
-    /// Returns a whole body in memory of its size.
-    fn into_bytes(self) -> Bytes {
-        if self.body.capacity() > self.body.len() {
-            Bytes::copy_from_slice(&self.body)
-        } else {
-            self.body.freeze()
-        }
-    }
-
-    /// Drops what has arrived, and returns what is missing.
-    fn into_rest(self) -> BodyRest {
-        match self.framing {
-            BodyFraming::Length(length) => BodyRest::Bytes(length - self.body.len()),
-            BodyFraming::Chunked(decoder) => BodyRest::Chunks(decoder),
-        }
-    }
-}
-
-/// Reads until the body has this length.
-async fn fill(
-    socket: &ClientSocket,
-    body: &mut BytesMut,
-    head_bytes: usize,
-    length: usize,
-) -> Result<(), ReceiveFailure> {
-    while body.len() < length {
-        make_room(socket, RequestStage::Body, body, head_bytes, length).await?;
-        read_more(socket, body).await?;
-    }
-    Ok(())
-}
-
-/// Reads and decodes until the body is whole.
-async fn fill_from_chunks(
-    socket: &ClientSocket,
-    buffer: &mut BytesMut,
-    decoder: &mut ChunkedDecoder,
-    body: &mut BytesMut,
-    head_bytes: usize,
-) -> Result<(), ReceiveFailure> {
-    loop {
-        // What has arrived is moved from the buffer to the body.
-        let needed = body.len() + buffer.len();
-        if body.capacity() < needed {
-            let capacity = needed.max(2 * body.len());
-            resize(socket, RequestStage::Body, body, head_bytes + buffer.capacity(), capacity).await?;
-        }
-        if decode_body(decoder, buffer, body, MAX_BODY_BYTES)? {
-            return Ok(());
-        }
-        release_unused(buffer);
-        make_room(socket, RequestStage::Body, buffer, head_bytes + body.capacity(), READ_BYTES).await?;
-        read_more(socket, buffer).await?;
-    }
-}
-
 /// Reads what has arrived into the buffer, up to its capacity. Fails if the request has to give way meanwhile.
-async fn read_more(socket: &ClientSocket, buffer: &mut BytesMut) -> Result<(), ReceiveFailure> {
+pub(super) async fn read_more(socket: &ClientSocket, buffer: &mut BytesMut) -> Result<(), ReceiveFailure> {
     let reclaimed = async {
         socket.memory.reclaimed().await;
         None
@@ -294,7 +193,7 @@
 }
 
 /// Makes room in a buffer that is full, up to `max_bytes`. `other_bytes` is what the connection uses besides.
-async fn make_room(
+pub(super) async fn make_room(
     socket: &ClientSocket,
     stage: RequestStage,
     buffer: &mut BytesMut,
@@ -310,7 +209,7 @@
 }
 
 /// Moves a buffer to memory of exactly this capacity.
-async fn resize(
+pub(super) async fn resize(
     socket: &ClientSocket,
     stage: RequestStage,
     buffer: &mut BytesMut,
@@ -327,6 +226,6 @@
 }
 
 /// Moves a buffer's bytes, few or none, to memory of their own, so that the rest is freed.
-fn release_unused(buffer: &mut BytesMut) {
+pub(super) fn release_unused(buffer: &mut BytesMut) {
     *buffer = BytesMut::from(&buffer[..]);
 }
