Read no further than a short body whose head arrived alone

Bytes of a pipelined request behind it were taken for the body, and the request was answered with 400.

Cause: ClientSocket::read_available took an empty buffer for one without capacity.

Also: the memory of attempts is reserved for chat requests alone, so that a readiness probe needs none of the pool when that is exhausted.

Test: short_body_after_its_head_leaves_the_bytes_of_the_next_request failed before (400).

--- a/crates/nickelgw-platform/src/clients/receive.rs
+++ b/crates/nickelgw-platform/src/clients/receive.rs
@@ -5,7 +5,7 @@
 use super::discard::{discard_body, discard_head, NO_MEMORY};
 use super::socket::ClientSocket;
 use crate::core::client_memory::{RequestStage, GUARANTEED_BYTES};
-use crate::core::request::{self, RequestHead};
+use crate::core::request::{self, RequestHead, CHAT_PATH};
 use crate::core::{MalformedMessage, MAX_HEAD_BYTES};
 use crate::stream_io::{read, ReceiveError, READ_BYTES};
 use async_channel::Receiver;
@@ -17,7 +17,7 @@
 /// Time within which a whole request has to arrive, from its first byte.
 pub const REQUEST_TIMEOUT_S: f64 = 2.4;
 
-/// Memory of an open request besides its head and body: tasks and connections of its attempts, and its part of the
+/// Memory of an open chat request besides its head and body: tasks and connections of its attempts, and its part of the
 /// core's tables.
 const OPEN_REQUEST_BYTES: usize = 16 * 1024;
 /// Maximum size of the buffer of a head: one that is too long is recognized by its last bytes.
@@ -152,7 +152,8 @@
         }
     }
     let body = body.into_bytes();
-    let bytes = head_bytes + body.len() + OPEN_REQUEST_BYTES;
+    let attempt_bytes = if head.path() == CHAT_PATH { OPEN_REQUEST_BYTES } else { 0 };
+    let bytes = head_bytes + body.len() + attempt_bytes;
     release_unused(buffer);
     if socket.memory.reserve(RequestStage::Body, bytes + buffer.capacity()).await {
         Ok((head, body, bytes))
--- a/crates/nickelgw-platform/src/clients/socket.rs
+++ b/crates/nickelgw-platform/src/clients/socket.rs
@@ -151,13 +151,12 @@
         &self.stream
     }
 
-    /// Fills the buffer up to its capacity, for which memory was reserved; an empty buffer gets the bytes that each
-    /// connection is guaranteed.
+    /// Fills the buffer up to its capacity, for which memory was reserved; a buffer without capacity gets the bytes
+    /// that each connection is guaranteed.
     fn read_available(&self, buffer: &mut BytesMut) -> io::Result<usize> {
-        let max_bytes = if buffer.is_empty() {
-            GUARANTEED_BYTES.max(buffer.capacity())
-        } else {
-            buffer.capacity() - buffer.len()
+        let max_bytes = match buffer.capacity() {
+            0 => GUARANTEED_BYTES,
+            capacity => capacity - buffer.len(),
         };
         self.read_up_to(max_bytes, buffer)
     }
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -281,3 +281,23 @@
     });
     assert!(served, "no request was served by the engines of the list");
 }
+
+/// Regression test: a body whose head had arrived alone took the bytes of the next request for its own.
+#[test]
+fn short_body_after_its_head_leaves_the_bytes_of_the_next_request() {
+    let (prefill, decode) = (prefill_engine(), peer(|_, _| PeerAction::Respond(stream_response())));
+    let node = start_node(&silent_discovery(), &[&prefill], &[&decode], None);
+    let first = chat_request("bb01");
+    let (head, body) = first.split_once("\r\n\r\n").unwrap();
+    let mut client = node.connect();
+    client.write_all(format!("{head}\r\n\r\n").as_bytes()).unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    client.write_all(format!("{body}{}", chat_request("bb02")).as_bytes()).unwrap();
+    for id in ["bb01", "bb02"] {
+        let response = read_response(&mut client);
+        assert!(response.ends_with("0\r\n\r\n"), "{response}");
+        let attempts = decode.received("POST");
+        let attempt = attempts.iter().find(|attempt| attempt.contains(&format!("X-Call-Id: {id}\r\n")));
+        assert!(attempt.is_some_and(|attempt| attempt.ends_with(body)), "{attempts:?}");
+    }
+}
