Apply changes of the endpoint list in place, without a copy of the list

Seen in a reading of the whole change: since each change that discovery tells copied the whole list and went through all removed engines, work by the size of the fleet in place of the change. apply_behind also took the removed engines out and put them back, though they are only looked up.

Change: changes are applied to the list as it is; only engines that they name are remembered or forgotten as removed. Whole lists and older ones go through the same functions as before. The time was not measured. Behaviour is unchanged.

--- a/crates/nickelgw-platform/src/core/endpoint_list.rs
+++ b/crates/nickelgw-platform/src/core/endpoint_list.rs
@@ -82,55 +82,42 @@
         DiscoveredEndpoints { machine_kinds, by_id: BTreeMap::new(), removed: BTreeMap::new(), updates: 0 }
     }
 
-    /// Returns the list's entry for an engine; `None` if the settings do not name its machine kind: such an
-    /// engine cannot be used and is left out of the list.
-    fn entry(&self, instance: Instance) -> Option<EndpointEntry> {
-        let mut kinds = self.machine_kinds.iter();
-        let kind = kinds.find(|kind| kind.name == instance.machine_type)?;
-        Some(EndpointEntry {
-            role: match kind.role {
-                EngineRole::Prefill => list::EngineRole::Prefill,
-                EngineRole::Decode => list::EngineRole::Decode,
-                EngineRole::Unified => list::EngineRole::Unified,
-            },
-            memory_tokens: kind.memory_tokens.max(1.0),
-            state: if instance.lifecycle == "up" { EngineState::Active } else { EngineState::Draining },
-            started_at: instance.started_at_ms.filter(|ms| *ms > 0.0).map(|ms| ms / 1e3),
-            id: instance.instance_id,
-            address: instance.host_port,
-            tls_name: None,
-            zone: instance.zone,
-            cell: instance.cell.unwrap_or(0),
-        })
-    }
-
     /// Applies one response of discovery.
     pub fn apply(&mut self, update: DiscoveryUpdate) {
-        let engines = self.engines_after(update);
-        self.replace(engines);
+        if update.reset {
+            let engines = self.engines_after(update);
+            return self.replace(engines);
+        }
+        let before = |instance: &Instance| {
+            (instance.instance_id.clone(), self.by_id.get(&instance.instance_id).cloned())
+        };
+        let changed: Vec<_> = update.instances.iter().map(before).collect();
+        apply_changes(&self.machine_kinds, &mut self.by_id, update.instances);
+        self.updates += 1;
+        for (id, before) in changed {
+            self.note_change(id, before);
+        }
+        self.forget_oldest_removed();
     }
 
     /// Applies one response of discovery that may be older than the list: it takes back neither drains nor
     /// removals nor restarts, and adds no engine. What it announces itself counts.
     pub fn apply_possibly_stale(&mut self, update: DiscoveryUpdate) {
-        self.apply_older(update, |_, _| false);
+        self.apply_older(update, false);
     }
 
     /// Applies one response of a discovery agent that has been behind for long, or counts versions in another way.
     /// Like [`DiscoveredEndpoints::apply_possibly_stale`], but engines that were never in the list are added.
     pub fn apply_behind(&mut self, update: DiscoveryUpdate) {
-        let removed = std::mem::take(&mut self.removed);
-        self.apply_older(update, |id, entry| {
-            removed.get(id).is_none_or(|removed| is_later(entry.started_at, removed.started_at))
-        });
-        for (id, engine) in removed {
-            if !self.by_id.contains_key(&id) {
-                self.removed.entry(id).or_insert(engine);
-            }
-        }
+        self.apply_older(update, true);
     }
 
-    fn apply_older(&mut self, update: DiscoveryUpdate, may_add: impl Fn(&str, &EndpointEntry) -> bool) {
+    fn apply_older(&mut self, update: DiscoveryUpdate, adds_engines: bool) {
+        // A removed engine is added only if it has started again since.
+        let may_add = |id: &str, entry: &EndpointEntry| {
+            let removed = self.removed.get(id);
+            adds_engines && removed.is_none_or(|removed| is_later(entry.started_at, removed.started_at))
+        };
         let mut engines = self.engines_after(update);
         engines.retain(|id, entry| {
             let Some(before) = self.by_id.get(id) else { return may_add(id, entry) };
@@ -149,16 +136,7 @@
     /// Returns the engines of the list to which this response leads.
     fn engines_after(&self, update: DiscoveryUpdate) -> BTreeMap<String, EndpointEntry> {
         let mut engines = if update.reset { BTreeMap::new() } else { self.by_id.clone() };
-        for instance in update.instances {
-            let id = instance.instance_id.clone();
-            let entry = if instance.lifecycle == "removed" { None } else { self.entry(instance) };
-            match entry {
-                Some(entry) if engines.len() < MAX_ENTRIES || engines.contains_key(&id) => {
-                    engines.insert(id, entry);
-                }
-                _ => drop(engines.remove(&id)),
-            }
-        }
+        apply_changes(&self.machine_kinds, &mut engines, update.instances);
         engines
     }
 
@@ -168,11 +146,22 @@
         let before = std::mem::replace(&mut self.by_id, engines);
         self.removed.retain(|id, _| !self.by_id.contains_key(id));
         for (id, entry) in before {
-            if !self.by_id.contains_key(&id) {
-                let removed = RemovedEngine { started_at: entry.started_at, removed_in: self.updates };
-                self.removed.insert(id, removed);
-            }
+            self.note_change(id, Some(entry));
+        }
+        self.forget_oldest_removed();
+    }
+
+    /// Remembers an engine that is no longer in the list, and forgets the removal of one that is in it.
+    fn note_change(&mut self, id: String, before: Option<EndpointEntry>) {
+        if self.by_id.contains_key(&id) {
+            self.removed.remove(&id);
+        } else if let Some(before) = before {
+            let removed = RemovedEngine { started_at: before.started_at, removed_in: self.updates };
+            self.removed.insert(id, removed);
         }
+    }
+
+    fn forget_oldest_removed(&mut self) {
         while self.removed.len() > MAX_REMOVED {
             let oldest = self.removed.iter().min_by_key(|(_, removed)| removed.removed_in);
             let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
@@ -192,6 +181,46 @@
     }
 }
 
+/// Applies the changes of one response to a list of engines.
+fn apply_changes(
+    machine_kinds: &[MachineKind],
+    engines: &mut BTreeMap<String, EndpointEntry>,
+    instances: Vec<Instance>,
+) {
+    for instance in instances {
+        let id = instance.instance_id.clone();
+        let entry = if instance.lifecycle == "removed" { None } else { entry(machine_kinds, instance) };
+        match entry {
+            Some(entry) if engines.len() < MAX_ENTRIES || engines.contains_key(&id) => {
+                engines.insert(id, entry);
+            }
+            _ => drop(engines.remove(&id)),
+        }
+    }
+}
+
+/// Returns the list's entry for an engine; `None` if the settings do not name its machine kind: such an
+/// engine cannot be used and is left out of the list.
+fn entry(machine_kinds: &[MachineKind], instance: Instance) -> Option<EndpointEntry> {
+    let mut kinds = machine_kinds.iter();
+    let kind = kinds.find(|kind| kind.name == instance.machine_type)?;
+    Some(EndpointEntry {
+        role: match kind.role {
+            EngineRole::Prefill => list::EngineRole::Prefill,
+            EngineRole::Decode => list::EngineRole::Decode,
+            EngineRole::Unified => list::EngineRole::Unified,
+        },
+        memory_tokens: kind.memory_tokens.max(1.0),
+        state: if instance.lifecycle == "up" { EngineState::Active } else { EngineState::Draining },
+        started_at: instance.started_at_ms.filter(|ms| *ms > 0.0).map(|ms| ms / 1e3),
+        id: instance.instance_id,
+        address: instance.host_port,
+        tls_name: None,
+        zone: instance.zone,
+        cell: instance.cell.unwrap_or(0),
+    })
+}
+
 /// Returns whether a start is later than another; `None` means long ago.
 fn is_later(first: Option<f64>, second: Option<f64>) -> bool {
     first.unwrap_or(f64::NEG_INFINITY) > second.unwrap_or(f64::NEG_INFINITY)
