--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -3,8 +3,8 @@
 
 use crate::core::engine::{self, ResponseHead};
 use crate::core::event_stream::{EventStreamDecoder, StreamPiece};
-use crate::core::Framing;
-use crate::stream_io::{receive, receive_body, receive_to_end, write_all};
+use crate::core::{Framing, MalformedMessage};
+use crate::stream_io::{receive, receive_body, receive_to_end, write_all, ReceiveError};
 use bytes::{Buf, Bytes, BytesMut};
 use nickelgw_node_core::AttemptOutcome;
 use smol::Async;
@@ -148,7 +148,7 @@
     }
 
     /// Reads the head of the final response; interim responses before it are skipped.
-    pub async fn response_head(&mut self) -> Result<ResponseHead, AttemptOutcome> {
+    pub async fn response_head(&mut self) -> Result<ResponseHead, ReceiveError> {
         for _ in 0..MAX_INTERIM_RESPONSES {
             let parse = |buffer: &mut BytesMut| {
                 Ok(engine::parse_response_head(buffer)?.map(|(head, length)| {
@@ -161,7 +161,7 @@
                 return Ok(head);
             }
         }
-        Err(AttemptOutcome::Malformed)
+        Err(MalformedMessage::Head.into())
     }
 
     /// Reads the next piece of a stream of events. If the future is dropped while it waits, no bytes are
@@ -169,8 +169,8 @@
     pub async fn stream_piece(
         &mut self,
         decoder: &mut EventStreamDecoder,
-    ) -> Result<StreamPiece, AttemptOutcome> {
-        Ok(receive(&*self.stream, &mut self.buffer, |buffer| decoder.next(buffer)).await?)
+    ) -> Result<StreamPiece, ReceiveError> {
+        receive(&*self.stream, &mut self.buffer, |buffer| decoder.next(buffer)).await
     }
 
     /// Reads a body whose length is not stated, up to the end of the connection.
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -76,6 +76,9 @@
     /// The body is not a stream of server-sent events.
     #[error("response body is not a stream of server-sent events")]
     Events,
+    /// The response is not of the kind that answers the request.
+    #[error("response is not of the kind that answers the request")]
+    Kind,
 }
 
 /// Returns the framing that a head's headers state. A second length could hide another message in the body
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -1,13 +1,15 @@
 //! Attempts at engines: the exchange with a prefill engine, and the exchange with a decode engine up to the
 //! end of its stream.
 
+use super::attempt_failure::AttemptFailure;
 use super::stream_queue::{stream_queue, PieceSender};
 use super::{Node, Reply};
 use crate::clients::socket::ClientSocket;
 use crate::core::engine::{self, ForwardedRequest, ResponseHead};
 use crate::core::event_stream::{EventStreamDecoder, StreamPiece};
-use crate::core::{Framing, MAX_BODY_BYTES};
+use crate::core::{Framing, MalformedMessage, MAX_BODY_BYTES};
 use crate::pool::{Connection, ConnectionCloser, ConnectionUse};
+use crate::stream_io::ReceiveError;
 use bytes::Bytes;
 use nickelgw_node::within;
 use nickelgw_node_core::{AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult};
@@ -28,12 +30,12 @@
 }
 
 impl AttemptProgress {
-    /// Returns the result of an attempt whose timeout has expired.
-    fn timed_out(&self) -> AttemptResult {
+    /// Returns the failure of an attempt whose timeout has expired.
+    fn timed_out(&self) -> AttemptFailure {
         if self.delivered.get() {
-            result_with(AttemptOutcome::TimedOut)
+            AttemptOutcome::TimedOut.into()
         } else {
-            result_with(AttemptOutcome::ConnectFailed)
+            AttemptOutcome::ConnectFailed.into()
         }
     }
 }
@@ -50,9 +52,12 @@
     load: Option<LoadReport>,
 }
 
-/// Returns a result with this outcome, without a load report and cached tokens.
-fn result_with(outcome: AttemptOutcome) -> AttemptResult {
-    AttemptResult { outcome, ..AttemptResult::default() }
+/// Response to an attempt at a decode engine.
+enum DecodeResponse {
+    /// A stream that has begun.
+    Stream(Box<StartedStream>),
+    /// A whole response of another kind.
+    Other(AttemptResult),
 }
 
 impl Node {
@@ -63,18 +68,20 @@
         forwarded: &ForwardedRequest,
         client: &ClientSocket,
         progress: &AttemptProgress,
-    ) -> AttemptResult {
+    ) -> Result<AttemptResult, AttemptFailure> {
         // The timeout covers all steps of the attempt together.
         let timeout_s = attempt.timeout_s;
         match attempt.kind {
             AttemptKind::Prefill => within(timeout_s, self.prefill(attempt, forwarded, client, progress))
                 .await
-                .unwrap_or_else(|| progress.timed_out()),
+                .unwrap_or_else(|| Err(progress.timed_out())),
             AttemptKind::Decode { idle_timeout_s, .. } => {
-                match within(timeout_s, self.read_stream_head(attempt, forwarded, client, progress)).await {
-                    None => progress.timed_out(),
-                    Some(Err(result)) => result,
-                    Some(Ok(stream)) => self.forward_stream(attempt, stream, idle_timeout_s).await,
+                let response = self.read_stream_head(attempt, forwarded, client, progress);
+                match within(timeout_s, response).await.unwrap_or_else(|| Err(progress.timed_out()))? {
+                    DecodeResponse::Other(result) => Ok(result),
+                    DecodeResponse::Stream(stream) => {
+                        self.forward_stream(attempt, stream, idle_timeout_s).await
+                    }
                 }
             }
         }
@@ -86,12 +93,12 @@
         forwarded: &ForwardedRequest,
         client: &ClientSocket,
         progress: &AttemptProgress,
-    ) -> AttemptResult {
-        match self.send_request(attempt, forwarded, client, progress).await {
-            Err(outcome) => result_with(outcome),
-            Ok((_, head)) if head.is_event_stream => result_with(AttemptOutcome::Malformed),
-            Ok((connection, head)) => self.read_unary_body(connection, head, true).await,
+    ) -> Result<AttemptResult, AttemptFailure> {
+        let (connection, head) = self.send_request(attempt, forwarded, client, progress).await?;
+        if head.is_event_stream {
+            return Err(MalformedMessage::Kind.into());
         }
+        Ok(self.read_unary_body(connection, head, true).await)
     }
 
     /// Writes the request and reads the head of the response.
@@ -101,7 +108,7 @@
         forwarded: &ForwardedRequest,
         client: &ClientSocket,
         progress: &AttemptProgress,
-    ) -> Result<(Connection, ResponseHead), AttemptOutcome> {
+    ) -> Result<(Connection, ResponseHead), AttemptFailure> {
         let started_at = self.now();
         let pool = &self.parts.pool;
         let usage = if attempt.runs_once { ConnectionUse::SingleAttempt } else { ConnectionUse::Attempt };
@@ -109,12 +116,12 @@
         // Opening the connection may have taken a while, and the attempt begins only now.
         if client.disconnection().is_some() {
             pool.put_idle(connection);
-            return Err(AttemptOutcome::NotDelivered);
+            return Err(AttemptOutcome::NotDelivered.into());
         }
         // No attempt begins at an engine that was announced as draining meanwhile. The outcome is as if the
         // engine had rejected the request.
         if !self.endpoints.borrow().is_active(&attempt.engine.id) {
-            return Err(AttemptOutcome::Rejected);
+            return Err(AttemptOutcome::Rejected.into());
         }
         progress.connection.replace(Some(connection.closer()));
         // Opening the connection may have taken a while: the timeout stated to the engine is the time that
@@ -130,7 +137,7 @@
             "attempt written"
         );
         let head = connection.response_head().await;
-        if head.is_ok() || head == Err(AttemptOutcome::ConnectionLost) {
+        if matches!(head, Ok(_) | Err(ReceiveError::ConnectionEnded)) {
             pool.record_use(&connection, head.is_ok());
         }
         Ok((connection, head?))
@@ -165,19 +172,17 @@
         forwarded: &ForwardedRequest,
         client: &ClientSocket,
         progress: &AttemptProgress,
-    ) -> Result<StartedStream, AttemptResult> {
-        let sent = self.send_request(attempt, forwarded, client, progress).await;
-        let (mut connection, head) = sent.map_err(result_with)?;
+    ) -> Result<DecodeResponse, AttemptFailure> {
+        let (mut connection, head) = self.send_request(attempt, forwarded, client, progress).await?;
         if head.status != 200 {
-            return Err(self.read_unary_body(connection, head, false).await);
+            return Ok(DecodeResponse::Other(self.read_unary_body(connection, head, false).await));
         }
         if !head.is_event_stream || head.framing != Framing::Chunked {
-            return Err(result_with(AttemptOutcome::Malformed));
+            return Err(MalformedMessage::Kind.into());
         }
         let mut decoder = EventStreamDecoder::default();
-        let piece = connection.stream_piece(&mut decoder).await.map_err(result_with)?;
-        let StreamPiece::Events(first) = piece else {
-            return Err(result_with(AttemptOutcome::Malformed));
+        let StreamPiece::Events(first) = connection.stream_piece(&mut decoder).await? else {
+            return Err(MalformedMessage::Events.into());
         };
         let reusable = !head.closes_connection;
         let mut stream = StartedStream { connection, decoder, first, next: None, reusable, load: head.load };
@@ -187,26 +192,26 @@
             let next = stream.connection.stream_piece(&mut stream.decoder);
             match within(FIRST_EVENT_DELAY_S, next).await {
                 None => {}
-                Some(next) => stream.next = Some(next.map_err(result_with)?),
+                Some(next) => stream.next = Some(next?),
             }
         }
-        Ok(stream)
+        Ok(DecodeResponse::Stream(Box::new(stream)))
     }
 
     /// Starts the response to the client with this stream, and forwards the stream to its end.
     async fn forward_stream(
         &self,
         attempt: &AttemptRequest,
-        stream: StartedStream,
+        stream: Box<StartedStream>,
         idle_timeout_s: f64,
-    ) -> AttemptResult {
+    ) -> Result<AttemptResult, AttemptFailure> {
         if !self.core.borrow_mut().response_started(self.now(), attempt.request, attempt.attempt) {
-            return result_with(AttemptOutcome::Cancelled);
+            return Err(AttemptOutcome::Cancelled.into());
         }
         self.wake();
         tracing::debug!(at = self.now(), request = %attempt.name, "stream started");
         let Some(pending) = self.pending.borrow_mut().remove(&attempt.request) else {
-            return result_with(AttemptOutcome::Cancelled);
+            return Err(AttemptOutcome::Cancelled.into());
         };
         let (sender, receiver) = stream_queue();
         let _ = pending.reply.try_send(Reply::Stream(receiver));
@@ -217,23 +222,19 @@
     async fn forward_pieces(
         &self,
         attempt: &AttemptRequest,
-        mut stream: StartedStream,
+        mut stream: Box<StartedStream>,
         idle_timeout_s: f64,
         sender: PieceSender,
-    ) -> AttemptResult {
+    ) -> Result<AttemptResult, AttemptFailure> {
         let mut load = stream.load.take();
-        let mut next = Ok(StreamPiece::Events(std::mem::take(&mut stream.first)));
+        let mut piece = StreamPiece::Events(std::mem::take(&mut stream.first));
         loop {
-            let piece = match next {
-                Ok(piece) => piece,
-                Err(outcome) => return result_with(outcome),
-            };
             if let StreamPiece::Events(events) = &piece {
                 load = engine::load_report_in_comment(events).or(load);
             }
             let is_end = piece == StreamPiece::End;
             if sender.send(piece).await.is_err() {
-                return result_with(AttemptOutcome::Cancelled);
+                return Err(AttemptOutcome::Cancelled.into());
             }
             if is_end {
                 tracing::debug!(at = self.now(), request = %attempt.name, "stream finished");
@@ -241,21 +242,20 @@
                     stream.connection.set_stream_ended();
                     self.parts.pool.put_idle(stream.connection);
                 }
-                return AttemptResult { outcome: AttemptOutcome::Completed, load, cached_tokens: 0.0 };
+                return Ok(AttemptResult { outcome: AttemptOutcome::Completed, load, cached_tokens: 0.0 });
             }
-            next = stream.next_piece(idle_timeout_s).await;
+            piece = stream.next_piece(idle_timeout_s).await?;
         }
     }
 }
 
 impl StartedStream {
-    async fn next_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptOutcome> {
-        match self.next.take() {
-            Some(piece) => Ok(piece),
-            None => {
-                let piece = self.connection.stream_piece(&mut self.decoder);
-                within(idle_timeout_s, piece).await.unwrap_or(Err(AttemptOutcome::TimedOut))
-            }
+    async fn next_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
+        if let Some(piece) = self.next.take() {
+            return Ok(piece);
         }
+        let piece = self.connection.stream_piece(&mut self.decoder);
+        let piece = within(idle_timeout_s, piece).await.ok_or(AttemptOutcome::TimedOut)?;
+        Ok(piece?)
     }
 }
--- a/crates/nickelgw-platform/src/node/commands.rs
+++ b/crates/nickelgw-platform/src/node/commands.rs
@@ -1,9 +1,11 @@
 //! The event loop: runs the core's commands whenever an event has occurred or the core's next wake-up is due.
 
+use super::attempt_failure::AttemptFailure;
 use super::attempts::AttemptProgress;
 use super::{Node, Reply, RunningAttempt};
 use crate::clients::socket::ClientSocket;
 use crate::core::engine::ForwardedRequest;
+use crate::core::MalformedMessage;
 use crate::pool::ConnectionCloser;
 use nickelgw_node::seconds;
 use nickelgw_node_core::{
@@ -116,15 +118,20 @@
         client: Rc<ClientSocket>,
         progress: Rc<AttemptProgress>,
     ) {
-        let result = self.execute_attempt(&attempt, &forwarded, &client, &progress).await;
+        let ended = self.execute_attempt(&attempt, &forwarded, &client, &progress).await;
+        let mut malformed = ended.as_ref().err().and_then(|failure| failure.malformed);
+        let result = ended.unwrap_or_else(AttemptFailure::result);
         let (request, number) = (attempt.request, attempt.attempt);
         // The attempt can no longer be cancelled: its task runs to its end.
         if let Some(running) = self.attempts.borrow_mut().remove(&(request, number)) {
             running.task.detach();
         }
-        log_attempt_ended(self.now(), &attempt, &forwarded, &result);
         if result.outcome == AttemptOutcome::Malformed {
-            self.log_malformed("engine", &attempt.engine.id);
+            malformed = malformed.or(Some(MalformedMessage::Kind));
+        }
+        log_attempt_ended(self.now(), &attempt, &forwarded, &result, malformed);
+        if let Some(reason) = malformed {
+            self.log_malformed_response(&attempt.engine.id, &forwarded.id, reason);
         }
         self.core.borrow_mut().attempt_ended(self.now(), request, number, result);
         self.wake();
@@ -191,6 +198,7 @@
     attempt: &AttemptRequest,
     forwarded: &ForwardedRequest,
     result: &AttemptResult,
+    malformed: Option<MalformedMessage>,
 ) {
     let (request, engine) = (&forwarded.id, &attempt.engine.id);
     match result.outcome {
@@ -201,7 +209,8 @@
         }
         outcome => {
             let number = attempt.attempt;
-            tracing::debug!(at = now, %request, attempt = number, %engine, ?outcome, "attempt ended");
+            let reason = malformed.map(tracing::field::display);
+            tracing::debug!(at = now, %request, attempt = number, %engine, ?outcome, reason, "attempt ended");
         }
     }
 }
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! to the core; `commands` runs the commands that the core returns, `attempts` carries out attempts at
 //! engines, and `control_calls` probes engines and releases reservations. Everything runs on one thread.
 
+mod attempt_failure;
 mod attempts;
 mod commands;
 mod control_calls;
@@ -13,6 +14,7 @@
 use crate::core::endpoint_list::DiscoveredEndpoints;
 use crate::core::engine::ForwardedRequest;
 use crate::core::log_limiter::LogRateLimiter;
+use crate::core::MalformedMessage;
 use crate::pool::ConnectionPool;
 use async_channel::{Receiver, Sender};
 use attempts::AttemptProgress;
@@ -139,6 +141,13 @@
         }
     }
 
+    /// Logs that an engine's response is malformed, at most one line per minute.
+    fn log_malformed_response(&self, engine: &str, request: &str, reason: MalformedMessage) {
+        if let Some(occurrences) = self.log_limiter.borrow_mut().record(self.now(), "engine") {
+            tracing::warn!(source = "engine", engine, request, %reason, occurrences, "malformed message rejected");
+        }
+    }
+
     /// Logs that discovery has not responded to a call in time. Warns at most once a minute, once changes may be
     /// missing that count as announced.
     pub fn log_overdue_discovery_call(&self, id: CallId, silent_s: f64) {
