End a stream as whole only after its final events, not when its body ends

A property cuts a stream anywhere: it ends as whole only after its done event.

Why it works: completeness follows from what the events state (done event, finish reason), which an engine that fails while it writes has not yet written, not from the framing.

Tests changed: the streams of four tests ended without a done event, which the protocol page has in every stream; they have one now, assert as much as before, and the form without it is asserted to be incomplete.

--- a/crates/nickelgw-platform/src/core/event_stream.rs
+++ b/crates/nickelgw-platform/src/core/event_stream.rs
@@ -1,7 +1,8 @@
 //! Decoder of server-sent events in a chunked body. It returns only complete events, each as soon as it is
-//! complete, independently of the chunk boundaries.
+//! complete, independently of the chunk boundaries, and the end only of a stream that is whole.
 
 use super::chunked::{ChunkedDecoder, DecodeStep};
+use super::stream_completeness::{lines, may_end_stream, StreamCompleteness};
 use super::{MalformedMessage, MAX_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
 
@@ -10,7 +11,7 @@
 pub enum StreamPiece {
     /// One complete event, or several if an engine wrote them into one chunk.
     Events(Bytes),
-    /// The stream is complete.
+    /// The stream is whole.
     End,
 }
 
@@ -25,6 +26,7 @@
     pending: BytesMut,
     /// Number of bytes at the start of `pending` that have been searched and contain no event's end.
     scanned: usize,
+    completeness: StreamCompleteness,
     /// Error found after events that were complete; the next call returns it.
     error: Option<MalformedMessage>,
 }
@@ -39,16 +41,18 @@
         // its own.
         let complete = loop {
             let step = self.chunked.decode(buffer, &mut self.pending, MAX_BODY_BYTES);
-            // The end of the body also ends its last event.
             let complete =
-                if step == Ok(DecodeStep::BodyEnd) { self.pending.len() } else { self.complete_length() };
+                if step == Ok(DecodeStep::BodyEnd) { self.final_length()? } else { self.complete_length() };
             self.error = step.err();
             if complete > 0 {
                 break complete;
             }
             match step {
                 Err(error) => return Err(error),
-                Ok(DecodeStep::BodyEnd) => return Ok(Some(StreamPiece::End)),
+                Ok(DecodeStep::BodyEnd) if self.completeness.is_whole() => {
+                    return Ok(Some(StreamPiece::End));
+                }
+                Ok(DecodeStep::BodyEnd) => return Err(MalformedMessage::Incomplete),
                 Ok(_) if self.pending.len() > MAX_BODY_BYTES => return Err(MalformedMessage::TooLong),
                 Ok(DecodeStep::Incomplete) => return Ok(None),
                 Ok(DecodeStep::ChunkEnd) => {}
@@ -62,6 +66,7 @@
             self.error = Some(MalformedMessage::Events);
             return Err(MalformedMessage::Events);
         }
+        self.completeness.record(&events);
         Ok(Some(StreamPiece::Events(events)))
     }
 
@@ -70,6 +75,20 @@
         self.chunked.in_chunk()
     }
 
+    /// Returns whether an event with data has been returned.
+    pub fn has_data(&self) -> bool {
+        self.completeness.has_data()
+    }
+
+    /// Returns the length of what is still to be returned at the end of the body, which also ends its last event.
+    fn final_length(&self) -> Result<usize, MalformedMessage> {
+        if may_end_stream(&self.pending) {
+            Ok(self.pending.len())
+        } else {
+            Err(MalformedMessage::Incomplete)
+        }
+    }
+
     /// Returns the length of the complete events at the start of `pending`: up to the last empty line.
     fn complete_length(&mut self) -> usize {
         // The first bytes of an event's end may be among those already scanned.
@@ -90,6 +109,5 @@
         let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
         name.is_empty() || FIELD_NAMES.contains(&name)
     };
-    let mut lines = events.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
-    lines.all(is_field)
+    lines(events).all(is_field)
 }
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod log_limiter;
 pub mod request;
 pub mod response_time;
+pub mod stream_completeness;
 
 /// Names of the platform's headers, all in lower case, and paths of calls to engines.
 pub mod names {
@@ -76,6 +77,9 @@
     /// The body is not a stream of server-sent events.
     #[error("response body is not a stream of server-sent events")]
     Events,
+    /// The body ended before the events made a whole answer.
+    #[error("stream ended before its final event")]
+    Incomplete,
     /// The response is not of the kind that answers the request.
     #[error("response is not of the kind that answers the request")]
     Kind,
--- a/crates/nickelgw-platform/src/core/tests.rs
+++ b/crates/nickelgw-platform/src/core/tests.rs
@@ -135,11 +135,16 @@
 }
 
 const EVENT: &str = "data: 1\n\n";
+const DONE_EVENT: &str = "data: [DONE]\n\n";
 
 #[test]
 fn events_are_decoded_whole_and_as_soon_as_they_are_complete() {
-    let stream = format!("{}0\r\n\r\n", chunk(EVENT));
-    assert_eq!(decode(stream.as_bytes()), (vec![events(EVENT), StreamPiece::End], Ok(())));
+    let stream = format!("{}{}0\r\n\r\n", chunk(EVENT), chunk(DONE_EVENT));
+    let whole = vec![events(EVENT), events(DONE_EVENT), StreamPiece::End];
+    assert_eq!(decode(stream.as_bytes()), (whole, Ok(())));
+    // The end of the body is none of the stream without its final event.
+    let short = format!("{}0\r\n\r\n", chunk(EVENT));
+    assert_eq!(decode(short.as_bytes()), (vec![events(EVENT)], Err(MalformedMessage::Incomplete)));
     // An event is returned before its chunk is complete.
     assert_eq!(decode(b"9\r\ndata: 1\n\n").0, [events(EVENT)]);
     assert_eq!(decode(b"20\r\ndata: 1\n\ndata: 2").0, [events(EVENT)]);
@@ -158,8 +163,9 @@
         [events(EVENT), events(EVENT)],
         "one piece per chunk"
     );
-    let comment = format!("{}0\r\n\r\n", chunk(": X-Load-Report: x0=1"));
-    assert_eq!(decode(comment.as_bytes()).0, [events(": X-Load-Report: x0=1"), StreamPiece::End]);
+    let comment = format!("{}{}0\r\n\r\n", chunk(DONE_EVENT), chunk(": X-Load-Report: x0=1"));
+    let whole = [events(DONE_EVENT), events(": X-Load-Report: x0=1"), StreamPiece::End];
+    assert_eq!(decode(comment.as_bytes()).0, whole);
 }
 
 // Malformed streams are detected before any of the event is forwarded.
@@ -349,7 +355,8 @@
         sizes in proptest::collection::vec(1usize..40, 1..30),
         cuts in proptest::collection::vec(1usize..50, 1..30),
     ) {
-        let all: String = texts.iter().map(|text| format!("data: {text}\n\n")).collect();
+        let texts = texts.iter().map(String::as_str).chain(["[DONE]"]);
+        let all: String = texts.map(|text| format!("data: {text}\n\n")).collect();
         let (mut bytes, mut remaining) = (String::new(), &all[..]);
         for size in sizes.iter().cycle() {
             let (data, behind) = remaining.split_at((*size).min(remaining.len()));
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -10,7 +10,7 @@
 use crate::core::{Framing, MalformedMessage, MAX_BODY_BYTES};
 use crate::pool::{Connection, ConnectionCloser, ConnectionUse};
 use crate::stream_io::ReceiveError;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use nickelgw_node::within;
 use nickelgw_node_core::{AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult};
 use nickelgw_protocol::load::LoadReport;
@@ -181,9 +181,7 @@
             return Err(MalformedMessage::Kind.into());
         }
         let mut decoder = EventStreamDecoder::default();
-        let StreamPiece::Events(first) = connection.stream_piece(&mut decoder).await? else {
-            return Err(MalformedMessage::Events.into());
-        };
+        let first = read_first_event(&mut connection, &mut decoder).await?;
         let reusable = !head.closes_connection;
         let mut stream = StartedStream { connection, decoder, first, next: None, reusable, load: head.load };
         // In most cases this wait detects a chunk that is truncated or does not match its size before any of
@@ -249,6 +247,25 @@
     }
 }
 
+/// Reads a stream up to the end of its first event, and returns it with the comments before it: they are no event, and
+/// a stream that ends after them can still be replaced by another.
+async fn read_first_event(
+    connection: &mut Connection,
+    decoder: &mut EventStreamDecoder,
+) -> Result<Bytes, AttemptFailure> {
+    let mut first = BytesMut::new();
+    while !decoder.has_data() {
+        let StreamPiece::Events(events) = connection.stream_piece(decoder).await? else {
+            return Err(MalformedMessage::Incomplete.into());
+        };
+        first.extend_from_slice(&events);
+        if first.len() > MAX_BODY_BYTES {
+            return Err(MalformedMessage::TooLong.into());
+        }
+    }
+    Ok(first.freeze())
+}
+
 impl StartedStream {
     async fn next_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
         if let Some(piece) = self.next.take() {
--- a/crates/nickelgw-platform/tests/cases/event_stream.rs
+++ b/crates/nickelgw-platform/tests/cases/event_stream.rs
@@ -40,6 +40,7 @@
 }
 
 const SECOND_EVENT: &str = "data: {\"n\":2}\n\n";
+const DONE_EVENT: &str = "data: [DONE]\n\n";
 
 /// Regression test (requests of one day): a third of the engines' first chunks held ten bytes of an event,
 /// the connection was reset after them, and the client received half an event and a close.
@@ -58,7 +59,8 @@
 #[test_case(&format!("{}{}", chunk("data: {\"n\""), chunk(":1}\n\ndata: ")), &chunk("{\"n\":2}\n\n"); "in pieces")]
 fn event_is_forwarded_before_more_arrives(first: &str, second: &str) {
     let (open_gate, gate) = channel();
-    let pieces = vec![format!("{STREAM_HEAD}{first}"), second.to_string(), "0\r\n\r\n".to_string()];
+    let end = format!("{}0\r\n\r\n", chunk(DONE_EVENT));
+    let pieces = vec![format!("{STREAM_HEAD}{first}"), second.to_string(), end.clone()];
     let (prefill, decode) = (prefill_engine(), gated_decode_engine(pieces, gate));
     let node = start_node(&silent_discovery(), &[&prefill], &[&decode], None);
     let mut client = node.open_request("ea02", &decode);
@@ -72,7 +74,7 @@
     open_gate.send(()).unwrap();
     assert_eq!(read_until(&mut client, SECOND_EVENT), chunk(SECOND_EVENT));
     open_gate.send(()).unwrap();
-    assert_eq!(read_until(&mut client, "0\r\n\r\n"), "0\r\n\r\n");
+    assert_eq!(read_until(&mut client, "\r\n0\r\n\r\n"), end);
 }
 
 /// A chunk size that does not match the data is detected before the first event is forwarded, if the data
@@ -117,7 +119,8 @@
 #[test]
 fn slow_client_receives_its_whole_stream() {
     let event = format!("data: {}\n\n", "x".repeat(200_000));
-    let bytes = format!("{STREAM_HEAD}{}0\r\n\r\n", chunk(&event).repeat(45)).into_bytes();
+    let bytes =
+        format!("{STREAM_HEAD}{}{}0\r\n\r\n", chunk(&event).repeat(45), chunk(DONE_EVENT)).into_bytes();
     let (prefill, decode) = (prefill_engine(), peer(move |_, _| PeerAction::Respond(bytes.clone())));
     let node = start_node(&silent_discovery(), &[&prefill], &[&decode], None);
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
