Do not cut off a stream whose engine is still writing, and wait for no noise

On the other hand empty lines counted as events: a client waited for 103 s while an engine wrote nothing else.

Time in which the client takes nothing does not count. One event may take 60 s.

--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -4,7 +4,7 @@
 use crate::core::engine::{self, ResponseHead};
 use crate::core::event_stream::{EventStreamDecoder, StreamPiece};
 use crate::core::{Framing, MalformedMessage};
-use crate::stream_io::{receive, receive_body, receive_to_end, write_all, ReceiveError};
+use crate::stream_io::{read, receive, receive_body, receive_to_end, write_all, ReceiveError};
 use bytes::{Buf, Bytes, BytesMut};
 use nickelgw_node_core::AttemptOutcome;
 use smol::Async;
@@ -173,6 +173,21 @@
         receive(&*self.stream, &mut self.buffer, |buffer| decoder.next(buffer)).await
     }
 
+    /// Waits for the next bytes of a stream of events. Returns a piece if they complete one. If the future is dropped
+    /// while it waits, no bytes are lost.
+    pub async fn read_stream(
+        &mut self,
+        decoder: &mut EventStreamDecoder,
+    ) -> Result<Option<StreamPiece>, ReceiveError> {
+        if let Some(piece) = decoder.next(&mut self.buffer)? {
+            return Ok(Some(piece));
+        }
+        match read(&*self.stream, &mut self.buffer).await {
+            Ok(length) if length > 0 => Ok(decoder.next(&mut self.buffer)?),
+            _ => Err(ReceiveError::ConnectionEnded),
+        }
+    }
+
     /// Reads a body whose length is not stated, up to the end of the connection.
     pub async fn body_to_end(&mut self, max_bytes: usize) -> Result<Bytes, AttemptOutcome> {
         Ok(receive_to_end(&*self.stream, &mut self.buffer, max_bytes).await?)
--- a/crates/nickelgw-platform/src/core/event_stream.rs
+++ b/crates/nickelgw-platform/src/core/event_stream.rs
@@ -27,6 +27,8 @@
     /// Number of bytes at the start of `pending` that have been searched and contain no event's end.
     scanned: usize,
     completeness: StreamCompleteness,
+    /// Length of the returned events that had data.
+    returned_bytes: usize,
     /// Error found after events that were complete; the next call returns it.
     error: Option<MalformedMessage>,
 }
@@ -66,7 +68,9 @@
             self.error = Some(MalformedMessage::Events);
             return Err(MalformedMessage::Events);
         }
-        self.completeness.record(&events);
+        if self.completeness.record(&events) {
+            self.returned_bytes += events.len();
+        }
         Ok(Some(StreamPiece::Events(events)))
     }
 
@@ -80,6 +84,12 @@
         self.completeness.has_data()
     }
 
+    /// Returns the number of bytes of events that have arrived. Comments, empty lines and noise are no events.
+    pub fn event_bytes(&self) -> usize {
+        let pending = if begins_event(&self.pending) { self.pending.len() } else { 0 };
+        self.returned_bytes + pending
+    }
+
     /// Returns the length of what is still to be returned at the end of the body, which also ends its last event.
     fn final_length(&self) -> Result<usize, MalformedMessage> {
         if may_end_stream(&self.pending) {
@@ -103,6 +113,15 @@
     }
 }
 
+/// Returns whether these bytes, not yet a whole line perhaps, begin with a field of an event.
+fn begins_event(bytes: &[u8]) -> bool {
+    let begins_with = |name: &&[u8]| match bytes.get(name.len()) {
+        Some(separator) => bytes.starts_with(name) && *separator == b':',
+        None => !bytes.is_empty() && name.starts_with(bytes),
+    };
+    FIELD_NAMES.iter().any(begins_with)
+}
+
 /// Returns whether the field name of each line is one that events may have.
 fn is_event_stream(events: &[u8]) -> bool {
     let is_field = |line: &[u8]| {
--- a/crates/nickelgw-platform/src/core/stream_completeness.rs
+++ b/crates/nickelgw-platform/src/core/stream_completeness.rs
@@ -27,9 +27,14 @@
 }
 
 impl StreamCompleteness {
-    /// Takes complete events into account.
-    pub fn record(&mut self, events: &[u8]) {
-        lines(events).filter_map(line_data).for_each(|data| self.record_data(data));
+    /// Takes complete events into account. Returns whether one of them had data.
+    pub fn record(&mut self, events: &[u8]) -> bool {
+        let mut has_data = false;
+        for data in lines(events).filter_map(line_data) {
+            has_data = true;
+            self.record_data(data);
+        }
+        has_data
     }
 
     fn record_data(&mut self, data: &[u8]) {
--- a/crates/nickelgw-platform/src/core/stream_completeness_tests.rs
+++ b/crates/nickelgw-platform/src/core/stream_completeness_tests.rs
@@ -22,7 +22,9 @@
 #[test_case(&[4], false; "comment alone")]
 fn events_make_a_whole_answer(events: &[usize], expected: bool) {
     let mut completeness = StreamCompleteness::default();
-    events.iter().for_each(|event| completeness.record(EVENTS[*event].as_bytes()));
+    for event in events {
+        completeness.record(EVENTS[*event].as_bytes());
+    }
     assert_eq!(completeness.is_whole(), expected);
 }
 
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -15,11 +15,15 @@
 use nickelgw_node_core::{AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult};
 use nickelgw_protocol::load::LoadReport;
 use std::cell::{Cell, RefCell};
+use std::time::Instant;
 
 /// Time for which the first event is held back until the rest of its chunk arrives. Events have to be
 /// forwarded within 0.3 s (the platform's protocol).
 const FIRST_EVENT_DELAY_S: f64 = 0.1;
 
+/// Longest time for which one event may arrive, however steadily its bytes come.
+const EVENT_TIMEOUT_S: f64 = 60.0;
+
 /// Progress of an attempt, read when the attempt is cancelled or times out.
 #[derive(Default)]
 pub(super) struct AttemptProgress {
@@ -45,6 +49,8 @@
     connection: Connection,
     decoder: EventStreamDecoder,
     first: Bytes,
+    /// Time in seconds for which bytes were awaited since the last ones of an event.
+    idle_s: f64,
     /// Piece after the first event, if it arrived while the rest of that event's chunk was awaited.
     next: Option<StreamPiece>,
     /// Whether the connection can carry another request after the stream.
@@ -183,7 +189,8 @@
         let mut decoder = EventStreamDecoder::default();
         let first = read_first_event(&mut connection, &mut decoder).await?;
         let reusable = !head.closes_connection;
-        let mut stream = StartedStream { connection, decoder, first, next: None, reusable, load: head.load };
+        let mut stream =
+            StartedStream { connection, decoder, first, idle_s: 0.0, next: None, reusable, load: head.load };
         // In most cases this wait detects a chunk that is truncated or does not match its size before any of
         // it is forwarded.
         if stream.decoder.in_chunk() {
@@ -271,8 +278,25 @@
         if let Some(piece) = self.next.take() {
             return Ok(piece);
         }
-        let piece = self.connection.stream_piece(&mut self.decoder);
-        let piece = within(idle_timeout_s, piece).await.ok_or(AttemptOutcome::TimedOut)?;
-        Ok(piece?)
+        let piece = self.read_piece(idle_timeout_s);
+        within(EVENT_TIMEOUT_S, piece).await.unwrap_or(Err(AttemptOutcome::TimedOut.into()))
+    }
+
+    /// Reads until a piece is complete. An engine may write an event slowly: the timeout begins anew with each part of
+    /// an event, but not with what is no event.
+    async fn read_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
+        loop {
+            let (event_bytes, read_at) = (self.decoder.event_bytes(), Instant::now());
+            let read = self.connection.read_stream(&mut self.decoder);
+            let read = within(idle_timeout_s - self.idle_s, read).await.ok_or(AttemptOutcome::TimedOut)?;
+            let piece = read?;
+            self.idle_s += read_at.elapsed().as_secs_f64();
+            if self.decoder.event_bytes() > event_bytes {
+                self.idle_s = 0.0;
+            }
+            if let Some(piece) = piece {
+                return Ok(piece);
+            }
+        }
     }
 }
--- a/crates/nickelgw-platform/src/server.rs
+++ b/crates/nickelgw-platform/src/server.rs
@@ -22,9 +22,9 @@
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Time without data after which a stream counts as lost: a client may not wait longer than 5 s after an
-/// engine's last event.
-const STREAM_IDLE_TIMEOUT_S: f64 = 4.0;
+/// Time without a byte of an event after which a stream counts as lost. A client may not wait longer than 5 s after an
+/// engine's last event, and a stream may not be cut off while events still come; the rest is for delays of the process.
+const STREAM_IDLE_TIMEOUT_S: f64 = 4.6;
 /// Time after which a request that is refused during a shutdown may be retried, if the settings allow that:
 /// another node serves it.
 const SHUTDOWN_RETRY_AFTER_S: f64 = 1.0;
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -18,6 +18,8 @@
 mod late_discovery;
 #[path = "cases/shutdown.rs"]
 mod shutdown;
+#[path = "cases/slow_engine.rs"]
+mod slow_engine;
 #[path = "cases/surplus_response.rs"]
 mod surplus_response;
 #[path = "cases/unreachable_zone.rs"]
