Withdraw what an engine has not received of a request that is given up

Cause: a request of 250 kB fits into the system's send buffer; ConnectionCloser::close shut the connection down, and a timeout dropped it, and in both cases the system goes on delivering what is buffered.

Why it works: if the system holds unacknowledged bytes (TIOCOUTQ), the connection is closed with SO_LINGER 0, which discards them and resets it. Connections whose request has arrived are closed as before, and so are those of releases, which count once they arrive.

--- a/crates/nickelgw-node/src/lib.rs
+++ b/crates/nickelgw-node/src/lib.rs
@@ -28,6 +28,7 @@
 mod server;
 mod submission;
 mod tls_reload;
+mod unsent_bytes;
 
 pub use arrival::ArrivalTimes;
 pub use clock::{seconds, within, Clock};
@@ -41,3 +42,4 @@
 pub use nickelgw_node_core::shutdown::Exit;
 pub use node::run;
 pub use options::{EndpointSource, NodeOptions, TlsOptions};
+pub use unsent_bytes::discard_unsent_on_close;
--- /dev/null
+++ b/crates/nickelgw-node/src/unsent_bytes.rs
@@ -0,0 +1,28 @@
+//! Withdraws what was written to a connection and is still in this machine: the system goes on sending it after the
+//! connection was closed.
+
+use socket2::SockRef;
+use std::io;
+use std::net::TcpStream;
+use std::os::fd::{AsFd, AsRawFd};
+use std::time::Duration;
+
+/// Lets the system discard what it has not yet delivered when the connection is closed, which resets it. Returns
+/// `false`, and changes nothing, if the peer's machine has all that was written.
+pub fn discard_unsent_on_close(stream: &TcpStream) -> bool {
+    let has_unsent = unacknowledged_bytes(stream).is_ok_and(|bytes| bytes > 0);
+    has_unsent && SockRef::from(stream).set_linger(Some(Duration::ZERO)).is_ok()
+}
+
+/// Returns how many of the written bytes the peer's machine has not acknowledged.
+#[allow(unsafe_code)]
+fn unacknowledged_bytes(socket: &impl AsFd) -> io::Result<usize> {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the pointer refers to `bytes`, which is valid for writes for the whole call, and the descriptor is open
+    // while `socket` is borrowed.
+    let status = unsafe { libc::ioctl(socket.as_fd().as_raw_fd(), libc::TIOCOUTQ, &mut bytes) };
+    if status != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(usize::try_from(bytes).unwrap_or(0))
+}
--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -6,6 +6,7 @@
 use crate::core::{Framing, MalformedMessage};
 use crate::stream_io::{read, receive, receive_body, receive_to_end, write_all, ReceiveError};
 use bytes::{Buf, Bytes, BytesMut};
+use nickelgw_node::discard_unsent_on_close;
 use nickelgw_node_core::AttemptOutcome;
 use smol::Async;
 use std::cell::Cell;
@@ -60,9 +61,13 @@
 pub struct ConnectionCloser(Rc<Async<TcpStream>>);
 
 impl ConnectionCloser {
-    /// Ends the connection in both directions.
-    pub fn close(&self) {
-        let _ = self.0.get_ref().shutdown(Shutdown::Both);
+    /// Gives up the request on the connection. What has not reached the engine's machine is not sent any more: a
+    /// request whose last byte arrived later would begin then. The connection ends when all of its holders have
+    /// dropped it if that is needed, else at once.
+    pub fn give_up(self) {
+        if !discard_unsent_on_close(self.0.get_ref()) {
+            let _ = self.0.get_ref().shutdown(Shutdown::Both);
+        }
     }
 }
 
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -34,8 +34,16 @@
 }
 
 impl AttemptProgress {
-    /// Returns the failure of an attempt whose timeout has expired.
+    /// Gives up the attempt on its connection, if it has one.
+    pub(super) fn give_up_connection(&self) {
+        if let Some(connection) = self.connection.take() {
+            connection.give_up();
+        }
+    }
+
+    /// Gives up an attempt whose timeout has expired, and returns its failure.
     fn timed_out(&self) -> AttemptFailure {
+        self.give_up_connection();
         if self.delivered.get() {
             AttemptOutcome::TimedOut.into()
         } else {
--- a/crates/nickelgw-platform/src/node/commands.rs
+++ b/crates/nickelgw-platform/src/node/commands.rs
@@ -6,7 +6,6 @@
 use crate::clients::socket::ClientSocket;
 use crate::core::engine::ForwardedRequest;
 use crate::core::MalformedMessage;
-use crate::pool::ConnectionCloser;
 use nickelgw_node::seconds;
 use nickelgw_node_core::{
     AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult, Command, CommandBatch, FinalAnswer, RequestId,
@@ -155,7 +154,7 @@
         };
         // The connection is closed here because the executor drops the task some time later, and the messages
         // that follow may be sent before that.
-        progress.connection.take().inspect(ConnectionCloser::close);
+        progress.give_up_connection();
         drop(task);
         let outcome =
             if progress.delivered.get() { AttemptOutcome::Cancelled } else { AttemptOutcome::ConnectFailed };
--- a/crates/nickelgw-platform/tests/cases/slow_engine.rs
+++ b/crates/nickelgw-platform/tests/cases/slow_engine.rs
@@ -1,14 +1,18 @@
-//! Engines that write a long answer slowly.
+//! Engines that are slow with bytes: they write a long answer slowly, or read a large request slowly.
 
 use crate::common::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::thread::sleep;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
 /// Time after an engine's last event by which the client of a broken stream must not be left waiting.
 const CLOSE_WITHIN: Duration = Duration::from_secs(5);
+/// Time after a request's timeout by which its final answer has to have come.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
 const DONE_EVENT: &str = "data: [DONE]\n\n";
 
 fn write_slowly(connection: &mut TcpStream, text: &str, pause: Duration) -> bool {
@@ -78,3 +82,155 @@
     let (response, took) = response_of(&decode, "fa03");
     assert!(!response.ends_with("0\r\n\r\n") && took < CLOSE_WITHIN, "after {took:?}: {response}");
 }
+
+/// An engine that reads its requests slowly, and what it has read.
+#[derive(Default)]
+struct SlowReader {
+    /// Whole requests that it has read.
+    whole: AtomicUsize,
+    /// Whether it reads without pauses.
+    is_fast: AtomicBool,
+}
+
+const REQUEST_BODY_BYTES: usize = 250_000;
+
+/// Starts an engine that reads a few bytes at a time, with little buffered by the system, and answers whole requests.
+fn slow_reader(response: fn() -> Vec<u8>) -> (Peer, Arc<SlowReader>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(64).unwrap();
+    let listener: std::net::TcpListener = socket.into();
+    let engine = Peer::at(listener.local_addr().unwrap());
+    let reader = Arc::new(SlowReader::default());
+    let shared = reader.clone();
+    spawn(move || {
+        for mut connection in listener.incoming().flatten() {
+            let reader = shared.clone();
+            spawn(move || {
+                while read_slowly(&mut connection, &reader) {
+                    reader.whole.fetch_add(1, Relaxed);
+                    let _ = connection.write_all(&response());
+                }
+            });
+        }
+    });
+    (engine, reader)
+}
+
+/// Reads one request; `false` at the end of the connection. Release calls are not counted.
+fn read_slowly(connection: &mut TcpStream, reader: &SlowReader) -> bool {
+    let (mut received, mut bytes) = (Vec::new(), [0; 2048]);
+    loop {
+        match connection.read(&mut bytes) {
+            Ok(length) if length > 0 => received.extend_from_slice(&bytes[..length]),
+            _ => return false,
+        }
+        let text = String::from_utf8_lossy(&received);
+        if text.starts_with("DELETE") && text.ends_with("\r\n\r\n") {
+            let _ = connection.write_all(&http_response("204 No Content", ""));
+            received.clear();
+            continue;
+        }
+        if text.split_once("\r\n\r\n").is_some_and(|(_, body)| body.len() >= REQUEST_BODY_BYTES) {
+            return true;
+        }
+        if !reader.is_fast.load(Relaxed) {
+            sleep(Duration::from_millis(40));
+        }
+    }
+}
+
+/// Returns a request with a large body, and this timeout.
+fn large_request(id: &str, timeout: Duration) -> String {
+    let start = r#"{"model":"chat","messages":["#;
+    let body = format!("{start}\"{}\"]}}", "x".repeat(REQUEST_BODY_BYTES - start.len() - 4));
+    let head =
+        chat_request(id).replace("X-Budget-Ms: 4000", &format!("X-Budget-Ms: {}", timeout.as_millis()));
+    let head = head.split("Content-Length").next().unwrap().to_string();
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Regression test: where an engine reads a large request slowly, the final answer came after its time, and the rest of
+/// the request went on to the engine.
+#[test_case(true; "prefill engine")]
+#[test_case(false; "decode engine")]
+fn request_that_is_read_slowly_is_answered_in_time_and_withdrawn(is_prefill: bool) {
+    const TIMEOUT: Duration = Duration::from_millis(1500);
+    let (prefill, decode, reader) = if is_prefill {
+        let (prefill, reader) = slow_reader(|| http_response("202 Accepted", "{}"));
+        (prefill, peer(|_, _| PeerAction::Respond(stream_response())), reader)
+    } else {
+        let (decode, reader) = slow_reader(stream_response);
+        (prefill_engine(), decode, reader)
+    };
+    let node = start_node(&silent_discovery(), &[&prefill], &[&decode], None);
+    let mut client = node.connect();
+    let request = large_request("fb01", TIMEOUT);
+    client.write_all(request.as_bytes()).unwrap();
+    let sent_at = Instant::now();
+    let response = read_response(&mut client);
+    let took = sent_at.elapsed();
+    assert!(response.starts_with("HTTP/1.1 50"), "{response}");
+    assert!(took < TIMEOUT + ANSWER_SLACK, "answered after {took:?}");
+    reader.is_fast.store(true, Relaxed);
+    sleep(Duration::from_secs(2));
+    assert_eq!(reader.whole.load(Relaxed), 0, "the engine got the whole request after its time");
+    // Usual requests are served.
+    assert!(node.exchange(chat_request("fb02").as_bytes()).starts_with("HTTP/1.1 "));
+}
+
+/// The same for a client that leaves: its request does not reach the engine afterwards.
+#[test]
+fn request_that_is_read_slowly_is_withdrawn_when_its_client_leaves() {
+    let (prefill, reader) = slow_reader(|| http_response("202 Accepted", "{}"));
+    let decode = peer(|_, _| PeerAction::Respond(stream_response()));
+    let node = start_node(&silent_discovery(), &[&prefill], &[&decode], None);
+    let mut client = node.connect();
+    client.write_all(large_request("fc01", Duration::from_secs(4)).as_bytes()).unwrap();
+    sleep(Duration::from_millis(300));
+    drop(client);
+    sleep(Duration::from_millis(100));
+    reader.is_fast.store(true, Relaxed);
+    sleep(Duration::from_secs(2));
+    assert_eq!(reader.whole.load(Relaxed), 0, "the engine got the whole request after its client had left");
+}
+
+/// Each of many large requests is answered in time while all engines of a role read slowly, whatever its class allows.
+#[test_case(true, "pure"; "prefill engines of a repeatable class")]
+#[test_case(true, "side_effect"; "prefill engines of a class that runs once")]
+#[test_case(false, "pure"; "decode engines of a repeatable class")]
+#[test_case(false, "side_effect"; "decode engines of a class that runs once")]
+fn many_requests_that_are_read_slowly_are_answered_in_time(is_prefill: bool, idempotency: &'static str) {
+    const TIMEOUT: Duration = Duration::from_millis(2500);
+    let fast =
+        if is_prefill { peer(|_, _| PeerAction::Respond(stream_response())) } else { prefill_engine() };
+    let slow: Vec<Peer> = (0..3)
+        .map(|_| match is_prefill {
+            true => slow_reader(|| http_response("202 Accepted", "{}")).0,
+            false => slow_reader(stream_response).0,
+        })
+        .collect();
+    let slow: Vec<&Peer> = slow.iter().collect();
+    let known = if is_prefill { endpoint_list(&slow, &[&fast]) } else { endpoint_list(&[&fast], &slow) };
+    let node = start_node_with(&silent_discovery(), known, None, |config| {
+        config["settings"]["classes"][0]["idempotency"] = idempotency.into();
+        config["settings"]["classes"][0]["slo_s"] = 2.0.into();
+    });
+    let address = node.address;
+    let clients: Vec<_> = (0..12)
+        .map(|number| {
+            spawn(move || {
+                let mut client = TcpStream::connect(address).unwrap();
+                client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+                client.write_all(large_request(&format!("fd{number}"), TIMEOUT).as_bytes()).unwrap();
+                let sent_at = Instant::now();
+                let response = read_response(&mut client);
+                (response.lines().next().unwrap_or_default().to_string(), sent_at.elapsed())
+            })
+        })
+        .collect();
+    let answers: Vec<(String, Duration)> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let is_late = |(status, took): &(String, Duration)| status.is_empty() || *took > TIMEOUT + ANSWER_SLACK;
+    assert!(!answers.iter().any(is_late), "{answers:?}");
+}
