Let other connections take turns with a peer that sends without pause

Cause: a read that finds bytes returns at once, and so does a write; a task that reads what never ends ran on in one poll: up to 256 KiB of a body in chunks of a byte, more while a body without memory is discarded, and every pipelined request that is refused without a wait.

Why it works: each read, and each request after a response, lets the executor's other tasks run first. The read itself stays safe to drop.

--- a/crates/nickelgw-platform/src/clients/mod.rs
+++ b/crates/nickelgw-platform/src/clients/mod.rs
@@ -15,7 +15,7 @@
 use async_channel::Receiver;
 use bytes::BytesMut;
 use connection_table::{ConnectionEntry, ConnectionTable};
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 pub use memory::MemoryBudget;
 use nickelgw_node::close_listener;
 use receive::{receive_request, IdleLimits, NoRequest, REQUEST_TIMEOUT_S};
@@ -167,6 +167,8 @@
             }
             socket.memory.set(RequestStage::Idle, buffer.capacity());
             limits.timeout_s = KEEP_ALIVE_TIMEOUT_S;
+            // The next request may be in the buffer: other connections take turns with a client that pipelines.
+            yield_now().await;
         }
     }
 
--- a/crates/nickelgw-platform/src/stream_io.rs
+++ b/crates/nickelgw-platform/src/stream_io.rs
@@ -3,6 +3,7 @@
 use crate::core::chunked::{ChunkedDecoder, DecodeStep};
 use crate::core::{Framing, MalformedMessage};
 use bytes::{Bytes, BytesMut};
+use futures_lite::future::yield_now;
 use futures_lite::AsyncWriteExt;
 use nickelgw_node_core::AttemptOutcome;
 use smol::Async;
@@ -46,8 +47,10 @@
 }
 
 /// Waits for bytes, appends them to the buffer and returns their number; 0 at the end of the stream. If the
-/// future is dropped while it waits, nothing has been read.
+/// future is dropped while it waits, nothing has been read. Other tasks run at each call: a peer that sends without pause
+/// does not hold them up.
 pub async fn read(connection: &impl Readable, buffer: &mut BytesMut) -> io::Result<usize> {
+    yield_now().await;
     connection.stream().read_with(|_| connection.read_available(buffer)).await
 }
 
