Refuse an id that engines may have run, after its client left as well

Cause: ids were known as long as their request was open; with its client gone the same id was admitted at once, also while the first attempt was still being cancelled, and an id that was served could run again.

Answered 409, as for the id of an open request.

--- a/crates/nickelgw-node-core/src/attempt_outcome.rs
+++ b/crates/nickelgw-node-core/src/attempt_outcome.rs
@@ -53,7 +53,7 @@
     }
 
     /// Returns whether the attempt is known not to have run.
-    pub(crate) fn never_ran(self) -> bool {
+    pub fn never_ran(self) -> bool {
         matches!(
             self,
             AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotDelivered
--- a/crates/nickelgw-platform/src/clients/serve.rs
+++ b/crates/nickelgw-platform/src/clients/serve.rs
@@ -69,8 +69,14 @@
         })?;
         request.arrived_at = Some(self.node.seconds_at(arrived_at));
         let id = request.name.as_deref().unwrap_or_default();
-        if self.node.is_open(id) {
-            let response = NodeResponse::new(409, "a request with this id is open", true);
+        if self.node.is_open(id) || self.node.may_have_run(id) {
+            tracing::debug!(
+                at = self.node.now(),
+                request = id,
+                is_open = self.node.is_open(id),
+                "id refused"
+            );
+            let response = NodeResponse::new(409, "a request with this id is open or has been sent", true);
             return Err(NotAdmitted::Refused(response));
         }
         if socket.disconnection() == Some(Disconnection::Closed) {
--- a/crates/nickelgw-platform/src/core/engine.rs
+++ b/crates/nickelgw-platform/src/core/engine.rs
@@ -8,6 +8,7 @@
 use nickelgw_protocol::load::{
     LoadReport, INFLIGHT_REQUESTS_METRIC, PENDING_PROMPT_TOKENS_METRIC, QUEUED_REQUESTS_METRIC,
 };
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 
@@ -30,13 +31,32 @@
     headers: Vec<u8>,
     /// The body, unchanged.
     pub body: Bytes,
+    /// Number of attempts that were sent, without those that are known not to have run.
+    sent_attempts: Cell<u32>,
 }
 
 impl ForwardedRequest {
     /// Creates the forwarded form of the request with this head, id and body.
     pub fn new(head: &RequestHead, id: &str, body: Bytes) -> ForwardedRequest {
         let request_line = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
-        ForwardedRequest { id: id.to_string(), request_line, headers: head.forwarded_headers.clone(), body }
+        ForwardedRequest {
+            id: id.to_string(),
+            request_line,
+            headers: head.forwarded_headers.clone(),
+            body,
+            sent_attempts: Cell::new(0),
+        }
+    }
+
+    /// Notes that an attempt is being sent.
+    pub fn attempt_sent(&self) {
+        self.sent_attempts.set(self.sent_attempts.get() + 1);
+    }
+
+    /// Notes that an attempt that was sent has not run. Returns whether the request has not run at all.
+    pub fn attempt_never_ran(&self) -> bool {
+        self.sent_attempts.set(self.sent_attempts.get().saturating_sub(1));
+        self.sent_attempts.get() == 0
     }
 
     /// Encodes one attempt at the engine with this address, in the parts that are written one after the other.
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod request;
 pub mod response_time;
 pub mod stream_completeness;
+pub mod used_ids;
 
 /// Names of the platform's headers, all in lower case, and paths of calls to engines.
 pub mod names {
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -29,6 +29,8 @@
 pub(super) struct AttemptProgress {
     /// Whether the request's last byte has been written.
     pub(super) delivered: Cell<bool>,
+    /// Whether a part of the request may have been written.
+    pub(super) sent: Cell<bool>,
     /// Connection to which the request is written; `None` until there is one.
     pub(super) connection: RefCell<Option<ConnectionCloser>>,
 }
@@ -141,6 +143,8 @@
         // Opening the connection may have taken a while: the timeout stated to the engine is the time that
         // remains now.
         let remaining_s = attempt.timeout_s - (self.now() - started_at);
+        progress.sent.set(true);
+        self.attempt_sent(forwarded);
         let parts = forwarded.encode(&attempt.engine.address, remaining_s);
         connection.write(&parts, &progress.delivered).await?;
         tracing::debug!(
--- a/crates/nickelgw-platform/src/node/commands.rs
+++ b/crates/nickelgw-platform/src/node/commands.rs
@@ -103,9 +103,9 @@
         };
         log_attempt_started(now, &attempt, &forwarded);
         let progress = Rc::new(AttemptProgress::default());
-        let run = self.clone().run_attempt(attempt, forwarded, client, progress.clone());
+        let run = self.clone().run_attempt(attempt, forwarded.clone(), client, progress.clone());
         let task = self.executor().spawn(run);
-        self.attempts.borrow_mut().insert((request, number), RunningAttempt { task, progress });
+        self.attempts.borrow_mut().insert((request, number), RunningAttempt { forwarded, task, progress });
         true
     }
 
@@ -125,6 +125,7 @@
         if let Some(running) = self.attempts.borrow_mut().remove(&(request, number)) {
             running.task.detach();
         }
+        self.attempt_ended(&forwarded, &progress, result.outcome);
         if result.outcome == AttemptOutcome::Malformed {
             malformed = malformed.or(Some(MalformedMessage::Kind));
         }
@@ -148,7 +149,8 @@
     }
 
     fn cancel_attempt(&self, now: f64, request: RequestId, number: u32) -> bool {
-        let Some(RunningAttempt { task, progress }) = self.attempts.borrow_mut().remove(&(request, number))
+        let Some(RunningAttempt { forwarded, task, progress }) =
+            self.attempts.borrow_mut().remove(&(request, number))
         else {
             return false;
         };
@@ -158,7 +160,8 @@
         drop(task);
         let outcome =
             if progress.delivered.get() { AttemptOutcome::Cancelled } else { AttemptOutcome::ConnectFailed };
-        tracing::debug!(at = now, request = request.serial, attempt = number, ?outcome, "attempt cancelled");
+        tracing::debug!(at = now, request = %forwarded.id, attempt = number, ?outcome, "attempt cancelled");
+        self.attempt_ended(&forwarded, &progress, outcome);
         let result = AttemptResult { outcome, ..AttemptResult::default() };
         self.core.borrow_mut().attempt_ended(now, request, number, result);
         true
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -14,12 +14,13 @@
 use crate::core::endpoint_list::DiscoveredEndpoints;
 use crate::core::engine::ForwardedRequest;
 use crate::core::log_limiter::LogRateLimiter;
+use crate::core::used_ids::UsedIds;
 use crate::core::MalformedMessage;
 use crate::pool::ConnectionPool;
 use async_channel::{Receiver, Sender};
 use attempts::AttemptProgress;
 use nickelgw_node::Clock;
-use nickelgw_node_core::{AdmittedRequest, NodeCore, RejectReason, RequestId};
+use nickelgw_node_core::{AdmittedRequest, AttemptOutcome, NodeCore, RejectReason, RequestId};
 use smol::{LocalExecutor, Task};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -46,6 +47,7 @@
 
 /// An attempt that has not ended; dropping its task cancels it.
 struct RunningAttempt {
+    forwarded: Rc<ForwardedRequest>,
     task: Task<()>,
     progress: Rc<AttemptProgress>,
 }
@@ -75,6 +77,8 @@
     attempts: RefCell<HashMap<(RequestId, u32), RunningAttempt>>,
     /// Ids of the open requests.
     open_ids: RefCell<HashSet<String>>,
+    /// Ids of the latest requests that engines may have run.
+    used_ids: RefCell<UsedIds>,
     wake: Sender<()>,
     woken: Receiver<()>,
 }
@@ -113,6 +117,7 @@
             pending: RefCell::default(),
             attempts: RefCell::default(),
             open_ids: RefCell::default(),
+            used_ids: RefCell::default(),
             wake,
             woken,
         })
@@ -207,6 +212,29 @@
         self.open_ids.borrow().contains(id)
     }
 
+    /// Returns whether a request with this id may have run: it must not run again, whether its client has left or was
+    /// answered.
+    pub fn may_have_run(&self, id: &str) -> bool {
+        self.used_ids.borrow().contains(id)
+    }
+
+    fn attempt_sent(&self, forwarded: &ForwardedRequest) {
+        forwarded.attempt_sent();
+        self.used_ids.borrow_mut().insert(&forwarded.id);
+    }
+
+    /// Notes the end of an attempt: if none of the request's attempts has run, its id may come again.
+    fn attempt_ended(
+        &self,
+        forwarded: &ForwardedRequest,
+        progress: &AttemptProgress,
+        outcome: AttemptOutcome,
+    ) {
+        if progress.sent.get() && outcome.never_ran() && forwarded.attempt_never_ran() {
+            self.used_ids.borrow_mut().remove(&forwarded.id);
+        }
+    }
+
     /// Admits a request, or returns the reason why it is not admitted.
     pub fn accept(
         self: &Rc<Self>,
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -16,6 +16,8 @@
 mod idle_connections;
 #[path = "cases/late_discovery.rs"]
 mod late_discovery;
+#[path = "cases/repeated_id.rs"]
+mod repeated_id;
 #[path = "cases/shutdown.rs"]
 mod shutdown;
 #[path = "cases/slow_engine.rs"]
