--- a/crates/nickelgw-platform/tests/cases/client_disconnect.rs
+++ b/crates/nickelgw-platform/tests/cases/client_disconnect.rs
@@ -183,3 +183,60 @@
         .collect();
     assert_eq!(ids, ["cb0", "cb1", "cb2", "cb3", "cb4"]);
 }
+
+/// Starts a prefill engine that responds after 15 ms, so that pipelined requests are sent one after another.
+fn paced_engines() -> (Peer, Peer) {
+    (slow_prefill_engine(15, prefill_response()), peer(|_, _| PeerAction::Respond(stream_response())))
+}
+
+/// Returns this many requests, with bodies of this many bytes besides the usual ones.
+fn pipelined_requests(count: usize, bytes: usize) -> Vec<u8> {
+    let request = |number: usize| {
+        let body = format!(r#"{{"model":"chat","messages":["{}"]}}"#, "x".repeat(bytes));
+        let head = chat_request(&format!("ce{number}"));
+        let head = head.split("Content-Length").next().unwrap().to_string();
+        format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+    };
+    (0..count).map(request).collect::<String>().into_bytes()
+}
+
+/// A client sends many requests at once and closes its connection, with much of them unread: none of them is sent on
+/// afterwards, whether the client has read its answers or not.
+#[test_case(50, 0, 60, true; "few, answers read")]
+#[test_case(50, 0, 60, false; "few, answers unread")]
+#[test_case(400, 0, 150, false; "many")]
+#[test_case(800, 200, 150, false; "many, more than is buffered")]
+#[test_case(4000, 500, 150, false; "megabytes")]
+#[test_case(4000, 500, 0, false; "megabytes, closed at once")]
+#[test_case(12, 20_000, 60, false; "large ones")]
+#[test_case(40, 60_000, 60, true; "large ones, more than is buffered")]
+fn no_pipelined_request_is_sent_after_its_client_closed(
+    count: usize,
+    bytes: usize,
+    after_ms: u64,
+    reads_answers: bool,
+) {
+    let (prefill, decode) = paced_engines();
+    let node = start_node(&silent_discovery(), &[&prefill], &[&decode], None);
+    let client = node.connect();
+    client.set_nonblocking(true).unwrap();
+    let (requests, started_at) = (pipelined_requests(count, bytes), Instant::now());
+    let (mut written, mut answers) = (0, [0; 16 * 1024]);
+    while started_at.elapsed() < Duration::from_millis(after_ms) || (after_ms == 0 && written == 0) {
+        written += (&client).write(&requests[written..]).unwrap_or(0);
+        if reads_answers {
+            let _ = std::io::Read::read(&mut &client, &mut answers);
+        }
+        sleep_ms(1);
+    }
+    drop(client);
+    sleep_ms(MAX_DELAY.as_millis() as u64);
+    let sent = (prefill.received("POST").len(), decode.received("POST").len());
+    sleep_ms(1000);
+    assert_eq!(
+        (prefill.received("POST").len(), decode.received("POST").len()),
+        sent,
+        "{written} bytes written"
+    );
+    assert!(node.exchange(chat_request("cf01").as_bytes()).starts_with("HTTP/1.1 200"));
+}
