Limit the memory of all streams together, and read nothing for a client that takes nothing

Cause: each stream could hold events of up to 256 KiB in the decoder's buffer, one more than its queue's 8 KiB in the queue, one that waited for room in it, and a copy while it was written; nothing limited all streams together.

Events have memory of their size, long ones are written without a copy, queue and writes hold 4 KiB, and room in the queue comes before the read.

--- a/crates/nickelgw-cli/tests/platform_memory.rs
+++ b/crates/nickelgw-cli/tests/platform_memory.rs
@@ -85,6 +85,10 @@
     Chunk(usize),
     /// A long head, and most of a body that is as long.
     HeadAndBody(usize),
+    /// A head of this many short fields.
+    Fields(usize),
+    /// A whole head, and a body of the greatest allowed size of which this many bytes are written slowly.
+    Slow(usize),
 }
 
 impl Hostile {
@@ -105,6 +109,8 @@
                 let total = start.len() + size;
                 padding(start, total)
             }
+            Hostile::Fields(count) => format!("{line}{}", "a: b\r\n".repeat(count)).into_bytes(),
+            Hostile::Slow(size) => Hostile::Body(size).bytes(number),
             Hostile::HeadAndBody(size) => {
                 let start = padded(size, &format!("\r\nContent-Length: {size}\r\n\r\n"));
                 let total = start.len() + size - 1;
@@ -119,13 +125,25 @@
     bytes
 }
 
+/// Number of parts in which a client writes slowly, and the time between them.
+const SLOW_PARTS: usize = 40;
+const SLOW_PAUSE: Duration = Duration::from_millis(50);
+
 /// Sends what the client sends, and waits for an error or a close. Returns the time that it took.
-fn misbehave(node: SocketAddr, bytes: &[u8]) -> Option<Duration> {
+fn misbehave(node: SocketAddr, bytes: &[u8], is_slow: bool) -> Option<Duration> {
     let mut stream = TcpStream::connect_timeout(&node, Duration::from_secs(1)).ok()?;
     stream.set_write_timeout(Some(Duration::from_secs(6))).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(6))).unwrap();
     let connected_at = Instant::now();
-    let _ = stream.write_all(bytes);
+    let part_bytes = if is_slow { bytes.len() / SLOW_PARTS + 1 } else { bytes.len().max(1) };
+    for part in bytes.chunks(part_bytes) {
+        if stream.write_all(part).is_err() {
+            break;
+        }
+        if is_slow {
+            sleep(SLOW_PAUSE);
+        }
+    }
     let _ = stream.read(&mut [0; 200]);
     Some(connected_at.elapsed())
 }
@@ -225,7 +243,7 @@
     let hostile_count = (HOSTILE_SHARE * descriptors as f64) as usize;
     let hostile_tally = tally.clone();
     let hostile_clients = Clients::start(hostile_count, move |number, _| {
-        let took = misbehave(address, &hostile.bytes(number));
+        let took = misbehave(address, &hostile.bytes(number), matches!(hostile, Hostile::Slow(_)));
         let is_late = took.is_some_and(|took| took > ERROR_WITHIN);
         hostile_tally.late_errors.fetch_add(usize::from(is_late), Relaxed);
     });
@@ -264,6 +282,10 @@
 #[test_case(60, 1024, Hostile::Chunk(240_000); "most of a long chunk")]
 #[test_case(70, 1024, Hostile::HeadAndBody(15_500); "long head and most of a body")]
 #[test_case(80, 256, Hostile::Body(240_000); "most of a long body with few descriptors")]
+#[test_case(85, 1024, Hostile::Fields(60); "short fields of a head that does not end")]
+#[test_case(86, 1024, Hostile::Fields(2_600); "very many short fields")]
+#[test_case(87, 1024, Hostile::Slow(240_000); "long body written slowly")]
+#[test_case(88, 256, Hostile::Slow(240_000); "long body written slowly with few descriptors")]
 fn memory_limit_holds_and_usual_clients_are_served(address_byte: u8, descriptors: usize, hostile: Hostile) {
     let (peak_kb, tally) = play(address_byte, descriptors, hostile);
     let [served, no_memory, without_answer] =
@@ -296,13 +318,43 @@
     assert_eq!(late_errors, [0; 8], "errors later than {ERROR_WITHIN:?}, by kind of client");
 }
 
-/// Regression test: the queue of a stream was limited by its number of pieces alone, and long events took a node over
-/// its memory limit. Clients do not read their streams, which bring events of this size without end.
-#[test_case(100, 100; "short events")]
-#[test_case(110, 8_000; "long events")]
-fn memory_limit_holds_while_clients_do_not_read_their_streams(address_byte: u8, event_bytes: usize) {
-    const CLIENTS: usize = 200;
-    const ENGINES: usize = 20;
+/// How a client reads its stream.
+#[derive(Clone, Copy, PartialEq)]
+enum Reading {
+    Never,
+    /// 300 bytes every 100 ms.
+    Slowly,
+}
+
+/// Reads from each of the clients once every 100 ms, until `running` is cleared.
+fn read_slowly(clients: Vec<TcpStream>, running: Arc<AtomicBool>) -> JoinHandle<()> {
+    spawn(move || {
+        while running.load(Relaxed) {
+            for client in &clients {
+                client.set_nonblocking(true).unwrap();
+                let _ = (&mut &*client).read(&mut [0; 300]);
+            }
+            sleep(Duration::from_millis(100));
+        }
+    })
+}
+
+/// Regression test: streams used memory that nothing limited for all of them together, and clients that read slowly took a
+/// node over its memory limit. Engines write events of this size without end.
+#[test_case(100, 200, 100, Reading::Never; "short events")]
+#[test_case(110, 200, 8_000, Reading::Never; "long events")]
+#[test_case(130, 400, 100, Reading::Slowly; "short events read slowly")]
+#[test_case(140, 400, 8_000, Reading::Slowly; "long events read slowly")]
+#[test_case(150, 400, 60_000, Reading::Slowly; "very long events read slowly")]
+#[test_case(160, 400, 250_000, Reading::Slowly; "the longest events read slowly")]
+#[test_case(170, 400, 250_000, Reading::Never; "the longest events")]
+fn memory_limit_holds_while_clients_read_their_streams_slowly(
+    address_byte: u8,
+    client_count: usize,
+    event_bytes: usize,
+    reading: Reading,
+) {
+    const ENGINES: usize = 40;
     let _running = RUNNING_CASE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let prefill_engines: Vec<Peer> =
         (0..ENGINES).map(|_| engine(|| http_response("202 Accepted", r#"{"cached_tokens":4}"#))).collect();
@@ -324,15 +376,25 @@
         client.write_all(chat_request(&format!("slow-{number}")).as_bytes()).unwrap();
         client
     };
-    let clients: Vec<TcpStream> = (0..CLIENTS).map(open).collect();
+    let clients: Vec<TcpStream> = (0..client_count).map(open).collect();
+    let running = Arc::new(AtomicBool::new(true));
+    let reader = match reading {
+        Reading::Never => None,
+        Reading::Slowly => {
+            let clients = clients.iter().map(|client| client.try_clone().unwrap()).collect();
+            Some(read_slowly(clients, running.clone()))
+        }
+    };
     let until = Instant::now() + DURATION;
     let mut peak_kb = 0;
     while Instant::now() < until {
         peak_kb = peak_kb.max(anonymous_kb(&node));
         sleep(Duration::from_millis(5));
     }
+    running.store(false, Relaxed);
+    reader.into_iter().for_each(|reader| reader.join().unwrap());
     let started: usize = decode_engines.iter().map(|engine| engine.received("POST").len()).sum();
-    println!("{peak_kb} kB, {started} streams of {}", clients.len());
-    assert!(started > CLIENTS / 2, "{started} streams have begun");
+    println!("{peak_kb} kB, {started} streams of {client_count}");
+    assert!(started > client_count / 2, "{started} streams have begun");
     assert!(peak_kb <= MEMORY_MB * 1024, "{peak_kb} kB of anonymous memory, {MEMORY_MB} MB allowed");
 }
--- a/crates/nickelgw-platform/src/clients/serve.rs
+++ b/crates/nickelgw-platform/src/clients/serve.rs
@@ -9,11 +9,12 @@
 use crate::core::request::{CHAT_PATH, READINESS_PATH};
 use crate::node::{PieceReceiver, Reply, RequestGuard};
 use async_channel::Receiver;
+use bytes::Bytes;
 use nickelgw_node_core::AdmittedRequest;
 use std::rc::Rc;
 
 /// Size up to which queued events are written together; the last event may exceed it.
-const MAX_WRITE_BYTES: usize = 8 * 1024;
+const MAX_WRITE_BYTES: usize = 4 * 1024;
 
 /// Reason why a request is not admitted.
 enum NotAdmitted {
@@ -148,44 +149,75 @@
     close: bool,
 ) -> Result<NextStep, NextStep> {
     let connection = connection_header(close);
-    let mut bytes = format!(
+    let head = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-cache\r\n{connection}transfer-encoding: chunked\r\n\r\n"
-    )
-    .into_bytes();
+    );
+    let mut parts = WriteParts::new(head.into_bytes());
     loop {
         let first = match socket.while_connected(pieces.recv()).await {
             Ok(Ok(first)) => first,
             Ok(Err(_)) | Err(Disconnection::PipelineOverflow) => return Err(NextStep::Close),
             Err(Disconnection::Closed) => return Err(NextStep::Disconnected),
         };
-        let is_end = encode_pieces(&mut bytes, first, &pieces);
-        if !write_all(socket, &bytes).await {
-            return Err(NextStep::Disconnected);
+        let is_end = parts.add_pieces(first, &pieces);
+        for part in parts.take() {
+            if !write_all(socket, &part).await {
+                return Err(NextStep::Disconnected);
+            }
         }
+        pieces.set_written();
         if is_end {
             return Ok(NextStep::after_response(true, close));
         }
-        bytes.clear();
     }
 }
 
-/// Appends `first` and the queued pieces as chunks, up to `MAX_WRITE_BYTES`. Returns `true` if the last one
-/// ends the stream.
-fn encode_pieces(bytes: &mut Vec<u8>, first: StreamPiece, pieces: &PieceReceiver) -> bool {
-    let mut next = Some(first);
-    while let Some(piece) = next {
-        match piece {
-            StreamPiece::Events(events) => {
-                bytes.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
-                bytes.extend_from_slice(&events);
-                bytes.extend_from_slice(b"\r\n");
-            }
-            StreamPiece::End => {
-                bytes.extend_from_slice(b"0\r\n\r\n");
-                return true;
+/// Parts of a stream that are written one after the other: short pieces together, a long one without a copy.
+struct WriteParts {
+    parts: Vec<Bytes>,
+    /// The last part, to which short pieces are appended.
+    last: Vec<u8>,
+    length: usize,
+}
+
+impl WriteParts {
+    fn new(head: Vec<u8>) -> WriteParts {
+        WriteParts { parts: Vec::new(), last: head, length: 0 }
+    }
+
+    /// Adds `first` and the queued pieces as chunks, up to `MAX_WRITE_BYTES`. Returns `true` if the last one ends the
+    /// stream.
+    fn add_pieces(&mut self, first: StreamPiece, pieces: &PieceReceiver) -> bool {
+        let mut next = Some(first);
+        while let Some(piece) = next {
+            match piece {
+                StreamPiece::Events(events) => self.add_chunk(events),
+                StreamPiece::End => {
+                    self.last.extend_from_slice(b"0\r\n\r\n");
+                    return true;
+                }
             }
+            next = if self.length >= MAX_WRITE_BYTES { None } else { pieces.try_recv().ok() };
         }
-        next = if bytes.len() >= MAX_WRITE_BYTES { None } else { pieces.try_recv().ok() };
+        false
+    }
+
+    fn add_chunk(&mut self, events: Bytes) {
+        self.length += events.len();
+        self.last.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
+        if events.len() >= MAX_WRITE_BYTES {
+            self.parts.push(std::mem::take(&mut self.last).into());
+            self.parts.push(events);
+        } else {
+            self.last.extend_from_slice(&events);
+        }
+        self.last.extend_from_slice(b"\r\n");
+    }
+
+    /// Takes the parts out.
+    fn take(&mut self) -> Vec<Bytes> {
+        self.length = 0;
+        self.parts.push(std::mem::take(&mut self.last).into());
+        std::mem::take(&mut self.parts)
     }
-    false
 }
--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -169,15 +169,6 @@
         Err(MalformedMessage::Head.into())
     }
 
-    /// Reads the next piece of a stream of events. If the future is dropped while it waits, no bytes are
-    /// lost.
-    pub async fn stream_piece(
-        &mut self,
-        decoder: &mut EventStreamDecoder,
-    ) -> Result<StreamPiece, ReceiveError> {
-        receive(&*self.stream, &mut self.buffer, |buffer| decoder.next(buffer)).await
-    }
-
     /// Waits for the next bytes of a stream of events. Returns a piece if they complete one. If the future is dropped
     /// while it waits, no bytes are lost.
     pub async fn read_stream(
--- a/crates/nickelgw-platform/src/core/event_stream.rs
+++ b/crates/nickelgw-platform/src/core/event_stream.rs
@@ -4,7 +4,7 @@
 use super::chunked::{ChunkedDecoder, DecodeStep};
 use super::stream_completeness::{lines, may_end_stream, StreamCompleteness};
 use super::{MalformedMessage, MAX_BODY_BYTES};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Part of a stream that can be forwarded.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,8 +60,7 @@
                 Ok(DecodeStep::ChunkEnd) => {}
             }
         };
-        let events = self.pending.split_to(complete).freeze();
-        self.scanned = 0;
+        let events = self.take_pending(complete);
         // If a chunk's size is too large, the size line of the next chunk is taken for data: that is no event
         // of an engine.
         if !is_event_stream(&events) {
@@ -79,6 +78,23 @@
         self.chunked.in_chunk()
     }
 
+    /// Takes bytes out of the buffer of events that are arriving, into memory of exactly their size.
+    fn take_pending(&mut self, length: usize) -> Bytes {
+        let events = Bytes::copy_from_slice(&self.pending[..length]);
+        self.pending.advance(length);
+        self.scanned = 0;
+        if self.pending.is_empty() {
+            // The buffer of a long event is not kept for the next ones.
+            self.pending = BytesMut::new();
+        }
+        events
+    }
+
+    /// Returns how many bytes of an event that is not complete have arrived.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether an event with data has been returned.
     pub fn has_data(&self) -> bool {
         self.completeness.has_data()
--- a/crates/nickelgw-platform/src/node/attempt_failure.rs
+++ b/crates/nickelgw-platform/src/node/attempt_failure.rs
@@ -1,5 +1,6 @@
 //! Why an attempt has no whole response.
 
+use super::stream_memory::OutOfMemory;
 use crate::core::MalformedMessage;
 use crate::stream_io::ReceiveError;
 use nickelgw_node_core::{AttemptOutcome, AttemptResult};
@@ -32,6 +33,12 @@
     }
 }
 
+impl From<OutOfMemory> for AttemptFailure {
+    fn from(_: OutOfMemory) -> AttemptFailure {
+        AttemptOutcome::Cancelled.into()
+    }
+}
+
 impl From<ReceiveError> for AttemptFailure {
     fn from(error: ReceiveError) -> AttemptFailure {
         match error {
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -2,6 +2,7 @@
 //! end of its stream.
 
 use super::attempt_failure::AttemptFailure;
+use super::stream_memory::StreamMemoryUse;
 use super::stream_queue::{stream_queue, PieceSender};
 use super::{Node, Reply};
 use crate::clients::socket::ClientSocket;
@@ -15,6 +16,7 @@
 use nickelgw_node_core::{AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult};
 use nickelgw_protocol::load::LoadReport;
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Instant;
 
 /// Time for which the first event is held back until the rest of its chunk arrives. Events have to be
@@ -54,10 +56,12 @@
     }
 }
 
-/// A stream whose first event has arrived.
+/// A stream whose head has arrived.
 struct StartedStream {
+    memory: Rc<StreamMemoryUse>,
     connection: Connection,
     decoder: EventStreamDecoder,
+    /// The first event, and the comments before it.
     first: Bytes,
     /// Time in seconds for which bytes were awaited since the last ones of an event.
     idle_s: f64,
@@ -191,25 +195,29 @@
         client: &ClientSocket,
         progress: &AttemptProgress,
     ) -> Result<DecodeResponse, AttemptFailure> {
-        let (mut connection, head) = self.send_request(attempt, forwarded, client, progress).await?;
+        let (connection, head) = self.send_request(attempt, forwarded, client, progress).await?;
         if head.status != 200 {
             return Ok(DecodeResponse::Other(self.read_unary_body(connection, head, false).await));
         }
         if !head.is_event_stream || head.framing != Framing::Chunked {
             return Err(MalformedMessage::Kind.into());
         }
-        let mut decoder = EventStreamDecoder::default();
-        let first = read_first_event(&mut connection, &mut decoder).await?;
-        let reusable = !head.closes_connection;
-        let mut stream =
-            StartedStream { connection, decoder, first, idle_s: 0.0, next: None, reusable, load: head.load };
+        let mut stream = StartedStream {
+            reusable: !head.closes_connection,
+            load: head.load,
+            memory: StreamMemoryUse::new(&self.parts.stream_memory),
+            connection,
+            decoder: EventStreamDecoder::default(),
+            first: Bytes::new(),
+            idle_s: 0.0,
+            next: None,
+        };
+        stream.read_first_event().await?;
         // In most cases this wait detects a chunk that is truncated or does not match its size before any of
         // it is forwarded.
         if stream.decoder.in_chunk() {
-            let next = stream.connection.stream_piece(&mut stream.decoder);
-            match within(FIRST_EVENT_DELAY_S, next).await {
-                None => {}
-                Some(next) => stream.next = Some(next?),
+            if let Some(next) = within(FIRST_EVENT_DELAY_S, stream.read_piece(EVENT_TIMEOUT_S)).await {
+                stream.next = Some(next?);
             }
         }
         Ok(DecodeResponse::Stream(Box::new(stream)))
@@ -230,7 +238,7 @@
         let Some(pending) = self.pending.borrow_mut().remove(&attempt.request) else {
             return Err(AttemptOutcome::Cancelled.into());
         };
-        let (sender, receiver) = stream_queue();
+        let (sender, receiver) = stream_queue(&stream.memory);
         let _ = pending.reply.try_send(Reply::Stream(receiver));
         self.forward_pieces(attempt, stream, idle_timeout_s, sender).await
     }
@@ -261,31 +269,38 @@
                 }
                 return Ok(AttemptResult { outcome: AttemptOutcome::Completed, load, cached_tokens: 0.0 });
             }
+            // While the client takes nothing, nothing more is read for it.
+            sender.room().await;
             piece = stream.next_piece(idle_timeout_s).await?;
         }
     }
 }
 
-/// Reads a stream up to the end of its first event, and returns it with the comments before it: they are no event, and
-/// a stream that ends after them can still be replaced by another.
-async fn read_first_event(
-    connection: &mut Connection,
-    decoder: &mut EventStreamDecoder,
-) -> Result<Bytes, AttemptFailure> {
-    let mut first = BytesMut::new();
-    while !decoder.has_data() {
-        let StreamPiece::Events(events) = connection.stream_piece(decoder).await? else {
-            return Err(MalformedMessage::Incomplete.into());
-        };
-        first.extend_from_slice(&events);
-        if first.len() > MAX_BODY_BYTES {
-            return Err(MalformedMessage::TooLong.into());
+impl StartedStream {
+    /// Reads a stream up to the end of its first event, with the comments before it: they are no event, and a stream that
+    /// ends after them can still be replaced by another.
+    async fn read_first_event(&mut self) -> Result<(), AttemptFailure> {
+        let mut first = BytesMut::new();
+        while !self.decoder.has_data() {
+            match self.read_some().await? {
+                None => {}
+                Some(StreamPiece::Events(events)) => first.extend_from_slice(&events),
+                Some(StreamPiece::End) => return Err(MalformedMessage::Incomplete.into()),
+            }
+            if first.len() > MAX_BODY_BYTES {
+                return Err(MalformedMessage::TooLong.into());
+            }
         }
+        self.first = first.freeze();
+        Ok(())
+    }
+
+    /// Waits for memory, and then for the next bytes. Returns a piece if they complete one.
+    async fn read_some(&mut self) -> Result<Option<StreamPiece>, AttemptFailure> {
+        self.memory.reserve(self.decoder.pending_bytes()).await?;
+        Ok(self.connection.read_stream(&mut self.decoder).await?)
     }
-    Ok(first.freeze())
-}
 
-impl StartedStream {
     async fn next_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
         if let Some(piece) = self.next.take() {
             return Ok(piece);
@@ -299,9 +314,8 @@
     async fn read_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
         loop {
             let (event_bytes, read_at) = (self.decoder.event_bytes(), Instant::now());
-            let read = self.connection.read_stream(&mut self.decoder);
-            let read = within(idle_timeout_s - self.idle_s, read).await.ok_or(AttemptOutcome::TimedOut)?;
-            let piece = read?;
+            let remaining_s = idle_timeout_s - self.idle_s;
+            let piece = within(remaining_s, self.read_some()).await.ok_or(AttemptOutcome::TimedOut)??;
             self.idle_s += read_at.elapsed().as_secs_f64();
             if self.decoder.event_bytes() > event_bytes {
                 self.idle_s = 0.0;
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod commands;
 mod control_calls;
+mod stream_memory;
 mod stream_queue;
 
 use crate::clients::socket::ClientSocket;
@@ -26,6 +27,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Instant;
+pub use stream_memory::StreamMemory;
 pub use stream_queue::PieceReceiver;
 
 /// A request whose response has not begun, with its client's socket and the channel for its reply.
@@ -58,6 +60,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// Connections to engines.
     pub pool: Rc<ConnectionPool>,
+    /// Memory of all streams.
+    pub stream_memory: Rc<StreamMemory>,
     /// The node's clock.
     pub clock: Clock,
     /// Timeout of a probe or a release call, in seconds.
--- a/crates/nickelgw-platform/src/node/stream_queue.rs
+++ b/crates/nickelgw-platform/src/node/stream_queue.rs
@@ -1,6 +1,7 @@
 //! Queue of a stream's pieces between the task that reads them from an engine and the task that writes them to the
 //! client. A client that does not read fills its queue; reading from the engine then pauses.
 
+use super::stream_memory::StreamMemoryUse;
 use crate::core::event_stream::StreamPiece;
 use async_channel::{Receiver, RecvError, Sender, TryRecvError};
 use event_listener::Event;
@@ -10,7 +11,7 @@
 /// Maximum number of pieces in a queue.
 const MAX_PIECES: usize = 32;
 /// Size in bytes at which a queue takes no further piece; the last one may exceed it.
-const MAX_BYTES: usize = 8 * 1024;
+const MAX_BYTES: usize = 4 * 1024;
 
 #[derive(Default)]
 struct QueuedBytes {
@@ -22,12 +23,14 @@
 /// The end of a queue at which pieces are added.
 pub struct PieceSender {
     pieces: Sender<StreamPiece>,
+    memory: Rc<StreamMemoryUse>,
     queued: Rc<QueuedBytes>,
 }
 
 /// The end of a queue at which pieces are taken out; dropping it ends the queue.
 pub struct PieceReceiver {
     pieces: Receiver<StreamPiece>,
+    memory: Rc<StreamMemoryUse>,
     queued: Rc<QueuedBytes>,
 }
 
@@ -35,11 +38,12 @@
 #[derive(Debug)]
 pub struct ReceiverDropped;
 
-/// Creates a queue.
-pub fn stream_queue() -> (PieceSender, PieceReceiver) {
+/// Creates a queue, of which what `memory` counts.
+pub fn stream_queue(memory: &Rc<StreamMemoryUse>) -> (PieceSender, PieceReceiver) {
     let (sender, receiver) = async_channel::bounded(MAX_PIECES);
     let queued = Rc::new(QueuedBytes::default());
-    (PieceSender { pieces: sender, queued: queued.clone() }, PieceReceiver { pieces: receiver, queued })
+    let sender = PieceSender { pieces: sender, memory: memory.clone(), queued: queued.clone() };
+    (sender, PieceReceiver { pieces: receiver, memory: memory.clone(), queued })
 }
 
 fn length(piece: &StreamPiece) -> usize {
@@ -52,14 +56,20 @@
 impl PieceSender {
     /// Waits until the queue has room, and adds the piece.
     pub async fn send(&self, piece: StreamPiece) -> Result<(), ReceiverDropped> {
+        self.room().await;
+        self.queued.bytes.set(self.queued.bytes.get() + length(&piece));
+        self.memory.set_queued(length(&piece));
+        self.pieces.send(piece).await.map_err(|_| ReceiverDropped)
+    }
+
+    /// Waits until the queue has room, or the receiver was dropped.
+    pub async fn room(&self) {
         while self.is_full() {
             let taken = self.queued.taken.listen();
             if self.is_full() {
                 taken.await;
             }
         }
-        self.queued.bytes.set(self.queued.bytes.get() + length(&piece));
-        self.pieces.send(piece).await.map_err(|_| ReceiverDropped)
     }
 
     fn is_full(&self) -> bool {
@@ -78,7 +88,13 @@
         self.pieces.try_recv().inspect(|piece| self.set_taken(piece))
     }
 
+    /// Notes that the pieces that were taken out have been written to the client.
+    pub fn set_written(&self) {
+        self.memory.set_written();
+    }
+
     fn set_taken(&self, piece: &StreamPiece) {
+        self.memory.set_taken(length(piece));
         self.queued.bytes.set(self.queued.bytes.get().saturating_sub(length(piece)));
         self.queued.taken.notify(1);
     }
--- a/crates/nickelgw-platform/src/server.rs
+++ b/crates/nickelgw-platform/src/server.rs
@@ -8,7 +8,7 @@
 use crate::core::endpoint_list::DiscoveredEndpoints;
 use crate::core::request::KnownNames;
 use crate::discovery::DiscoveryClient;
-use crate::node::{Node, NodeParts};
+use crate::node::{Node, NodeParts, StreamMemory};
 use crate::pool::{ConnectionPool, PoolLimits};
 use crate::reload::ConfigReloader;
 use crate::shutdown::{Shutdown, ShutdownTimes};
@@ -43,6 +43,9 @@
 /// Share of the process's memory that is for clients' connections and their requests. The rest is for the program
 /// itself, the endpoint list, what engines respond, and what the allocator cannot use.
 const CLIENT_MEMORY_SHARE: f64 = 0.5;
+/// Share of the process's memory that streams may use together beyond what each of them may use in any case.
+const STREAM_POOL_SHARE: f64 = 0.1;
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 /// Memory that each client's connection uses besides requests: its task, its socket, its place in the table.
 const CONNECTION_BYTES: usize = 8 * 1024;
 /// Share of the clients' memory that all of their connections may use besides requests.
@@ -77,7 +80,7 @@
 
 impl ClientLimits {
     fn new(max_connections: usize, memory_mb: f64) -> ClientLimits {
-        let bytes = (CLIENT_MEMORY_SHARE * memory_mb * 1024.0 * 1024.0) as usize;
+        let bytes = (CLIENT_MEMORY_SHARE * memory_mb * BYTES_PER_MB) as usize;
         let connection_bytes = CONNECTION_BYTES + GUARANTEED_BYTES;
         let max_by_memory = (MAX_CONNECTIONS_SHARE * bytes as f64) as usize / connection_bytes;
         let max_connections = max_connections.min(max_by_memory);
@@ -181,6 +184,7 @@
     NodeParts {
         executor: executor.clone(),
         pool: pools.engines.clone(),
+        stream_memory: StreamMemory::new((STREAM_POOL_SHARE * config.memory_mb * BYTES_PER_MB) as usize),
         clock,
         control_timeout_s: config.connect_timeout_s,
         probe_path: if config.reports_load { "/load" } else { "/healthz" },
