Let requests that stall while they arrive give way to whole ones in the backlog

Cause: ClientServer::accept_waiting accepts nothing while the table is full, and ConnectionTable::make_room closed no connection on which a request had begun to arrive, for 2.4 s; whole requests waited in the backlog meanwhile.

Why it works: when no connection is idle, the requests that have been without a byte for 0.5 s get 503, the longest first, an eighth of the table at a time, and their connections end without lingering, since all that their clients sent was read. A request that is written slowly but steadily stays (slowly_written_request_is_served_beside_stalled_ones).

--- a/crates/nickelgw-platform/src/clients/connection_table.rs
+++ b/crates/nickelgw-platform/src/clients/connection_table.rs
@@ -2,11 +2,14 @@
 //! ones.
 
 use async_channel::{Receiver, Sender};
+use event_listener::Event;
 use nickelgw_node::within;
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering::Equal;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// Minimum idle time after a request before a connection may be closed to make room.
 const MIN_IDLE_S: f64 = 2.0;
@@ -14,6 +17,8 @@
 /// first request may be on its way, and clients do not repeat it, unlike a request on a connection that was
 /// used before.
 const MIN_SILENT_S: f64 = 0.5;
+/// Minimum time without a byte after which a request that is arriving has to give way to other connections.
+const MIN_STALLED: Duration = Duration::from_millis(500);
 /// Interval at which the node tries to make room while the table is full or descriptors are exhausted.
 const ROOM_RETRY_S: f64 = 0.02;
 /// The table's size divided by this is the number of connections closed at once to make room. When only one
@@ -28,9 +33,55 @@
     /// Whether the connection has carried a whole request.
     pub has_carried_request: Cell<bool>,
     close: Sender<()>,
+    /// Time at which the last bytes of the request that is arriving were read; `None` if none is arriving.
+    progress_at: Cell<Option<Instant>>,
+    /// Whether the request that is arriving has to give way.
+    gives_way: Cell<bool>,
+    /// Notifies the connection's task that its request has to give way.
+    give_way: Event,
 }
 
 impl ConnectionState {
+    /// Creates the state of a connection that is idle since `now`, with the channel that closes it.
+    fn new(now: f64, close: Sender<()>) -> ConnectionState {
+        ConnectionState {
+            idle_since: Cell::new(Some(now)),
+            has_carried_request: Cell::new(false),
+            close,
+            progress_at: Cell::new(None),
+            gives_way: Cell::new(false),
+            give_way: Event::new(),
+        }
+    }
+
+    /// Notes that bytes of a request have arrived that is not whole yet.
+    pub fn set_progress(&self) {
+        self.progress_at.set(Some(Instant::now()));
+    }
+
+    /// Notes that no request is arriving any more.
+    pub fn set_arrived(&self) {
+        self.progress_at.set(None);
+        self.gives_way.set(false);
+    }
+
+    /// Waits until the request that is arriving has to give way to other connections.
+    pub async fn wait_until_giving_way(&self) {
+        loop {
+            let give_way = self.give_way.listen();
+            if self.gives_way.get() {
+                return;
+            }
+            give_way.await;
+        }
+    }
+
+    /// Returns for how long the request that is arriving has been without a byte; `None` if none is arriving, or if it
+    /// gives way already.
+    fn stalled_for(&self) -> Option<Duration> {
+        self.progress_at.get().filter(|_| !self.gives_way.get()).map(|progress_at| progress_at.elapsed())
+    }
+
     /// Returns whether the connection has been idle long enough to be closed: for `min_idle_s` if it has
     /// carried a request, else for `MIN_SILENT_S`.
     fn may_close(&self, now: f64, min_idle_s: f64) -> bool {
@@ -91,18 +142,39 @@
     /// is to be closed.
     pub fn insert(self: &Rc<Self>, now: f64) -> (ConnectionEntry, Receiver<()>) {
         let (close, closing) = async_channel::bounded(1);
-        let state = Rc::new(ConnectionState {
-            idle_since: Cell::new(Some(now)),
-            has_carried_request: Cell::new(false),
-            close,
-        });
+        let state = Rc::new(ConnectionState::new(now, close));
         let number = self.next_number.replace(self.next_number.get() + 1);
         self.connections.borrow_mut().insert(number, state.clone());
         (ConnectionEntry { table: self.clone(), number, state }, closing)
     }
 
-    /// Closes the connections that have been idle the longest, but never one on which a request is arriving.
+    /// Closes the connections that have been idle the longest. If there are none, the requests that have stalled the
+    /// longest while they arrive give way: their clients are owed an error, and others wait in the backlog with whole
+    /// requests.
     pub fn make_room(&self, now: f64) {
+        if !self.close_longest_idle(now) {
+            self.reclaim_longest_stalled();
+        }
+    }
+
+    fn reclaim_longest_stalled(&self) {
+        let connections = self.connections.borrow();
+        let stalled_for = |state: &'_ Rc<ConnectionState>| Some((state.stalled_for()?, state.clone()));
+        let mut stalled: Vec<(Duration, Rc<ConnectionState>)> =
+            connections.values().filter_map(stalled_for).filter(|(time, _)| *time >= MIN_STALLED).collect();
+        stalled.sort_by_key(|(time, _)| Reverse(*time));
+        for (_, state) in stalled.into_iter().take(self.closed_at_once()) {
+            state.gives_way.set(true);
+            state.give_way.notify(1);
+        }
+    }
+
+    fn closed_at_once(&self) -> usize {
+        self.max_connections / CLOSED_AT_ONCE_DIVISOR + 1
+    }
+
+    /// Closes the connections that have been idle the longest, and returns whether there were any.
+    fn close_longest_idle(&self, now: f64) -> bool {
         let connections = self.connections.borrow();
         let may_close = |state: &&Rc<ConnectionState>| state.may_close(now, MIN_IDLE_S);
         let mut idle: Vec<&Rc<ConnectionState>> = connections.values().filter(may_close).collect();
@@ -112,10 +184,11 @@
             let by_idle = left.idle_since.get().partial_cmp(&right.idle_since.get()).unwrap_or(Equal);
             right.has_carried_request.cmp(&left.has_carried_request).then(by_idle)
         });
-        for state in idle.iter().take(self.max_connections / CLOSED_AT_ONCE_DIVISOR + 1) {
+        for state in idle.iter().take(self.closed_at_once()) {
             state.idle_since.set(None);
             state.close.close();
         }
+        !idle.is_empty()
     }
 
     /// Waits until a place is free, but no longer than `ROOM_RETRY_S`.
--- a/crates/nickelgw-platform/src/clients/mod.rs
+++ b/crates/nickelgw-platform/src/clients/mod.rs
@@ -148,7 +148,7 @@
         closing: Receiver<()>,
         backlog_empty_at: Instant,
     ) {
-        let socket = ClientSocket::new(stream, backlog_empty_at, &self.memory);
+        let socket = ClientSocket::new(stream, backlog_empty_at, &self.memory, &entry.state);
         let mut buffer = BytesMut::new();
         let mut limits = IdleLimits { timeout_s: REQUEST_TIMEOUT_S, closing: &closing };
         loop {
@@ -159,7 +159,7 @@
             match next {
                 NextStep::KeepAlive => {}
                 NextStep::Close => return socket.close().await,
-                NextStep::Disconnected => return,
+                NextStep::CloseAtOnce | NextStep::Disconnected => return,
             }
             if buffer.is_empty() {
                 // Hundreds of connections may be idle for long: none of them keeps a buffer.
@@ -199,6 +199,12 @@
         match received {
             Err(NoRequest::ConnectionEnded) => NextStep::Disconnected,
             Err(NoRequest::Closing) => NextStep::Close,
+            Err(NoRequest::GaveWay) => {
+                NodeResponse::new(503, "no room for a request that does not arrive", true)
+                    .write(socket)
+                    .await;
+                NextStep::CloseAtOnce
+            }
             Err(NoRequest::Refused(status, reason)) => {
                 tracing::debug!(at = self.node.now(), status, reason, "request refused before admission");
                 self.node.log_malformed("client", reason);
--- a/crates/nickelgw-platform/src/clients/receive.rs
+++ b/crates/nickelgw-platform/src/clients/receive.rs
@@ -43,6 +43,8 @@
     Closing,
     /// The request is refused with this status and message.
     Refused(u16, &'static str),
+    /// The request has stalled while it arrived, and gives way to other connections.
+    GaveWay,
 }
 
 /// Reason why the rest of a request is not received.
@@ -102,13 +104,27 @@
     }
     // Once the first byte of a request has arrived, its connection is not closed to make room.
     state.idle_since.set(None);
+    state.set_progress();
+    let request = receive_before_timeout(socket, buffer, state).await;
+    state.set_arrived();
+    let (head, body, bytes) = request?;
+    Ok(ReceivedRequest { head, body, bytes, arrived_at: socket.arrival_before(buffer.len()) })
+}
+
+async fn receive_before_timeout(
+    socket: &ClientSocket,
+    buffer: &mut BytesMut,
+    state: &ConnectionState,
+) -> Result<(RequestHead, Bytes, usize), NoRequest> {
     let first_byte_at = socket.arrival_before(buffer.len().saturating_sub(1));
     let remaining_s = REQUEST_TIMEOUT_S - first_byte_at.elapsed().as_secs_f64();
     // If no time remains, a request that has arrived completely is still read.
-    let request = within(remaining_s, receive_whole_request(socket, buffer)).await;
-    let (head, body, bytes) =
-        request.unwrap_or(Err(NoRequest::Refused(408, "a request that does not end")))?;
-    Ok(ReceivedRequest { head, body, bytes, arrived_at: socket.arrival_before(buffer.len()) })
+    let gave_way = async {
+        state.wait_until_giving_way().await;
+        Err(NoRequest::GaveWay)
+    };
+    let request = within(remaining_s, or(receive_whole_request(socket, buffer), gave_way)).await;
+    request.unwrap_or(Err(NoRequest::Refused(408, "a request that does not end")))
 }
 
 async fn wait_for_first_byte(
@@ -185,7 +201,7 @@
     };
     match or(async { Some(read(socket, buffer).await) }, reclaimed).await {
         Some(Ok(length)) if length > 0 => {
-            socket.memory.set_progress();
+            socket.set_progress();
             Ok(())
         }
         Some(_) => Err(NoRequest::ConnectionEnded.into()),
--- a/crates/nickelgw-platform/src/clients/response.rs
+++ b/crates/nickelgw-platform/src/clients/response.rs
@@ -16,6 +16,8 @@
     KeepAlive,
     /// The response was the connection's last, and the connection is closed.
     Close,
+    /// The same, and others wait for the connection's place: its client is not waited for.
+    CloseAtOnce,
     /// The client has disconnected.
     Disconnected,
 }
--- a/crates/nickelgw-platform/src/clients/socket.rs
+++ b/crates/nickelgw-platform/src/clients/socket.rs
@@ -1,6 +1,7 @@
 //! A client's socket: detects whether the client has disconnected, buffers what the client sends before its
 //! response, and closes the connection.
 
+use super::connection_table::ConnectionState;
 use super::memory::{MemoryBudget, MemoryUse};
 use crate::core::client_memory::{RequestStage, GUARANTEED_BYTES};
 use crate::core::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
@@ -44,13 +45,20 @@
     disconnection: Cell<Option<Disconnection>>,
     /// Memory that the connection uses.
     pub memory: MemoryUse,
+    /// State of the connection.
+    state: Rc<ConnectionState>,
     /// Memory of the open request in bytes; 0 if no request is open.
     open_request_bytes: Cell<usize>,
 }
 
 impl ClientSocket {
     /// Creates a socket on this stream, on which no byte had arrived by `empty_at`.
-    pub fn new(stream: Async<TcpStream>, empty_at: Instant, budget: &Rc<MemoryBudget>) -> Rc<ClientSocket> {
+    pub fn new(
+        stream: Async<TcpStream>,
+        empty_at: Instant,
+        budget: &Rc<MemoryBudget>,
+        state: &Rc<ConnectionState>,
+    ) -> Rc<ClientSocket> {
         let _ = stream.get_ref().set_nodelay(true);
         let memory = MemoryUse::new(budget);
         Rc::new(ClientSocket {
@@ -59,10 +67,17 @@
             pipelined: RefCell::default(),
             disconnection: Cell::new(None),
             memory,
+            state: state.clone(),
             open_request_bytes: Cell::new(0),
         })
     }
 
+    /// Notes that bytes of a request have arrived that is not whole yet.
+    pub fn set_progress(&self) {
+        self.memory.set_progress();
+        self.state.set_progress();
+    }
+
     /// Returns the arrival time of the last byte that was read before the final `unused` bytes.
     pub fn arrival_before(&self, unused: usize) -> Instant {
         self.arrivals.borrow_mut().arrival_before(unused)
--- a/crates/nickelgw-platform/tests/sockets.rs
+++ b/crates/nickelgw-platform/tests/sockets.rs
@@ -22,6 +22,8 @@
 mod shutdown;
 #[path = "cases/slow_engine.rs"]
 mod slow_engine;
+#[path = "cases/stalled_clients.rs"]
+mod stalled_clients;
 #[path = "cases/surplus_response.rs"]
 mod surplus_response;
 #[path = "cases/unreachable_zone.rs"]
