End a connection that is given up at once, as before, also where bytes are discarded

Shutting it down and closing it with SO_LINGER 0 are no alternatives: the shutdown tells the engine at once, the close that follows with the task resets it and discards the rest.

--- a/crates/nickelgw-node/src/unsent_bytes.rs
+++ b/crates/nickelgw-node/src/unsent_bytes.rs
@@ -7,11 +7,13 @@
 use std::os::fd::{AsFd, AsRawFd};
 use std::time::Duration;
 
-/// Lets the system discard what it has not yet delivered when the connection is closed, which resets it. Returns
-/// `false`, and changes nothing, if the peer's machine has all that was written.
-pub fn discard_unsent_on_close(stream: &TcpStream) -> bool {
-    let has_unsent = unacknowledged_bytes(stream).is_ok_and(|bytes| bytes > 0);
-    has_unsent && SockRef::from(stream).set_linger(Some(Duration::ZERO)).is_ok()
+/// Lets the system discard what it has not yet delivered when the connection is closed, which resets it. Changes nothing
+/// if the peer's machine has all that was written.
+pub fn discard_unsent_on_close(stream: &TcpStream) {
+    if unacknowledged_bytes(stream).is_ok_and(|bytes| bytes > 0) {
+        // If this fails, the connection is closed as any other.
+        let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    }
 }
 
 /// Returns how many of the written bytes the peer's machine has not acknowledged.
--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -62,12 +62,10 @@
 
 impl ConnectionCloser {
     /// Gives up the request on the connection. What has not reached the engine's machine is not sent any more: a
-    /// request whose last byte arrived later would begin then. The connection ends when all of its holders have
-    /// dropped it if that is needed, else at once.
+    /// request whose last byte arrived later would begin then.
     pub fn give_up(self) {
-        if !discard_unsent_on_close(self.0.get_ref()) {
-            let _ = self.0.get_ref().shutdown(Shutdown::Both);
-        }
+        discard_unsent_on_close(self.0.get_ref());
+        let _ = self.0.get_ref().shutdown(Shutdown::Both);
     }
 }
 
