Play clients that write slowly and fill the table, known to be red

Neighbour of the stalled requests: slow but steady ones give way to nobody, and whole requests wait in the backlog for 5.7 s.

--- a/crates/nickelgw-platform/tests/cases/stalled_clients.rs
+++ b/crates/nickelgw-platform/tests/cases/stalled_clients.rs
@@ -88,3 +88,32 @@
     let response = read_response(&mut slow);
     assert!(response.ends_with("0\r\n\r\n"), "{response}");
 }
+
+/// Regression test: clients that wrote their requests slowly filled the table for 2.4 s, and whole requests of others waited
+/// in the backlog past their time.
+#[test]
+fn slowly_written_requests_give_way_to_whole_ones() {
+    const TIMEOUT: Duration = Duration::from_millis(1000);
+    let (prefill, decode) = (prefill_engine(), peer(|_, _| PeerAction::Respond(stream_response())));
+    let node = start_small_node(&prefill, &decode);
+    let mut slow = stalled_clients(&node, "POST /v1/chat/completions HTTP/1.1\r\nX-Note: ");
+    let usual: Vec<_> = (0..8)
+        .map(|number| {
+            let mut client = node.connect();
+            let request =
+                chat_request(&format!("sc{number}")).replace("X-Budget-Ms: 4000", "X-Budget-Ms: 1000");
+            client.write_all(request.as_bytes()).unwrap();
+            let sent_at = Instant::now();
+            spawn(move || (read_response(&mut client), sent_at.elapsed()))
+        })
+        .collect();
+    while usual.iter().any(|client| !client.is_finished()) {
+        slow.iter_mut().for_each(|client| drop(client.write_all(b"x")));
+        sleep(Duration::from_millis(100));
+    }
+    for client in usual {
+        let (response, took) = client.join().unwrap();
+        assert!(response.starts_with("HTTP/1.1 "), "no answer: {response}");
+        assert!(took < TIMEOUT + ANSWER_SLACK, "answered after {took:?}: {response}");
+    }
+}
