--- a/crates/nickelgw-cli/tests/platform_reservations.rs
+++ b/crates/nickelgw-cli/tests/platform_reservations.rs
@@ -129,6 +129,31 @@
     site.assert_no_violation();
 }
 
+/// The same while a quarter of the streams fall short: none of them is taken for a whole one, and the others are served.
+#[test]
+fn short_streams_are_told_from_whole_ones_despite_failing_system_calls() {
+    const REQUESTS: usize = 64;
+    let faults = world::build_fault_library();
+    let site = TestSite::start_with(
+        116,
+        2,
+        2,
+        |_| {},
+        |process| {
+            process.env("LD_PRELOAD", &faults).env("FAULTS_EVERY", "7").env("FAULTS_STEP_S", "3600");
+        },
+    );
+    for proxied in site.decode_engines() {
+        proxied.engine.behaviour.falls_short.store(true, Relaxed);
+    }
+    let outcomes: Vec<Outcome> =
+        (0..REQUESTS).map(|number| site.request(&format!("short{number:02}"))).collect();
+    let count = |wanted: &Outcome| outcomes.iter().filter(|outcome| *outcome == wanted).count();
+    let (served, broken) = (count(&Outcome::Completed), count(&Outcome::StreamBroken));
+    assert!(served >= REQUESTS / 2 && broken > 0, "{outcomes:?}\n{}", site.log());
+    assert!(served + broken + 1 >= REQUESTS, "{outcomes:?}\n{}", site.log());
+}
+
 /// All open connections become silent while the prefill's response is on its way back: release calls must use
 /// new connections.
 #[test]
