--- a/crates/nickelgw-platform/src/core/event_stream.rs
+++ b/crates/nickelgw-platform/src/core/event_stream.rs
@@ -42,7 +42,13 @@
         // Decoded chunk by chunk: if an engine writes one event per chunk, each of its events is a piece of
         // its own.
         let complete = loop {
+            let decoded_from = self.pending.len();
             let step = self.chunked.decode(buffer, &mut self.pending, MAX_BODY_BYTES);
+            // Noise is recognized before its event ends, which it may never do.
+            if self.pending.iter().skip(decoded_from).any(is_noise) {
+                self.error = Some(MalformedMessage::Events);
+                return Err(MalformedMessage::Events);
+            }
             let complete =
                 if step == Ok(DecodeStep::BodyEnd) { self.final_length()? } else { self.complete_length() };
             self.error = step.err();
@@ -100,6 +106,11 @@
         self.completeness.has_data()
     }
 
+    /// Returns the number of bytes of events that have been returned.
+    pub fn returned_bytes(&self) -> usize {
+        self.returned_bytes
+    }
+
     /// Returns the number of bytes of events that have arrived. Comments, empty lines and noise are no events.
     pub fn event_bytes(&self) -> usize {
         let pending = if begins_event(&self.pending) { self.pending.len() } else { 0 };
@@ -129,6 +140,11 @@
     }
 }
 
+/// Returns whether no event has this byte: control characters other than tabs and line ends.
+fn is_noise(byte: &u8) -> bool {
+    byte.is_ascii_control() && !matches!(byte, b'\t' | b'\r' | b'\n')
+}
+
 /// Returns whether these bytes, not yet a whole line perhaps, begin with a field of an event.
 fn begins_event(bytes: &[u8]) -> bool {
     let begins_with = |name: &&[u8]| match bytes.get(name.len()) {
--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -23,6 +23,9 @@
 /// forwarded within 0.3 s (the platform's protocol).
 const FIRST_EVENT_DELAY_S: f64 = 0.1;
 
+/// Time without a byte after which an event that is arriving counts as broken off, if the stream has been without a whole
+/// event for long: an engine may stop inside an event, and its client may not wait longer than otherwise.
+const PART_TIMEOUT_S: f64 = 2.0;
 /// Longest time for which one event may arrive, however steadily its bytes come.
 const EVENT_TIMEOUT_S: f64 = 60.0;
 
@@ -63,8 +66,10 @@
     decoder: EventStreamDecoder,
     /// The first event, and the comments before it.
     first: Bytes,
+    /// Time in seconds for which bytes were awaited since the last event was complete.
+    event_idle_s: f64,
     /// Time in seconds for which bytes were awaited since the last ones of an event.
-    idle_s: f64,
+    byte_idle_s: f64,
     /// Piece after the first event, if it arrived while the rest of that event's chunk was awaited.
     next: Option<StreamPiece>,
     /// Whether the connection can carry another request after the stream.
@@ -209,7 +214,8 @@
             connection,
             decoder: EventStreamDecoder::default(),
             first: Bytes::new(),
-            idle_s: 0.0,
+            event_idle_s: 0.0,
+            byte_idle_s: 0.0,
             next: None,
         };
         stream.read_first_event().await?;
@@ -309,17 +315,19 @@
         within(EVENT_TIMEOUT_S, piece).await.unwrap_or(Err(AttemptOutcome::TimedOut.into()))
     }
 
-    /// Reads until a piece is complete. An engine may write an event slowly: the timeout begins anew with each part of
-    /// an event, but not with what is no event.
+    /// Reads until a piece is complete. An engine may write an event slowly: while its bytes come the stream is not idle.
+    /// What is no event does not count.
     async fn read_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
         loop {
-            let (event_bytes, read_at) = (self.decoder.event_bytes(), Instant::now());
-            let remaining_s = idle_timeout_s - self.idle_s;
+            let remaining_s = (idle_timeout_s - self.event_idle_s).max(PART_TIMEOUT_S - self.byte_idle_s);
+            let (bytes, returned) = (self.decoder.event_bytes(), self.decoder.returned_bytes());
+            let read_at = Instant::now();
             let piece = within(remaining_s, self.read_some()).await.ok_or(AttemptOutcome::TimedOut)??;
-            self.idle_s += read_at.elapsed().as_secs_f64();
-            if self.decoder.event_bytes() > event_bytes {
-                self.idle_s = 0.0;
-            }
+            let waited_s = read_at.elapsed().as_secs_f64();
+            self.event_idle_s =
+                if self.decoder.returned_bytes() > returned { 0.0 } else { self.event_idle_s + waited_s };
+            self.byte_idle_s =
+                if self.decoder.event_bytes() > bytes { 0.0 } else { self.byte_idle_s + waited_s };
             if let Some(piece) = piece {
                 return Ok(piece);
             }
--- a/crates/nickelgw-platform/tests/cases/slow_engine.rs
+++ b/crates/nickelgw-platform/tests/cases/slow_engine.rs
@@ -71,6 +71,31 @@
     assert!(response.ends_with("0\r\n\r\n"), "after {took:?}: {response}");
 }
 
+/// An engine that stops inside an event keeps its client waiting no longer than one that stops after one.
+#[test_case(0; "at once")]
+#[test_case(800; "later")]
+#[test_case(2500; "much later")]
+fn event_that_is_broken_off_ends_the_connection(after_ms: u64) {
+    let decode = slow_decode_engine(move |connection| {
+        sleep(Duration::from_millis(after_ms));
+        let _ = connection.write_all(b"40\r\ndata: {\"n\"");
+        sleep(TEST_TIMEOUT);
+    });
+    let (response, took) = response_of(&decode, "fa04");
+    assert!(!response.ends_with("0\r\n\r\n") && took < CLOSE_WITHIN, "after {took:?}: {response}");
+}
+
+/// Noise inside an event is recognized though the event never ends.
+#[test]
+fn slowly_written_noise_inside_an_event_ends_the_connection() {
+    let decode = slow_decode_engine(|connection| {
+        let _ = connection.write_all(b"4000\r\ndata: {");
+        while write_slowly(connection, "\u{1}\u{7f}abc", Duration::from_millis(100)) {}
+    });
+    let (response, took) = response_of(&decode, "fa05");
+    assert!(!response.ends_with("0\r\n\r\n") && took < CLOSE_WITHIN, "after {took:?}: {response}");
+}
+
 /// What is no event does not keep a client waiting, however slowly it comes.
 #[test_case("noise that goes on and on, and is no event at all, whatever follows, for many seconds"; "noise")]
 #[test_case("\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n"; "empty lines")]
