--- a/crates/nickelgw-platform/src/node/attempts.rs
+++ b/crates/nickelgw-platform/src/node/attempts.rs
@@ -2,32 +2,18 @@
 //! end of its stream.
 
 use super::attempt_failure::AttemptFailure;
-use super::stream_memory::StreamMemoryUse;
+use super::engine_stream::EngineStream;
 use super::stream_queue::{stream_queue, PieceSender};
 use super::{Node, Reply};
 use crate::clients::socket::ClientSocket;
 use crate::core::engine::{self, ForwardedRequest, ResponseHead};
-use crate::core::event_stream::{EventStreamDecoder, StreamPiece};
+use crate::core::event_stream::StreamPiece;
 use crate::core::{Framing, MalformedMessage, MAX_BODY_BYTES};
 use crate::pool::{Connection, ConnectionCloser, ConnectionUse};
 use crate::stream_io::ReceiveError;
-use bytes::{Bytes, BytesMut};
 use nickelgw_node::within;
 use nickelgw_node_core::{AttemptKind, AttemptOutcome, AttemptRequest, AttemptResult};
-use nickelgw_protocol::load::LoadReport;
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
-use std::time::Instant;
-
-/// Time for which the first event is held back until the rest of its chunk arrives. Events have to be
-/// forwarded within 0.3 s (the platform's protocol).
-const FIRST_EVENT_DELAY_S: f64 = 0.1;
-
-/// Time without a byte after which an event that is arriving counts as broken off, if the stream has been without a whole
-/// event for long: an engine may stop inside an event, and its client may not wait longer than otherwise.
-const PART_TIMEOUT_S: f64 = 2.0;
-/// Longest time for which one event may arrive, however steadily its bytes come.
-const EVENT_TIMEOUT_S: f64 = 60.0;
 
 /// Progress of an attempt, read when the attempt is cancelled or times out.
 #[derive(Default)]
@@ -59,28 +45,10 @@
     }
 }
 
-/// A stream whose head has arrived.
-struct StartedStream {
-    memory: Rc<StreamMemoryUse>,
-    connection: Connection,
-    decoder: EventStreamDecoder,
-    /// The first event, and the comments before it.
-    first: Bytes,
-    /// Time in seconds for which bytes were awaited since the last event was complete.
-    event_idle_s: f64,
-    /// Time in seconds for which bytes were awaited since the last ones of an event.
-    byte_idle_s: f64,
-    /// Piece after the first event, if it arrived while the rest of that event's chunk was awaited.
-    next: Option<StreamPiece>,
-    /// Whether the connection can carry another request after the stream.
-    reusable: bool,
-    load: Option<LoadReport>,
-}
-
 /// Response to an attempt at a decode engine.
 enum DecodeResponse {
     /// A stream that has begun.
-    Stream(Box<StartedStream>),
+    Stream(Box<EngineStream>),
     /// A whole response of another kind.
     Other(AttemptResult),
 }
@@ -207,25 +175,7 @@
         if !head.is_event_stream || head.framing != Framing::Chunked {
             return Err(MalformedMessage::Kind.into());
         }
-        let mut stream = StartedStream {
-            reusable: !head.closes_connection,
-            load: head.load,
-            memory: StreamMemoryUse::new(&self.parts.stream_memory),
-            connection,
-            decoder: EventStreamDecoder::default(),
-            first: Bytes::new(),
-            event_idle_s: 0.0,
-            byte_idle_s: 0.0,
-            next: None,
-        };
-        stream.read_first_event().await?;
-        // In most cases this wait detects a chunk that is truncated or does not match its size before any of
-        // it is forwarded.
-        if stream.decoder.in_chunk() {
-            if let Some(next) = within(FIRST_EVENT_DELAY_S, stream.read_piece(EVENT_TIMEOUT_S)).await {
-                stream.next = Some(next?);
-            }
-        }
+        let stream = EngineStream::begin(connection, &head, &self.parts.stream_memory).await?;
         Ok(DecodeResponse::Stream(Box::new(stream)))
     }
 
@@ -233,7 +183,7 @@
     async fn forward_stream(
         &self,
         attempt: &AttemptRequest,
-        stream: Box<StartedStream>,
+        stream: Box<EngineStream>,
         idle_timeout_s: f64,
     ) -> Result<AttemptResult, AttemptFailure> {
         if !self.core.borrow_mut().response_started(self.now(), attempt.request, attempt.attempt) {
@@ -244,7 +194,7 @@
         let Some(pending) = self.pending.borrow_mut().remove(&attempt.request) else {
             return Err(AttemptOutcome::Cancelled.into());
         };
-        let (sender, receiver) = stream_queue(&stream.memory);
+        let (sender, receiver) = stream_queue(stream.memory());
         let _ = pending.reply.try_send(Reply::Stream(receiver));
         self.forward_pieces(attempt, stream, idle_timeout_s, sender).await
     }
@@ -253,12 +203,12 @@
     async fn forward_pieces(
         &self,
         attempt: &AttemptRequest,
-        mut stream: Box<StartedStream>,
+        mut stream: Box<EngineStream>,
         idle_timeout_s: f64,
         sender: PieceSender,
     ) -> Result<AttemptResult, AttemptFailure> {
-        let mut load = stream.load.take();
-        let mut piece = StreamPiece::Events(std::mem::take(&mut stream.first));
+        let mut load = stream.take_load();
+        let mut piece = StreamPiece::Events(stream.take_first());
         loop {
             if let StreamPiece::Events(events) = &piece {
                 load = engine::load_report_in_comment(events).or(load);
@@ -269,9 +219,8 @@
             }
             if is_end {
                 tracing::debug!(at = self.now(), request = %attempt.name, "stream finished");
-                if stream.reusable {
-                    stream.connection.set_stream_ended();
-                    self.parts.pool.put_idle(stream.connection);
+                if let Some(connection) = stream.into_connection() {
+                    self.parts.pool.put_idle(connection);
                 }
                 return Ok(AttemptResult { outcome: AttemptOutcome::Completed, load, cached_tokens: 0.0 });
             }
@@ -281,56 +230,3 @@
         }
     }
 }
-
-impl StartedStream {
-    /// Reads a stream up to the end of its first event, with the comments before it: they are no event, and a stream that
-    /// ends after them can still be replaced by another.
-    async fn read_first_event(&mut self) -> Result<(), AttemptFailure> {
-        let mut first = BytesMut::new();
-        while !self.decoder.has_data() {
-            match self.read_some().await? {
-                None => {}
-                Some(StreamPiece::Events(events)) => first.extend_from_slice(&events),
-                Some(StreamPiece::End) => return Err(MalformedMessage::Incomplete.into()),
-            }
-            if first.len() > MAX_BODY_BYTES {
-                return Err(MalformedMessage::TooLong.into());
-            }
-        }
-        self.first = first.freeze();
-        Ok(())
-    }
-
-    /// Waits for memory, and then for the next bytes. Returns a piece if they complete one.
-    async fn read_some(&mut self) -> Result<Option<StreamPiece>, AttemptFailure> {
-        self.memory.reserve(self.decoder.pending_bytes()).await?;
-        Ok(self.connection.read_stream(&mut self.decoder).await?)
-    }
-
-    async fn next_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
-        if let Some(piece) = self.next.take() {
-            return Ok(piece);
-        }
-        let piece = self.read_piece(idle_timeout_s);
-        within(EVENT_TIMEOUT_S, piece).await.unwrap_or(Err(AttemptOutcome::TimedOut.into()))
-    }
-
-    /// Reads until a piece is complete. An engine may write an event slowly: while its bytes come the stream is not idle.
-    /// What is no event does not count.
-    async fn read_piece(&mut self, idle_timeout_s: f64) -> Result<StreamPiece, AttemptFailure> {
-        loop {
-            let remaining_s = (idle_timeout_s - self.event_idle_s).max(PART_TIMEOUT_S - self.byte_idle_s);
-            let (bytes, returned) = (self.decoder.event_bytes(), self.decoder.returned_bytes());
-            let read_at = Instant::now();
-            let piece = within(remaining_s, self.read_some()).await.ok_or(AttemptOutcome::TimedOut)??;
-            let waited_s = read_at.elapsed().as_secs_f64();
-            self.event_idle_s =
-                if self.decoder.returned_bytes() > returned { 0.0 } else { self.event_idle_s + waited_s };
-            self.byte_idle_s =
-                if self.decoder.event_bytes() > bytes { 0.0 } else { self.byte_idle_s + waited_s };
-            if let Some(piece) = piece {
-                return Ok(piece);
-            }
-        }
-    }
-}
--- a/crates/nickelgw-platform/src/node/mod.rs
+++ b/crates/nickelgw-platform/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod commands;
 mod control_calls;
+mod engine_stream;
 mod stream_memory;
 mod stream_queue;
 
