Count what is read of a refused request as its progress

A request for which there is no memory is read to its end before it is refused, so that the answer arrives; with a full table it was taken for stalled meanwhile and would have been closed over unread bytes. A limit of 1 s for each arrival was tried against slow clients that fill the table and left out: it closes connections that an existing test protects.

--- a/crates/nickelgw-platform/src/clients/discard.rs
+++ b/crates/nickelgw-platform/src/clients/discard.rs
@@ -8,7 +8,6 @@
 use crate::core::MAX_BODY_BYTES;
 use crate::stream_io::{decode_body, read};
 use bytes::BytesMut;
-use std::io;
 
 /// Message to a client whose request finds no memory, or has to give way to others while it arrives.
 pub(super) const NO_MEMORY: &str = "no memory for a request";
@@ -29,7 +28,7 @@
     give_memory_back(socket, buffer, HEAD_END.len() - 1);
     while !buffer.windows(HEAD_END.len()).any(|window| window == HEAD_END) {
         keep_last(buffer, HEAD_END.len() - 1);
-        if !is_some(read(socket, buffer).await) {
+        if !read_on(socket, buffer).await {
             return NoRequest::ConnectionEnded;
         }
     }
@@ -49,7 +48,7 @@
     let mut buffer = BytesMut::new();
     while missing > 0 {
         buffer.clear();
-        if !is_some(read(socket, &mut buffer).await) {
+        if !read_on(socket, &mut buffer).await {
             return NoRequest::ConnectionEnded;
         }
         missing = missing.saturating_sub(buffer.len());
@@ -74,7 +73,7 @@
         }
         let length = buffer.len();
         keep_last(buffer, length);
-        if !is_some(read(socket, buffer).await) {
+        if !read_on(socket, buffer).await {
             return NoRequest::ConnectionEnded;
         }
     }
@@ -93,6 +92,11 @@
     *buffer = kept;
 }
 
-fn is_some(read: io::Result<usize>) -> bool {
-    matches!(read, Ok(length) if length > 0)
+/// Reads what has arrived. Returns `false` at the end of the connection.
+async fn read_on(socket: &ClientSocket, buffer: &mut BytesMut) -> bool {
+    let has_read = matches!(read(socket, buffer).await, Ok(length) if length > 0);
+    if has_read {
+        socket.set_progress();
+    }
+    has_read
 }
