Keep each used id once, so that the latest 8,192 requests are remembered

Each attempt of a request took a place in the order of ids, so that some 4,000 requests were remembered in place of 8,192. further_attempts_of_a_request_displace_no_other_id failed without the change and passes with it.

--- a/crates/nickelgw-platform/src/core/used_ids.rs
+++ b/crates/nickelgw-platform/src/core/used_ids.rs
@@ -10,7 +10,7 @@
 #[derive(Debug, Default)]
 pub struct UsedIds {
     hasher: RandomState,
-    /// Number of the latest insertion of each id.
+    /// Number of each id's insertion.
     insertions: HashMap<u64, u64>,
     /// Ids with the numbers of their insertions, the oldest first; some of them were removed since.
     order: VecDeque<(u64, u64)>,
@@ -18,9 +18,12 @@
 }
 
 impl UsedIds {
-    /// Adds an id.
+    /// Adds an id, if it is not there already: further attempts of a request do not displace other ids.
     pub fn insert(&mut self, id: &str) {
         let hash = self.hasher.hash_one(id);
+        if self.insertions.contains_key(&hash) {
+            return;
+        }
         self.insertions.insert(hash, self.next_insertion);
         self.order.push_back((hash, self.next_insertion));
         self.next_insertion += 1;
--- a/crates/nickelgw-platform/src/core/used_ids_tests.rs
+++ b/crates/nickelgw-platform/src/core/used_ids_tests.rs
@@ -28,3 +28,13 @@
     assert!(ids.contains("again") && !ids.contains("0"));
     assert!(ids.order.len() <= MAX_IDS && ids.insertions.len() <= MAX_IDS);
 }
+
+#[test]
+fn further_attempts_of_a_request_displace_no_other_id() {
+    let mut ids = UsedIds::default();
+    ids.insert("first");
+    for _ in 0..2 * MAX_IDS {
+        ids.insert("second");
+    }
+    assert!(ids.contains("first") && ids.contains("second"));
+}
