Count a queue's bytes once, and read parts of messages in one place

A stream's queue had its bytes counted by the queue and by StreamMemoryUse: the latter alone counts them now. Whether an event has come follows from the bytes returned. The step 'read, and fail at the end' stood in receive, read_stream, read_more and read_on: read_some and read_part serve them. The reason of a malformed response is found in one function.

--- a/crates/nickelgw-platform/src/clients/discard.rs
+++ b/crates/nickelgw-platform/src/clients/discard.rs
@@ -1,12 +1,12 @@
 //! Requests for which there is no memory: they are read to their end and then refused. A response before that would
 //! be lost if its client is still sending, and clients that stop in the middle of a request would come back at once.
 
-use super::receive::NoRequest;
+use super::receive::{read_part, NoRequest};
 use super::socket::ClientSocket;
 use crate::core::chunked::ChunkedDecoder;
 use crate::core::client_memory::{RequestStage, GUARANTEED_BYTES};
 use crate::core::MAX_BODY_BYTES;
-use crate::stream_io::{decode_body, read};
+use crate::stream_io::decode_body;
 use bytes::BytesMut;
 
 /// Message to a client whose request finds no memory, or has to give way to others while it arrives.
@@ -28,8 +28,8 @@
     give_memory_back(socket, buffer, HEAD_END.len() - 1);
     while !buffer.windows(HEAD_END.len()).any(|window| window == HEAD_END) {
         keep_last(buffer, HEAD_END.len() - 1);
-        if !read_on(socket, buffer).await {
-            return NoRequest::ConnectionEnded;
+        if let Err(error) = read_part(socket, buffer).await {
+            return error.into();
         }
     }
     REFUSED
@@ -48,8 +48,8 @@
     let mut buffer = BytesMut::new();
     while missing > 0 {
         buffer.clear();
-        if !read_on(socket, &mut buffer).await {
-            return NoRequest::ConnectionEnded;
+        if let Err(error) = read_part(socket, &mut buffer).await {
+            return error.into();
         }
         missing = missing.saturating_sub(buffer.len());
     }
@@ -73,8 +73,8 @@
         }
         let length = buffer.len();
         keep_last(buffer, length);
-        if !read_on(socket, buffer).await {
-            return NoRequest::ConnectionEnded;
+        if let Err(error) = read_part(socket, buffer).await {
+            return error.into();
         }
     }
 }
@@ -91,12 +91,3 @@
     kept.extend_from_slice(&buffer[from..]);
     *buffer = kept;
 }
-
-/// Reads what has arrived. Returns `false` at the end of the connection.
-async fn read_on(socket: &ClientSocket, buffer: &mut BytesMut) -> bool {
-    let has_read = matches!(read(socket, buffer).await, Ok(length) if length > 0);
-    if has_read {
-        socket.set_progress();
-    }
-    has_read
-}
--- a/crates/nickelgw-platform/src/clients/receive.rs
+++ b/crates/nickelgw-platform/src/clients/receive.rs
@@ -7,7 +7,7 @@
 use crate::core::client_memory::{RequestStage, GUARANTEED_BYTES};
 use crate::core::request::{self, RequestHead, CHAT_PATH};
 use crate::core::{MalformedMessage, MAX_HEAD_BYTES};
-use crate::stream_io::{read, ReceiveError, READ_BYTES};
+use crate::stream_io::{read, read_some, ReceiveError, READ_BYTES};
 use async_channel::Receiver;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::future::or;
@@ -199,16 +199,19 @@
         socket.memory.reclaimed().await;
         None
     };
-    match or(async { Some(read(socket, buffer).await) }, reclaimed).await {
-        Some(Ok(length)) if length > 0 => {
-            socket.set_progress();
-            Ok(())
-        }
-        Some(_) => Err(NoRequest::ConnectionEnded.into()),
+    match or(async { Some(read_part(socket, buffer).await) }, reclaimed).await {
+        Some(read) => Ok(read?),
         None => Err(ReceiveFailure::NoMemory),
     }
 }
 
+/// Reads what has arrived into the buffer, and notes that the request makes progress.
+pub(super) async fn read_part(socket: &ClientSocket, buffer: &mut BytesMut) -> Result<(), ReceiveError> {
+    read_some(socket, buffer).await?;
+    socket.set_progress();
+    Ok(())
+}
+
 /// Makes room in a buffer that is full, up to `max_bytes`. `other_bytes` is what the connection uses besides.
 pub(super) async fn make_room(
     socket: &ClientSocket,
--- a/crates/nickelgw-platform/src/connection.rs
+++ b/crates/nickelgw-platform/src/connection.rs
@@ -4,7 +4,7 @@
 use crate::core::engine::{self, ResponseHead};
 use crate::core::event_stream::{EventStreamDecoder, StreamPiece};
 use crate::core::{Framing, MalformedMessage};
-use crate::stream_io::{read, receive, receive_body, receive_to_end, write_all, ReceiveError};
+use crate::stream_io::{read_some, receive, receive_body, receive_to_end, write_all, ReceiveError};
 use bytes::{Buf, Bytes, BytesMut};
 use nickelgw_node::discard_unsent_on_close;
 use nickelgw_node_core::AttemptOutcome;
@@ -176,10 +176,8 @@
         if let Some(piece) = decoder.next(&mut self.buffer)? {
             return Ok(Some(piece));
         }
-        match read(&*self.stream, &mut self.buffer).await {
-            Ok(length) if length > 0 => Ok(decoder.next(&mut self.buffer)?),
-            _ => Err(ReceiveError::ConnectionEnded),
-        }
+        read_some(&*self.stream, &mut self.buffer).await?;
+        Ok(decoder.next(&mut self.buffer)?)
     }
 
     /// Reads a body whose length is not stated, up to the end of the connection.
--- a/crates/nickelgw-platform/src/core/event_stream.rs
+++ b/crates/nickelgw-platform/src/core/event_stream.rs
@@ -103,7 +103,7 @@
 
     /// Returns whether an event with data has been returned.
     pub fn has_data(&self) -> bool {
-        self.completeness.has_data()
+        self.returned_bytes > 0
     }
 
     /// Returns the number of bytes of events that have been returned.
--- a/crates/nickelgw-platform/src/core/stream_completeness.rs
+++ b/crates/nickelgw-platform/src/core/stream_completeness.rs
@@ -22,12 +22,11 @@
 #[derive(Debug, Default)]
 pub struct StreamCompleteness {
     text: TextState,
-    has_data: bool,
     is_done: bool,
 }
 
 impl StreamCompleteness {
-    /// Takes complete events into account. Returns whether one of them had data.
+    /// Takes complete events into account. Returns whether one of them had data; comments have none.
     pub fn record(&mut self, events: &[u8]) -> bool {
         let mut has_data = false;
         for data in lines(events).filter_map(line_data) {
@@ -38,7 +37,6 @@
     }
 
     fn record_data(&mut self, data: &[u8]) {
-        self.has_data = true;
         if data == DONE_DATA {
             self.is_done = true;
         }
@@ -50,11 +48,6 @@
         }
     }
 
-    /// Returns whether an event with data has come; comments have none.
-    pub fn has_data(&self) -> bool {
-        self.has_data
-    }
-
     /// Returns whether the events make a whole answer.
     pub fn is_whole(&self) -> bool {
         self.is_done && self.text != TextState::Unfinished
--- a/crates/nickelgw-platform/src/node/commands.rs
+++ b/crates/nickelgw-platform/src/node/commands.rs
@@ -118,7 +118,7 @@
         progress: Rc<AttemptProgress>,
     ) {
         let ended = self.execute_attempt(&attempt, &forwarded, &client, &progress).await;
-        let mut malformed = ended.as_ref().err().and_then(|failure| failure.malformed);
+        let malformed = malformed_reason(&ended);
         let result = ended.unwrap_or_else(AttemptFailure::result);
         let (request, number) = (attempt.request, attempt.attempt);
         // The attempt can no longer be cancelled: its task runs to its end.
@@ -126,9 +126,6 @@
             running.task.detach();
         }
         self.attempt_ended(&forwarded, &progress, result.outcome);
-        if result.outcome == AttemptOutcome::Malformed {
-            malformed = malformed.or(Some(MalformedMessage::Kind));
-        }
         log_attempt_ended(self.now(), &attempt, &forwarded, &result, malformed);
         if let Some(reason) = malformed {
             self.log_malformed_response(&attempt.engine.id, &forwarded.id, reason);
@@ -179,6 +176,15 @@
     }
 }
 
+/// Returns what is wrong with an attempt's response; `None` if it is not malformed. A whole response that is malformed is
+/// one of another kind.
+fn malformed_reason(ended: &Result<AttemptResult, AttemptFailure>) -> Option<MalformedMessage> {
+    match ended {
+        Ok(result) => (result.outcome == AttemptOutcome::Malformed).then_some(MalformedMessage::Kind),
+        Err(failure) => failure.malformed,
+    }
+}
+
 fn log_attempt_started(now: f64, attempt: &AttemptRequest, forwarded: &ForwardedRequest) {
     let rationale = &attempt.rationale;
     tracing::debug!(
--- a/crates/nickelgw-platform/src/node/stream_memory.rs
+++ b/crates/nickelgw-platform/src/node/stream_memory.rs
@@ -71,6 +71,11 @@
         within(MEMORY_WAIT_S, reserved).await.ok_or(OutOfMemory)
     }
 
+    /// Returns the bytes in the queue.
+    pub(super) fn queued_bytes(&self) -> usize {
+        self.queued.get()
+    }
+
     /// Moves bytes that have arrived to the queue.
     pub(super) fn set_queued(&self, bytes: usize) {
         self.set(&self.queued, self.queued.get() + bytes);
--- a/crates/nickelgw-platform/src/node/stream_queue.rs
+++ b/crates/nickelgw-platform/src/node/stream_queue.rs
@@ -5,7 +5,6 @@
 use crate::core::event_stream::StreamPiece;
 use async_channel::{Receiver, RecvError, Sender, TryRecvError};
 use event_listener::Event;
-use std::cell::Cell;
 use std::rc::Rc;
 
 /// Maximum number of pieces in a queue.
@@ -13,37 +12,32 @@
 /// Size in bytes at which a queue takes no further piece; the last one may exceed it.
 const MAX_BYTES: usize = 4 * 1024;
 
-#[derive(Default)]
-struct QueuedBytes {
-    bytes: Cell<usize>,
-    /// Notifies the sender that pieces were taken out.
-    taken: Event,
-}
-
 /// The end of a queue at which pieces are added.
 pub struct PieceSender {
     pieces: Sender<StreamPiece>,
+    /// Counts the bytes in the queue.
     memory: Rc<StreamMemoryUse>,
-    queued: Rc<QueuedBytes>,
+    /// Notifies the sender that pieces were taken out.
+    taken: Rc<Event>,
 }
 
 /// The end of a queue at which pieces are taken out; dropping it ends the queue.
 pub struct PieceReceiver {
     pieces: Receiver<StreamPiece>,
     memory: Rc<StreamMemoryUse>,
-    queued: Rc<QueuedBytes>,
+    taken: Rc<Event>,
 }
 
 /// Error returned when the receiver was dropped.
 #[derive(Debug)]
 pub struct ReceiverDropped;
 
-/// Creates a queue, of which what `memory` counts.
+/// Creates a queue whose bytes `memory` counts.
 pub fn stream_queue(memory: &Rc<StreamMemoryUse>) -> (PieceSender, PieceReceiver) {
     let (sender, receiver) = async_channel::bounded(MAX_PIECES);
-    let queued = Rc::new(QueuedBytes::default());
-    let sender = PieceSender { pieces: sender, memory: memory.clone(), queued: queued.clone() };
-    (sender, PieceReceiver { pieces: receiver, memory: memory.clone(), queued })
+    let taken = Rc::new(Event::new());
+    let sender = PieceSender { pieces: sender, memory: memory.clone(), taken: taken.clone() };
+    (sender, PieceReceiver { pieces: receiver, memory: memory.clone(), taken })
 }
 
 fn length(piece: &StreamPiece) -> usize {
@@ -57,7 +51,6 @@
     /// Waits until the queue has room, and adds the piece.
     pub async fn send(&self, piece: StreamPiece) -> Result<(), ReceiverDropped> {
         self.room().await;
-        self.queued.bytes.set(self.queued.bytes.get() + length(&piece));
         self.memory.set_queued(length(&piece));
         self.pieces.send(piece).await.map_err(|_| ReceiverDropped)
     }
@@ -65,7 +58,7 @@
     /// Waits until the queue has room, or the receiver was dropped.
     pub async fn room(&self) {
         while self.is_full() {
-            let taken = self.queued.taken.listen();
+            let taken = self.taken.listen();
             if self.is_full() {
                 taken.await;
             }
@@ -73,7 +66,7 @@
     }
 
     fn is_full(&self) -> bool {
-        self.queued.bytes.get() >= MAX_BYTES && !self.pieces.is_closed()
+        self.memory.queued_bytes() >= MAX_BYTES && !self.pieces.is_closed()
     }
 }
 
@@ -95,14 +88,13 @@
 
     fn set_taken(&self, piece: &StreamPiece) {
         self.memory.set_taken(length(piece));
-        self.queued.bytes.set(self.queued.bytes.get().saturating_sub(length(piece)));
-        self.queued.taken.notify(1);
+        self.taken.notify(1);
     }
 }
 
 impl Drop for PieceReceiver {
     fn drop(&mut self) {
         self.pieces.close();
-        self.queued.taken.notify(1);
+        self.taken.notify(1);
     }
 }
--- a/crates/nickelgw-platform/src/stream_io.rs
+++ b/crates/nickelgw-platform/src/stream_io.rs
@@ -87,6 +87,14 @@
     }
 }
 
+/// Waits for bytes of a message and appends them to the buffer; fails at the end of the stream.
+pub async fn read_some(connection: &impl Readable, buffer: &mut BytesMut) -> Result<(), ReceiveError> {
+    match read(connection, buffer).await {
+        Ok(length) if length > 0 => Ok(()),
+        _ => Err(ReceiveError::ConnectionEnded),
+    }
+}
+
 /// Reads until `parse` finds a message part in the buffer and takes it out, and returns that part.
 pub async fn receive<T>(
     connection: &impl Readable,
@@ -97,9 +105,7 @@
         if let Some(found) = parse(buffer)? {
             return Ok(found);
         }
-        if !matches!(read(connection, buffer).await, Ok(length) if length > 0) {
-            return Err(ReceiveError::ConnectionEnded);
-        }
+        read_some(connection, buffer).await?;
     }
 }
 
