Move the choice of connections that make room into the core

The table of clients' connections in the shell held the policy: which idle connections are closed and which stalled requests give way. core/connection_room.rs decides now, on a view of the table, and is tested without sockets. Behaviour is unchanged.

--- a/crates/nickelgw-platform/src/clients/connection_table.rs
+++ b/crates/nickelgw-platform/src/clients/connection_table.rs
@@ -1,29 +1,17 @@
 //! The table of clients' connections. Its size is limited; idle connections are closed to make room for new
 //! ones.
 
+use crate::core::connection_room::{make_room, MakeRoom, PlaceUse};
 use async_channel::{Receiver, Sender};
 use event_listener::Event;
 use nickelgw_node::within;
 use std::cell::{Cell, RefCell};
-use std::cmp::Ordering::Equal;
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Minimum idle time after a request before a connection may be closed to make room.
-const MIN_IDLE_S: f64 = 2.0;
-/// Minimum time for which a new connection may stay without a byte before it may be closed: its client's
-/// first request may be on its way, and clients do not repeat it, unlike a request on a connection that was
-/// used before.
-const MIN_SILENT_S: f64 = 0.5;
-/// Minimum time without a byte after which a request that is arriving has to give way to other connections.
-const MIN_STALLED: Duration = Duration::from_millis(500);
 /// Interval at which the node tries to make room while the table is full or descriptors are exhausted.
 const ROOM_RETRY_S: f64 = 0.02;
-/// The table's size divided by this is the number of connections closed at once to make room. When only one
-/// was closed for each new one, a burst of silent connections kept regular clients out for seconds.
-const CLOSED_AT_ONCE_DIVISOR: usize = 8;
 
 /// State of one connection.
 pub struct ConnectionState {
@@ -76,17 +64,28 @@
         }
     }
 
-    /// Returns for how long the request that is arriving has been without a byte; `None` if none is arriving, or if it
-    /// gives way already.
-    fn stalled_for(&self) -> Option<Duration> {
-        self.progress_at.get().filter(|_| !self.gives_way.get()).map(|progress_at| progress_at.elapsed())
+    /// Returns what the connection uses its place for.
+    fn place_use(&self, now: f64) -> PlaceUse {
+        match (self.idle_since.get(), self.progress_at.get()) {
+            (Some(since), _) => PlaceUse::Idle {
+                idle_for: Duration::try_from_secs_f64(now - since).unwrap_or_default(),
+                has_carried_request: self.has_carried_request.get(),
+            },
+            (None, Some(progress_at)) if !self.gives_way.get() => {
+                PlaceUse::Arriving { stalled_for: progress_at.elapsed() }
+            }
+            (None, _) => PlaceUse::Busy,
+        }
+    }
+
+    fn close(&self) {
+        self.idle_since.set(None);
+        self.close.close();
     }
 
-    /// Returns whether the connection has been idle long enough to be closed: for `min_idle_s` if it has
-    /// carried a request, else for `MIN_SILENT_S`.
-    fn may_close(&self, now: f64, min_idle_s: f64) -> bool {
-        let min_idle_s = if self.has_carried_request.get() { min_idle_s } else { MIN_SILENT_S };
-        self.idle_since.get().is_some_and(|since| since + min_idle_s <= now)
+    fn set_giving_way(&self) {
+        self.gives_way.set(true);
+        self.give_way.notify(1);
     }
 }
 
@@ -148,47 +147,16 @@
         (ConnectionEntry { table: self.clone(), number, state }, closing)
     }
 
-    /// Closes the connections that have been idle the longest. If there are none, the requests that have stalled the
-    /// longest while they arrive give way: their clients are owed an error, and others wait in the backlog with whole
-    /// requests.
+    /// Makes room for new connections.
     pub fn make_room(&self, now: f64) {
-        if !self.close_longest_idle(now) {
-            self.reclaim_longest_stalled();
-        }
-    }
-
-    fn reclaim_longest_stalled(&self) {
         let connections = self.connections.borrow();
-        let stalled_for = |state: &'_ Rc<ConnectionState>| Some((state.stalled_for()?, state.clone()));
-        let mut stalled: Vec<(Duration, Rc<ConnectionState>)> =
-            connections.values().filter_map(stalled_for).filter(|(time, _)| *time >= MIN_STALLED).collect();
-        stalled.sort_by_key(|(time, _)| Reverse(*time));
-        for (_, state) in stalled.into_iter().take(self.closed_at_once()) {
-            state.gives_way.set(true);
-            state.give_way.notify(1);
-        }
-    }
-
-    fn closed_at_once(&self) -> usize {
-        self.max_connections / CLOSED_AT_ONCE_DIVISOR + 1
-    }
-
-    /// Closes the connections that have been idle the longest, and returns whether there were any.
-    fn close_longest_idle(&self, now: f64) -> bool {
-        let connections = self.connections.borrow();
-        let may_close = |state: &&Rc<ConnectionState>| state.may_close(now, MIN_IDLE_S);
-        let mut idle: Vec<&Rc<ConnectionState>> = connections.values().filter(may_close).collect();
-        // Connections that have carried a request come first: the first request on another may still be on
-        // its way.
-        idle.sort_by(|left, right| {
-            let by_idle = left.idle_since.get().partial_cmp(&right.idle_since.get()).unwrap_or(Equal);
-            right.has_carried_request.cmp(&left.has_carried_request).then(by_idle)
-        });
-        for state in idle.iter().take(self.closed_at_once()) {
-            state.idle_since.set(None);
-            state.close.close();
+        let place_uses: Vec<(u64, PlaceUse)> =
+            connections.iter().map(|(number, state)| (*number, state.place_use(now))).collect();
+        let states = |numbers: Vec<u64>| numbers.into_iter().filter_map(|number| connections.get(&number));
+        match make_room(self.max_connections, &place_uses) {
+            MakeRoom::Close(numbers) => states(numbers).for_each(|state| state.close()),
+            MakeRoom::GiveWay(numbers) => states(numbers).for_each(|state| state.set_giving_way()),
         }
-        !idle.is_empty()
     }
 
     /// Waits until a place is free, but no longer than `ROOM_RETRY_S`.
@@ -197,11 +165,11 @@
     }
 
     /// Closes connections without an open or arriving request, including those on which a request was just
-    /// answered: if a request crosses the close, its client sends it again. A new connection keeps
-    /// `MIN_SILENT_S` for its first request.
+    /// answered: if a request crosses the close, its client sends it again. A new connection keeps some time for its
+    /// first request.
     pub fn close_idle(&self, now: f64) {
         let connections = self.connections.borrow();
-        for state in connections.values().filter(|state| state.may_close(now, 0.0)) {
+        for state in connections.values().filter(|state| state.place_use(now).may_close()) {
             state.close.close();
         }
     }
--- a/crates/nickelgw-platform/src/core/mod.rs
+++ b/crates/nickelgw-platform/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod chunked;
 pub mod client_memory;
+pub mod connection_room;
 pub mod discovery_calls;
 pub mod discovery_timing;
 pub mod endpoint_list;
