Keep a quarter of the places of arriving requests for newcomers while the table is full

Cause: a request gives way to others only after 0.5 s without a byte; a slow but steady one kept its place until the request timeout of 2.4 s.

Change: when the table is full, nothing is idle or stalled, and no connection has ended for 0.25 s, then slow requests (arriving for 0.1 s) beyond three quarters of the arriving ones give way, the latest first, one for each newcomer. The oldest keep their places, so a slow request that was there before the crowd is served as before (connection_with_an_arriving_request_is_not_closed_to_make_room, slowly_written_request_is_served_beside_stalled_ones).

--- a/crates/nickelgw-platform/src/clients/connection_table.rs
+++ b/crates/nickelgw-platform/src/clients/connection_table.rs
@@ -1,7 +1,7 @@
 //! The table of clients' connections. Its size is limited; idle connections are closed to make room for new
 //! ones.
 
-use crate::core::connection_room::{make_room, MakeRoom, PlaceUse};
+use crate::core::connection_room::{make_room, FullTable, MakeRoom, PlaceUse};
 use async_channel::{Receiver, Sender};
 use event_listener::Event;
 use nickelgw_node::within;
@@ -13,6 +13,13 @@
 /// Interval at which the node tries to make room while the table is full or descriptors are exhausted.
 const ROOM_RETRY_S: f64 = 0.02;
 
+/// Times at which bytes of an arriving request were read.
+#[derive(Clone, Copy)]
+struct ArrivingRequest {
+    first_read_at: Instant,
+    last_read_at: Instant,
+}
+
 /// State of one connection.
 pub struct ConnectionState {
     /// Time since which the connection has been idle, without one byte of a request; `None` while a request
@@ -21,9 +28,9 @@
     /// Whether the connection has carried a whole request.
     pub has_carried_request: Cell<bool>,
     close: Sender<()>,
-    /// Time at which the last bytes of the request that is arriving were read; `None` if none is arriving.
-    progress_at: Cell<Option<Instant>>,
-    /// Whether the request that is arriving has to give way.
+    /// The request that is arriving, if there is one.
+    arriving: Cell<Option<ArrivingRequest>>,
+    /// Whether the request that is arriving has to give way, or the last one had to.
     gives_way: Cell<bool>,
     /// Notifies the connection's task that its request has to give way.
     give_way: Event,
@@ -36,21 +43,29 @@
             idle_since: Cell::new(Some(now)),
             has_carried_request: Cell::new(false),
             close,
-            progress_at: Cell::new(None),
+            arriving: Cell::new(None),
             gives_way: Cell::new(false),
             give_way: Event::new(),
         }
     }
 
+    /// Notes that the first bytes of a request have arrived: from now on the connection is not idle.
+    pub fn begin_arrival(&self) {
+        self.idle_since.set(None);
+        self.gives_way.set(false);
+        self.set_progress();
+    }
+
     /// Notes that bytes of a request have arrived that is not whole yet.
     pub fn set_progress(&self) {
-        self.progress_at.set(Some(Instant::now()));
+        let now = Instant::now();
+        let first_read_at = self.arriving.get().map_or(now, |arriving| arriving.first_read_at);
+        self.arriving.set(Some(ArrivingRequest { first_read_at, last_read_at: now }));
     }
 
     /// Notes that no request is arriving any more.
     pub fn set_arrived(&self) {
-        self.progress_at.set(None);
-        self.gives_way.set(false);
+        self.arriving.set(None);
     }
 
     /// Waits until the request that is arriving has to give way to other connections.
@@ -66,14 +81,15 @@
 
     /// Returns what the connection uses its place for.
     fn place_use(&self, now: f64) -> PlaceUse {
-        match (self.idle_since.get(), self.progress_at.get()) {
+        match (self.idle_since.get(), self.arriving.get()) {
             (Some(since), _) => PlaceUse::Idle {
                 idle_for: Duration::try_from_secs_f64(now - since).unwrap_or_default(),
                 has_carried_request: self.has_carried_request.get(),
             },
-            (None, Some(progress_at)) if !self.gives_way.get() => {
-                PlaceUse::Arriving { stalled_for: progress_at.elapsed() }
-            }
+            (None, Some(arriving)) if !self.gives_way.get() => PlaceUse::Arriving {
+                arriving_for: arriving.first_read_at.elapsed(),
+                stalled_for: arriving.last_read_at.elapsed(),
+            },
             (None, _) => PlaceUse::Busy,
         }
     }
@@ -94,6 +110,8 @@
     max_connections: usize,
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_number: Cell<u64>,
+    /// Time at which a connection ended last, other than to make room for others.
+    ended_at: Cell<Instant>,
     removed: Sender<()>,
     removals: Receiver<()>,
 }
@@ -110,6 +128,9 @@
 impl Drop for ConnectionEntry {
     fn drop(&mut self) {
         self.table.connections.borrow_mut().remove(&self.number);
+        if !self.state.gives_way.get() {
+            self.table.ended_at.set(Instant::now());
+        }
         let _ = self.table.removed.try_send(());
     }
 }
@@ -122,6 +143,7 @@
             max_connections,
             connections: RefCell::default(),
             next_number: Cell::new(0),
+            ended_at: Cell::new(Instant::now()),
             removed,
             removals,
         })
@@ -153,7 +175,12 @@
         let place_uses: Vec<(u64, PlaceUse)> =
             connections.iter().map(|(number, state)| (*number, state.place_use(now))).collect();
         let states = |numbers: Vec<u64>| numbers.into_iter().filter_map(|number| connections.get(&number));
-        match make_room(self.max_connections, &place_uses) {
+        let table = FullTable {
+            max_connections: self.max_connections,
+            blocked_for: self.ended_at.get().elapsed(),
+            connections: &place_uses,
+        };
+        match make_room(table) {
             MakeRoom::Close(numbers) => states(numbers).for_each(|state| state.close()),
             MakeRoom::GiveWay(numbers) => states(numbers).for_each(|state| state.set_giving_way()),
         }
--- a/crates/nickelgw-platform/src/clients/receive.rs
+++ b/crates/nickelgw-platform/src/clients/receive.rs
@@ -102,9 +102,7 @@
         state.idle_since.set(Some(now()));
         wait_for_first_byte(socket, buffer, limits).await?;
     }
-    // Once the first byte of a request has arrived, its connection is not closed to make room.
-    state.idle_since.set(None);
-    state.set_progress();
+    state.begin_arrival();
     let request = receive_before_timeout(socket, buffer, state).await;
     state.set_arrived();
     let (head, body, bytes) = request?;
--- a/crates/nickelgw-platform/src/core/connection_room.rs
+++ b/crates/nickelgw-platform/src/core/connection_room.rs
@@ -11,6 +11,12 @@
 const MIN_SILENT: Duration = Duration::from_millis(500);
 /// Minimum time without a byte after which a request that is arriving has to give way to other connections.
 const MIN_STALLED: Duration = Duration::from_millis(500);
+/// Time for which no connection has ended after which slow requests give way: until then, places become free in time.
+const MIN_BLOCKED: Duration = Duration::from_millis(250);
+/// Time after which a request that is still arriving counts as slow.
+const MIN_SLOW: Duration = Duration::from_millis(100);
+/// The number of arriving requests divided by this is the number of those that must not be slow while others wait.
+const NOT_SLOW_DIVISOR: usize = 4;
 /// The table's size divided by this is the number of connections closed at once to make room. When only one
 /// was closed for each new one, a burst of silent connections kept regular clients out for seconds.
 const CLOSED_AT_ONCE_DIVISOR: usize = 8;
@@ -27,6 +33,8 @@
     },
     /// A request is arriving.
     Arriving {
+        /// Time since its first bytes were read.
+        arriving_for: Duration,
         /// Time since its last bytes arrived.
         stalled_for: Duration,
     },
@@ -61,11 +69,25 @@
     GiveWay(Vec<u64>),
 }
 
-/// Chooses the connections that make room in a full table with `max_connections` places.
+/// A table of connections without a free place.
+#[derive(Clone, Copy, Debug)]
+pub struct FullTable<'a> {
+    /// Number of places.
+    pub max_connections: usize,
+    /// Time since a connection ended last, other than to make room.
+    pub blocked_for: Duration,
+    /// Connections and their numbers.
+    pub connections: &'a [(u64, PlaceUse)],
+}
+
+/// Chooses the connections that make room in a full table.
 ///
 /// Connections that have been idle the longest are closed first. If there are none, the requests that have stalled the
-/// longest give way: their clients are owed an error, and others wait in the backlog with whole requests.
-pub fn make_room(max_connections: usize, connections: &[(u64, PlaceUse)]) -> MakeRoom {
+/// longest give way: their clients are owed an error, and others wait in the backlog with whole requests. If there are
+/// none either and no place becomes free, a quarter of the places of arriving requests is kept for newcomers, which may
+/// have a whole request: of the slow requests beyond that the latest gives way.
+pub fn make_room(table: FullTable<'_>) -> MakeRoom {
+    let FullTable { max_connections, blocked_for, connections } = table;
     let closed_at_once = max_connections / CLOSED_AT_ONCE_DIVISOR + 1;
     let mut idle = longest_idle(connections);
     if !idle.is_empty() {
@@ -73,6 +95,9 @@
         return MakeRoom::Close(idle);
     }
     let mut stalled = longest_stalled(connections);
+    if stalled.is_empty() && blocked_for >= MIN_BLOCKED {
+        return MakeRoom::GiveWay(latest_slow_beyond_limit(connections).into_iter().collect());
+    }
     stalled.truncate(closed_at_once);
     MakeRoom::GiveWay(stalled)
 }
@@ -91,7 +116,7 @@
 
 fn longest_stalled(connections: &[(u64, PlaceUse)]) -> Vec<u64> {
     let candidate = |(number, place_use): &(u64, PlaceUse)| match *place_use {
-        PlaceUse::Arriving { stalled_for } if stalled_for >= MIN_STALLED => {
+        PlaceUse::Arriving { stalled_for, .. } if stalled_for >= MIN_STALLED => {
             Some((Reverse(stalled_for), *number))
         }
         _ => None,
@@ -99,6 +124,20 @@
     sorted_numbers(connections.iter().filter_map(candidate))
 }
 
+fn latest_slow_beyond_limit(connections: &[(u64, PlaceUse)]) -> Option<u64> {
+    let arriving_for = |(number, place_use): &(u64, PlaceUse)| match *place_use {
+        PlaceUse::Arriving { arriving_for, .. } => Some((arriving_for, *number)),
+        _ => None,
+    };
+    let arriving: Vec<(Duration, u64)> = connections.iter().filter_map(arriving_for).collect();
+    let max_slow = arriving.len() - arriving.len() / NOT_SLOW_DIVISOR;
+    let slow = || arriving.iter().filter(|(arriving_for, _)| *arriving_for >= MIN_SLOW);
+    if slow().count() <= max_slow {
+        return None;
+    }
+    slow().min().map(|(_, number)| *number)
+}
+
 fn sorted_numbers<O: Ord>(candidates: impl Iterator<Item = (O, u64)>) -> Vec<u64> {
     let mut candidates: Vec<(O, u64)> = candidates.collect();
     candidates.sort();
--- a/crates/nickelgw-platform/tests/cases/stalled_clients.rs
+++ b/crates/nickelgw-platform/tests/cases/stalled_clients.rs
@@ -104,15 +104,17 @@
 
 /// Regression test: clients that wrote their requests slowly filled the table for 2.4 s, and whole requests of others waited
 /// in the backlog past their time.
-#[test]
-fn slowly_written_requests_give_way_to_whole_ones() {
+#[test_case("X-Note: ", "x"; "a head")]
+#[test_case("Content-Length: 5000\r\n\r\n", "x"; "a body")]
+#[test_case("Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"; "a chunked body")]
+fn slowly_written_requests_give_way_to_whole_ones(start: &str, part: &str) {
     const TIMEOUT: Duration = Duration::from_millis(1000);
     let (prefill, decode) = (prefill_engine(), peer(|_, _| PeerAction::Respond(stream_response())));
     let node = start_small_node(&prefill, &decode);
-    let mut slow = stalled_clients(&node, "POST /v1/chat/completions HTTP/1.1\r\nX-Note: ");
+    let mut slow = stalled_clients(&node, &format!("POST /v1/chat/completions HTTP/1.1\r\n{start}"));
     let usual = send_usual_requests(&node, "sc", TIMEOUT);
     while usual.iter().any(|client| !client.is_finished()) {
-        slow.iter_mut().for_each(|client| drop(client.write_all(b"x")));
+        slow.iter_mut().for_each(|client| drop(client.write_all(part.as_bytes())));
         sleep(Duration::from_millis(100));
     }
     assert_answered_in_time(usual, TIMEOUT);
