Call an engine again for a release once it has answered others since

A request that waits for its release gets its next prefill later.

Cause: a release called each engine once in a round. At the moment of s7x71 one engine refused, two were cut off and one accepted late; its four calls failed. From 0.1 s on two of these engines confirmed other releases within 1 ms, but counted as tried; the two calls left of the round went to the prefill engine, still cut off, 0.25 s each (node's log: 4.415 e0, 4.466 e3, 4.516 e5, 4.578 e8, then 4.982 e0 and 5.232 e0; e8 answered s7x83 at 4.688, e3 s7x79 at 4.830).

Change: an engine that has answered after it was called for a release may be called for it again. Of the available engines those whose last call failed come last, and a release that needs another call prefers one that has just answered (within 0.25 s): its open connection responds.

Evidence: engine_that_has_answered_since_a_failed_call_is_called_again, engine_whose_last_call_failed_is_called_after_ the_others and repeated_call_goes_to_an_engine_that_has_just_answered failed before.

--- a/crates/nickelgw-node-core/src/release_scheduler.rs
+++ b/crates/nickelgw-node-core/src/release_scheduler.rs
@@ -11,7 +11,7 @@
 
 use crate::commands::{Endpoint, ReleaseCall, ReleaseCallId, ReleaseConnection, ReleaseOutcome, Reservation};
 use crate::ledger::ReservationId;
-use engine_health::EngineHealth;
+use engine_health::{EngineHealth, Preference};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -48,13 +48,19 @@
     /// Engines to call, in order of preference.
     endpoints: Vec<Rc<Endpoint>>,
     endpoints_chosen_at: f64,
-    /// Ids of the engines called in this round.
-    tried: Vec<String>,
+    /// Engines called in this round.
+    tried: Vec<TriedEngine>,
     calls_made: usize,
     calls_in_flight: usize,
     last_call_at: f64,
 }
 
+/// An engine that was called for a release.
+struct TriedEngine {
+    id: String,
+    called_at: f64,
+}
+
 /// A call that has not ended.
 struct CallInFlight {
     reservation: ReservationId,
@@ -198,12 +204,13 @@
         if call.connection == ReleaseConnection::Any {
             // The failure of an idle connection does not show that the engine fails: call it again on a new
             // one.
-            pending.tried.retain(|tried| *tried != call.engine);
+            pending.tried.retain(|tried| tried.id != call.engine);
         }
         if pending.calls_in_flight > 0 {
             return None;
         }
-        let can_call_again = pending.calls_made < MAX_CALLS_PER_ROUND && pending.untried().next().is_some();
+        let can_call_again =
+            pending.calls_made < MAX_CALLS_PER_ROUND && pending.candidates(&self.engines).next().is_some();
         if can_call_again && outcome == ReleaseOutcome::Unanswered {
             self.waiting.push_front((reservation, call.round));
             return None;
@@ -276,8 +283,8 @@
         calls
     }
 
-    /// Starts a call to the first available engine that was not called in this round; returns `None` if there
-    /// is none.
+    /// Starts a call to the best available engine that was not called in this round, or has answered since; returns
+    /// `None` if there is none.
     fn start_call(
         &mut self,
         now: f64,
@@ -292,12 +299,18 @@
         let is_available = |endpoint: &&Rc<Endpoint>| {
             self.engines.get(&endpoint.id).is_none_or(|health| health.is_available(now))
         };
-        let endpoint = pending.untried().find(is_available)?.clone();
+        let is_repeat = pending.calls_made > 0;
+        let preference = |endpoint: &&Rc<Endpoint>| {
+            let health = self.engines.get(&endpoint.id);
+            health.map_or(Preference::Usual, |health| health.preference(now, is_repeat))
+        };
+        let candidates = pending.candidates(&self.engines).filter(is_available);
+        let endpoint = candidates.min_by_key(preference)?.clone();
         let is_hedge = pending.calls_in_flight > 0;
         let health = self.engines.entry(endpoint.id.clone()).or_default();
         let connection = health.connection(now, is_hedge);
         health.call_started(now);
-        pending.tried.push(endpoint.id.clone());
+        pending.tried.push(TriedEngine { id: endpoint.id.clone(), called_at: now });
         pending.calls_made += 1;
         pending.calls_in_flight += 1;
         pending.last_call_at = now;
@@ -344,9 +357,20 @@
         }
     }
 
-    /// Returns the engines that were not called in this round.
-    fn untried(&self) -> impl Iterator<Item = &Rc<Endpoint>> {
-        self.endpoints.iter().filter(|endpoint| !self.tried.contains(&endpoint.id))
+    /// Returns the engines that may be called: those that were not called in this round, and those that have answered
+    /// other calls since. An engine that failed may have recovered by then.
+    fn candidates<'a>(
+        &'a self,
+        engines: &'a HashMap<String, EngineHealth>,
+    ) -> impl Iterator<Item = &'a Rc<Endpoint>> {
+        let has_answered_since = |tried: &TriedEngine| {
+            engines.get(&tried.id).is_some_and(|health| health.has_answered_since(tried.called_at))
+        };
+        let may_be_called = move |endpoint: &&Rc<Endpoint>| {
+            let mut calls = self.tried.iter().filter(|tried| tried.id == endpoint.id);
+            calls.all(has_answered_since)
+        };
+        self.endpoints.iter().filter(may_be_called)
     }
 }
 
--- a/crates/nickelgw-node-core/src/release_scheduler/engine_health.rs
+++ b/crates/nickelgw-node-core/src/release_scheduler/engine_health.rs
@@ -21,6 +21,16 @@
 const MAX_BACKOFF_S: f64 = 0.4;
 const JITTER_SHARE: f64 = 0.25;
 
+/// Order in which available engines are called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Preference {
+    /// The engine has just answered, and a release needs another call.
+    Answering,
+    Usual,
+    /// The engine's last call failed.
+    Failing,
+}
+
 /// Health of one engine.
 pub(super) struct EngineHealth {
     /// Start times of the calls in flight.
@@ -65,14 +75,34 @@
     /// longer respond, unless the engine has just answered: it may then be slow to accept new connections but
     /// answer at once on open ones.
     pub(super) fn connection(&self, now: f64, is_hedge: bool) -> ReleaseConnection {
-        let has_just_answered = now - self.last_answer_at <= RECENT_ANSWER_S;
-        if (is_hedge && !has_just_answered) || self.avoid_idle_connections {
+        if (is_hedge && !self.has_just_answered(now)) || self.avoid_idle_connections {
             ReleaseConnection::New
         } else {
             ReleaseConnection::Any
         }
     }
 
+    /// Returns when the engine is called, compared with others. `is_repeat`: whether another call for the same release
+    /// has not been answered.
+    pub(super) fn preference(&self, now: f64, is_repeat: bool) -> Preference {
+        if self.failures > 0 || self.avoid_idle_connections {
+            Preference::Failing
+        } else if is_repeat && self.has_just_answered(now) {
+            Preference::Answering
+        } else {
+            Preference::Usual
+        }
+    }
+
+    /// Returns whether the engine has answered a call after this time.
+    pub(super) fn has_answered_since(&self, time: f64) -> bool {
+        self.last_answer_at > time
+    }
+
+    fn has_just_answered(&self, now: f64) -> bool {
+        now - self.last_answer_at <= RECENT_ANSWER_S
+    }
+
     pub(super) fn call_started(&mut self, now: f64) {
         self.calls_started.push(now);
     }
--- a/crates/nickelgw-node-core/src/release_scheduler/tests.rs
+++ b/crates/nickelgw-node-core/src/release_scheduler/tests.rs
@@ -87,6 +87,47 @@
     assert_eq!((hedged.connection, &*hedged.endpoint.id), (expected, "e1"));
 }
 
+/// Guards against a release that waits for a silent engine, while an engine that failed its call at first answers
+/// others by now.
+#[test]
+fn engine_that_has_answered_since_a_failed_call_is_called_again() {
+    let mut scheduler = scheduler(1);
+    let silent = poll(&mut scheduler, 0.0, 2).remove(0);
+    let refused = poll(&mut scheduler, 0.051, 2).remove(0);
+    scheduler.call_ended(0.052, refused.id, ReleaseOutcome::Unanswered);
+    assert!(poll(&mut scheduler, 0.15, 2).is_empty(), "engine 1 has not answered since");
+    scheduler.enqueue(0.15, id(1), reservation(1));
+    let other = scheduler.poll(0.15, |_| true, |_| vec![endpoint(1)]).remove(0);
+    scheduler.call_ended(0.151, other.id, ReleaseOutcome::Confirmed);
+    let again = poll(&mut scheduler, 0.152, 2).remove(0);
+    assert_eq!((again.connection, &*again.endpoint.id), (ReleaseConnection::Any, "e1"));
+    assert_eq!(scheduler.call_ended(0.153, again.id, ReleaseOutcome::Confirmed), Some((id(0), true)));
+    scheduler.call_ended(0.25, silent.id, ReleaseOutcome::Unanswered);
+}
+
+/// Guards against releases that begin with a call to an engine whose last call failed, while others answer.
+#[test]
+fn engine_whose_last_call_failed_is_called_after_the_others() {
+    let mut scheduler = scheduler(1);
+    let failed = poll(&mut scheduler, 0.0, 1).remove(0);
+    scheduler.call_ended(0.01, failed.id, ReleaseOutcome::Unanswered);
+    scheduler.enqueue(1.0, id(1), reservation(0));
+    let calls = scheduler.poll(1.0, |wanted| wanted == id(1), |_| (0..2).map(endpoint).collect());
+    assert_eq!(calls[0].endpoint.id, "e1");
+}
+
+/// A release that was not confirmed at first goes to an engine that has just answered.
+#[test]
+fn repeated_call_goes_to_an_engine_that_has_just_answered() {
+    let mut scheduler = scheduler(1);
+    let failed = poll(&mut scheduler, 0.0, 1).remove(0);
+    scheduler.enqueue(0.0, id(1), reservation(2));
+    let answered = scheduler.poll(0.0, |_| true, |_| vec![endpoint(2)]).remove(0);
+    scheduler.call_ended(0.01, answered.id, ReleaseOutcome::Confirmed);
+    scheduler.call_ended(0.01, failed.id, ReleaseOutcome::Unanswered);
+    assert_eq!(poll(&mut scheduler, ENDPOINTS_VALID_S, 3)[0].endpoint.id, "e2");
+}
+
 /// No open connection responds, and there is no other engine.
 #[test]
 fn engine_is_called_on_a_new_connection_after_an_idle_one_failed() {
