Keep late calls to discovery open in small steps, so that a crowded agent is heard after an outage

Cause: calls are made every 0.065 s until one is answered, so the agent's queue grows by 3.6 s a second after its recovery. Only calls made within 0.47 s of it are answered less than 2 s late. The place for calls that are 0.7 to 2 s late took one call in 1.3 s, so it came down to the phase whether one of these was still open; the places after it took one in 6 and in 22 s. If none was, no response ever came while its call was open.

Change: eight places in place of five, in steps of 0.35 s up to 2 s: one call in each 0.35 s stays open that long, whatever the phase. The intervals of the calls are as before. Up to nine calls are open at once (six before), with three more descriptors of their own.

--- a/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
+++ b/crates/nickelgw-platform/src/core/discovery_calls_tests.rs
@@ -304,12 +304,16 @@
 #[test_case(0.25, 0.05; "quick agent, little time to stop dispatching")]
 #[test_case(0.25, 0.1; "slow agent, little time to stop dispatching")]
 #[test_case(0.25, 0.3; "slower agent, little time to stop dispatching")]
+#[test_case(0.25, 0.4; "slowest agent, little time to stop dispatching")]
+#[test_case(0.5, 0.3; "slower agent, some time to stop dispatching")]
+#[test_case(0.5, 0.5; "slowest agent, some time to stop dispatching")]
+#[test_case(1.0, 0.6; "slowest agent, a second to stop dispatching")]
 #[test_case(2.0, 0.1; "slow agent, more time to stop dispatching")]
 #[test_case(2.0, 0.3; "slower agent, more time to stop dispatching")]
 #[test_case(2.0, 0.6; "slowest agent, more time to stop dispatching")]
 fn crowded_agent_is_heard_after_an_outage(stop_dispatch_within_s: f64, service_s: f64) {
-    for step in 0..40 {
-        let recovery_at = 5.0 + 0.3 + 0.21 * f64::from(step);
+    for step in 0..120 {
+        let recovery_at = 5.0 + 0.3 + 0.07 * f64::from(step);
         let agent = Agent {
             changes_at: vec![recovery_at],
             delays_s: vec![service_s],
--- a/crates/nickelgw-platform/src/core/late_calls.rs
+++ b/crates/nickelgw-platform/src/core/late_calls.rs
@@ -8,9 +8,10 @@
 use super::discovery_calls::{CallId, OpenCall};
 
 /// Time limits of the places for late calls, in seconds from when discovery was expected to answer, in
-/// ascending order. A change of the list has to be applied some seconds after an outage: a response is received
-/// in that time if it takes less than the third limit.
-pub const LATE_LIMITS_S: [f64; 5] = [0.25, 0.7, 2.0, 8.0, 30.0];
+/// ascending order. A change of the list has to be applied some seconds after an outage. Up to 2 s the steps are small:
+/// an agent that works off one call after another answers only those that were made just after its recovery while they
+/// are open, and such a call finds its next place free only if the one before it has left it by then.
+pub const LATE_LIMITS_S: [f64; 8] = [0.25, 0.6, 0.95, 1.3, 1.65, 2.0, 8.0, 30.0];
 
 /// The late calls, each in its place.
 #[derive(Debug, Default)]
