Start the time spent on a client's bytes anew with each request

Cause: a request without memory is read to its end and thrown away; that time was added to the connection's, and the next request on it would have counted as slow from its first byte. Such connections close after the refusal today, so no caller has seen it; found by reading again.

time_spent_on_a_request_without_memory_does_not_count_for_the_next_one failed before.

--- a/crates/nickelgw-platform/src/core/client_memory.rs
+++ b/crates/nickelgw-platform/src/core/client_memory.rs
@@ -182,11 +182,12 @@
             connection.stage = stage;
             connection.pooled_bytes = bytes.saturating_sub(GUARANTEED_BYTES);
             connection.reclaimed &= stage.is_arriving();
-            if !stage.is_arriving() {
-                connection.waited = Duration::ZERO;
-            } else if begins {
+            if begins {
                 connection.progress_at = since_start(now);
             }
+            if begins || !stage.is_arriving() {
+                connection.waited = Duration::ZERO;
+            }
         });
     }
 
--- a/crates/nickelgw-platform/src/core/client_memory_tests.rs
+++ b/crates/nickelgw-platform/src/core/client_memory_tests.rs
@@ -86,6 +86,17 @@
     assert_eq!(memory.used.slow, 0);
 }
 
+/// The rest of a request that is read and thrown away does not make the next one slow.
+#[test]
+fn time_spent_on_a_request_without_memory_does_not_count_for_the_next_one() {
+    let mut memory = ClientMemory::new(POOL_BYTES);
+    let key = memory.add();
+    memory.set(0.0, key, RequestStage::Idle, 0);
+    memory.note_arrival(1.0, key);
+    assert_eq!(grant(&mut memory, 1.0, key, RequestStage::Body, 60_000), MemoryGrant::Granted);
+    assert_eq!(memory.used.slow, 0);
+}
+
 #[test]
 fn request_that_arrived_completely_as_it_was_to_give_way_keeps_its_memory() {
     let mut memory = ClientMemory::new(POOL_BYTES);
