--- a/crates/nickelgw-platform/src/core/client_memory.rs
+++ b/crates/nickelgw-platform/src/core/client_memory.rs
@@ -61,7 +61,7 @@
     pooled_bytes: usize,
     /// Time at which the last bytes of the request arrived.
     progress_at: Duration,
-    /// Time for which bytes of the request have been waited for.
+    /// Time for which bytes of the request have been waited for; 0 if none is arriving.
     waited: Duration,
     /// Whether the request has to give way.
     reclaimed: bool,
@@ -185,7 +185,7 @@
             if begins {
                 connection.progress_at = since_start(now);
             }
-            if begins || !stage.is_arriving() {
+            if !stage.is_arriving() {
                 connection.waited = Duration::ZERO;
             }
         });
@@ -194,7 +194,9 @@
     /// Notes that bytes of a connection's request have arrived.
     pub fn note_arrival(&mut self, now: f64, key: u64) {
         self.update(key, |connection| {
-            connection.waited += since_start(now).saturating_sub(connection.progress_at);
+            if connection.stage.is_arriving() {
+                connection.waited += since_start(now).saturating_sub(connection.progress_at);
+            }
             connection.progress_at = since_start(now);
         });
     }
