Read the clocks once while room is made, and skip the copy of each stalled connection

While the table of connections is full, each look at it read the monotonic clock once or twice for every connection; it is read once now. Closing idle connections at a shutdown calls the same close as making room. The search for stalled requests converted the time at each step and copied each entry. Two doc comments were missing. What is decided is unchanged.

--- a/crates/nickelgw-node-core/src/release_scheduler/engine_health.rs
+++ b/crates/nickelgw-node-core/src/release_scheduler/engine_health.rs
@@ -26,6 +26,7 @@
 pub(super) enum Preference {
     /// The engine has just answered, and a release needs another call.
     Answering,
+    /// Nothing speaks for or against the engine.
     Usual,
     /// The engine's last call failed.
     Failing,
--- a/crates/nickelgw-platform/src/clients/connection_table.rs
+++ b/crates/nickelgw-platform/src/clients/connection_table.rs
@@ -79,16 +79,16 @@
         }
     }
 
-    /// Returns what the connection uses its place for.
-    fn place_use(&self, now: f64) -> PlaceUse {
+    /// Returns what the connection uses its place for. `now` and `instant` are the same time by both clocks.
+    fn place_use(&self, now: f64, instant: Instant) -> PlaceUse {
         match (self.idle_since.get(), self.arriving.get()) {
             (Some(since), _) => PlaceUse::Idle {
                 idle_for: Duration::try_from_secs_f64(now - since).unwrap_or_default(),
                 has_carried_request: self.has_carried_request.get(),
             },
             (None, Some(arriving)) if !self.gives_way.get() => PlaceUse::Arriving {
-                arriving_for: arriving.first_read_at.elapsed(),
-                stalled_for: arriving.last_read_at.elapsed(),
+                arriving_for: instant.duration_since(arriving.first_read_at),
+                stalled_for: instant.duration_since(arriving.last_read_at),
             },
             (None, _) => PlaceUse::Busy,
         }
@@ -172,12 +172,13 @@
     /// Makes room for new connections.
     pub fn make_room(&self, now: f64) {
         let connections = self.connections.borrow();
+        let instant = Instant::now();
         let place_uses: Vec<(u64, PlaceUse)> =
-            connections.iter().map(|(number, state)| (*number, state.place_use(now))).collect();
+            connections.iter().map(|(number, state)| (*number, state.place_use(now, instant))).collect();
         let states = |numbers: Vec<u64>| numbers.into_iter().filter_map(|number| connections.get(&number));
         let table = FullTable {
             max_connections: self.max_connections,
-            blocked_for: self.ended_at.get().elapsed(),
+            blocked_for: instant.duration_since(self.ended_at.get()),
             connections: &place_uses,
         };
         match make_room(table) {
@@ -196,8 +197,9 @@
     /// first request.
     pub fn close_idle(&self, now: f64) {
         let connections = self.connections.borrow();
-        for state in connections.values().filter(|state| state.place_use(now).may_close()) {
-            state.close.close();
+        let instant = Instant::now();
+        for state in connections.values().filter(|state| state.place_use(now, instant).may_close()) {
+            state.close();
         }
     }
 }
--- a/crates/nickelgw-platform/src/core/client_memory.rs
+++ b/crates/nickelgw-platform/src/core/client_memory.rs
@@ -249,13 +249,14 @@
         mut missing: usize,
         is_candidate: impl Fn(&ConnectionMemory) -> bool,
     ) -> Vec<u64> {
+        let now = since_start(now);
         let mut reclaimed = Vec::new();
         for (progress_at, key) in &self.by_progress {
-            if missing == 0 || *progress_at + MIN_STALLED > since_start(now) {
+            if missing == 0 || *progress_at + MIN_STALLED > now {
                 break;
             }
-            let connection = self.connections.get(key).copied().unwrap_or(ConnectionMemory::IDLE);
-            if *key != except && is_candidate(&connection) {
+            let Some(connection) = self.connections.get(key) else { continue };
+            if *key != except && is_candidate(connection) {
                 missing = missing.saturating_sub(connection.pooled_bytes);
                 reclaimed.push(*key);
             }
--- a/crates/nickelgw-platform/src/core/connection_room.rs
+++ b/crates/nickelgw-platform/src/core/connection_room.rs
@@ -124,6 +124,7 @@
     sorted_numbers(connections.iter().filter_map(candidate))
 }
 
+/// Returns the slow request that began to arrive last if more than three quarters of the arriving ones are slow.
 fn latest_slow_beyond_limit(connections: &[(u64, PlaceUse)]) -> Option<u64> {
     let arriving_for = |(number, place_use): &(u64, PlaceUse)| match *place_use {
         PlaceUse::Arriving { arriving_for, .. } => Some((arriving_for, *number)),
